Set down the design, the core types and the message contracts

The first slices are the shared vocabulary: ids, units, clock, errors, invariants, frames, the document types and the store trait.

--- /dev/null
+++ b/mulberrymill-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, load generator and experiments for mulberrymill. Not shipped.
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! The command line.
+
+mod imp;
+
+pub use imp::run;
--- /dev/null
+++ b/src/clock/imp.rs
@@ -0,0 +1,89 @@
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant, SystemTime},
+};
+
+/// A source of time.
+pub trait Clock: fmt::Debug + Send + Sync {
+    /// Monotonic time, for intervals and deadlines.
+    fn now(&self) -> Instant;
+
+    /// Wall-clock time, for logs and answers only.
+    fn wall(&self) -> SystemTime;
+}
+
+/// A clock that several tasks share.
+pub type Shared = Arc<dyn Clock>;
+
+/// The machine's clock. Under a paused tokio runtime it follows the virtual time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct System;
+
+impl System {
+    /// The machine's clock as a shared trait object.
+    #[must_use]
+    pub fn shared() -> Shared {
+        Arc::new(Self)
+    }
+}
+
+impl Clock for System {
+    fn now(&self) -> Instant {
+        // `std::time::Instant::now` does not follow tokio's paused clock.
+        tokio::time::Instant::now().into_std()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to. Clones share the same time.
+#[derive(Clone, Debug)]
+pub struct Manual {
+    start: Instant,
+    elapsed_nanos: Arc<AtomicU64>,
+}
+
+impl Manual {
+    /// A clock that stands still.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            elapsed_nanos: Arc::default(),
+        }
+    }
+
+    /// Moves the clock forward.
+    pub fn advance(&self, period: Duration) {
+        let nanos = u64::try_from(period.as_nanos()).unwrap_or(u64::MAX);
+        self.elapsed_nanos.fetch_add(nanos, Ordering::Relaxed);
+    }
+
+    /// Time since the clock was made.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        Duration::from_nanos(self.elapsed_nanos.load(Ordering::Relaxed))
+    }
+}
+
+impl Default for Manual {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for Manual {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.elapsed()
+    }
+}
--- /dev/null
+++ b/src/clock/tests.rs
@@ -0,0 +1,11 @@
+use std::time::Duration;
+
+use super::*;
+
+/// Guards against a system clock that ignores tokio's paused time, on which long tests depend.
+#[tokio::test(start_paused = true)]
+async fn system_clock_follows_paused_time() {
+    let start = System.now();
+    tokio::time::advance(Duration::from_hours(1)).await;
+    assert_eq!(System.now() - start, Duration::from_hours(1));
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,13 @@
+//! The platform's key-value store, behind the trait [`Store`].
+//!
+//! The trait follows the published interface of etcd v3: keys with revisions, transactions that
+//! compare before they write, leases, and watches. Each method is one call against the rate limit
+//! of the platform.
+
+mod imp;
+
+pub use imp::{
+    Change, Commit, Compare, Event, Events, Future, Item, Lease, Path, Range, Store, Txn, Write,
+};
+
+pub use crate::error::Result;
--- /dev/null
+++ b/src/unit/imp.rs
@@ -0,0 +1,349 @@
+use std::{fmt, iter::Sum, ops, str::FromStr};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use super::Result;
+
+/// A text that is not a quantity of the expected unit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    expected: &'static str,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "expected {}", self.expected)
+    }
+}
+
+impl std::error::Error for Error {}
+
+macro_rules! serde_as_text {
+    ($name:ident) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(
+                &self,
+                serializer: S,
+            ) -> std::result::Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(
+                deserializer: D,
+            ) -> std::result::Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(de::Error::custom)
+            }
+        }
+    };
+}
+
+macro_rules! count {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Nothing.
+            pub const ZERO: Self = Self(0);
+
+            /// Wraps a number.
+            #[must_use]
+            pub const fn new(number: u64) -> Self {
+                Self(number)
+            }
+
+            /// The number.
+            #[must_use]
+            pub const fn get(self) -> u64 {
+                self.0
+            }
+
+            /// The difference, or zero.
+            #[must_use]
+            pub const fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl ops::Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl ops::AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                *self = *self + other;
+            }
+        }
+
+        impl Sum for $name {
+            fn sum<I: Iterator<Item = Self>>(items: I) -> Self {
+                items.fold(Self::ZERO, ops::Add::add)
+            }
+        }
+
+        serde_as_text!($name);
+    };
+}
+
+count!(
+    /// A number of tokens, written `100 tokens`.
+    Tokens
+);
+count!(
+    /// A number of bytes, written `512B`, `64KiB` or `1MiB`.
+    Bytes
+);
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} tokens", self.0)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let invalid = Error {
+            expected: "a number of tokens such as \"100 tokens\"",
+        };
+        let digits = text.strip_suffix("tokens").ok_or_else(|| invalid.clone())?;
+        digits
+            .trim_end()
+            .parse()
+            .map(Self)
+            .map_err(|_error| invalid)
+    }
+}
+
+/// Suffix and factor of each unit of size, largest first.
+const SIZES: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (suffix, factor) = SIZES
+            .into_iter()
+            .find(|(_, factor)| self.0 != 0 && self.0.is_multiple_of(*factor))
+            .unwrap_or(("B", 1));
+        write!(f, "{}{suffix}", self.0 / factor)
+    }
+}
+
+impl FromStr for Bytes {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let invalid = Error {
+            expected: "a size such as \"64KiB\"",
+        };
+        let parsed = SIZES.into_iter().find_map(|(suffix, factor)| {
+            let digits = text.strip_suffix(suffix)?;
+            digits.parse::<u64>().ok()?.checked_mul(factor)
+        });
+        parsed.map(Self).ok_or(invalid)
+    }
+}
+
+/// Events per second, written `50/s`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Wraps a number of events per second. Negative and non-finite numbers become 0.
+    #[must_use]
+    pub fn new(per_second: f64) -> Self {
+        Self(if per_second.is_finite() {
+            per_second.max(0.0)
+        } else {
+            0.0
+        })
+    }
+
+    /// Events per second.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text
+            .strip_suffix("/s")
+            .and_then(|number| number.parse::<f64>().ok());
+        match number {
+            Some(number) if number.is_finite() && number >= 0.0 => Ok(Self(number)),
+            _ => Err(Error {
+                expected: "a rate such as \"50/s\"",
+            }),
+        }
+    }
+}
+
+serde_as_text!(Rate);
+
+/// A part of a whole from 0 to 1, written `25%`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Share(f64);
+
+impl Share {
+    /// Wraps a fraction, limited to 0 to 1.
+    #[must_use]
+    pub fn new(fraction: f64) -> Self {
+        Self(if fraction.is_finite() {
+            fraction.clamp(0.0, 1.0)
+        } else {
+            0.0
+        })
+    }
+
+    /// The fraction from 0 to 1.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0 * 100.0)
+    }
+}
+
+impl FromStr for Share {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text
+            .strip_suffix('%')
+            .and_then(|number| number.parse::<f64>().ok());
+        match number {
+            Some(number) if (0.0..=100.0).contains(&number) => Ok(Self(number / 100.0)),
+            _ => Err(Error {
+                expected: "a share from \"0%\" to \"100%\"",
+            }),
+        }
+    }
+}
+
+serde_as_text!(Share);
+
+/// What one answer inside its target is worth, relative to other classes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Worth(u32);
+
+impl Worth {
+    /// Wraps a number.
+    #[must_use]
+    pub const fn new(number: u32) -> Self {
+        Self(number)
+    }
+
+    /// The number.
+    #[must_use]
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl fmt::Display for Worth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Worth {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse().map(Self).map_err(|_error| Error {
+            expected: "a whole number",
+        })
+    }
+}
+
+/// Text form of [`std::time::Duration`]: `250ms`, `3s` or `5min`.
+///
+/// For use with `#[serde(with = "unit::period")]`.
+pub mod period {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer, de};
+
+    use super::{Error, Result};
+
+    /// Suffix and length in milliseconds of each unit of time, longest first.
+    const UNITS: [(&str, u64); 3] = [("min", 60_000), ("ms", 1), ("s", 1_000)];
+
+    /// Parses a duration.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a missing or unknown unit and on a number that is not whole.
+    pub fn parse(text: &str) -> Result<Duration> {
+        let millis = UNITS.into_iter().find_map(|(suffix, factor)| {
+            let digits = text.strip_suffix(suffix)?;
+            digits.parse::<u64>().ok()?.checked_mul(factor)
+        });
+        millis.map(Duration::from_millis).ok_or(Error {
+            expected: "a duration such as \"250ms\", \"3s\" or \"5min\"",
+        })
+    }
+
+    /// Prints a duration in whole milliseconds or seconds.
+    #[must_use]
+    pub fn print(period: Duration) -> String {
+        let millis = period.as_millis();
+        if millis.is_multiple_of(1_000) {
+            format!("{}s", millis / 1_000)
+        } else {
+            format!("{millis}ms")
+        }
+    }
+
+    /// Serializes a duration as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if the serializer does.
+    pub fn serialize<S: Serializer>(
+        period: &Duration,
+        serializer: S,
+    ) -> std::result::Result<S::Ok, S::Error> {
+        serializer.serialize_str(&print(*period))
+    }
+
+    /// Deserializes a duration from text.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a missing or unknown unit.
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> std::result::Result<Duration, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse(&text).map_err(de::Error::custom)
+    }
+}
--- /dev/null
+++ b/src/unit/mod.rs
@@ -0,0 +1,22 @@
+//! Sizes and rates as newtypes, each with `Display` and `FromStr`, and text forms of durations.
+//!
+//! The text forms carry their unit, so that a document with `"64KiB"` where tokens are meant is
+//! rejected.
+//!
+//! ```
+//! use mulberrymill::unit;
+//!
+//! assert_eq!("64KiB".parse::<unit::Bytes>()?.get(), 65_536);
+//! assert_eq!("25%".parse::<unit::Share>()?.get(), 0.25);
+//! assert!("64KiB".parse::<unit::Tokens>().is_err());
+//! # Ok::<(), unit::Error>(())
+//! ```
+
+mod imp;
+#[cfg(test)]
+mod tests;
+
+pub use imp::{Bytes, Error, Rate, Share, Tokens, Worth, period};
+
+/// Result of parsing a quantity.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/src/unit/tests.rs
@@ -0,0 +1,61 @@
+use proptest::prelude::*;
+
+use super::*;
+
+fn outcome<T: std::fmt::Display>(parsed: Result<T>) -> String {
+    match parsed {
+        Ok(value) => value.to_string(),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Guards against a quantity that is accepted with a wrong or missing unit.
+#[test]
+fn units_are_checked() {
+    let texts = [
+        "64KiB",
+        "100 tokens",
+        "50/s",
+        "25%",
+        "101%",
+        "250ms",
+        "1.5s",
+        "9",
+        "-1/s",
+        "NaN/s",
+    ];
+    let table: Vec<String> = texts
+        .iter()
+        .map(|text| {
+            [
+                format!("{text:?}"),
+                outcome(text.parse::<Bytes>()),
+                outcome(text.parse::<Tokens>()),
+                outcome(text.parse::<Rate>()),
+                outcome(text.parse::<Share>()),
+                outcome(period::parse(text).map(period::print)),
+            ]
+            .join(" | ")
+        })
+        .collect();
+    insta::assert_debug_snapshot!(table);
+}
+
+proptest! {
+    /// Guards against an overflow in a size that an operator wrote.
+    #[test]
+    fn sizes_never_panic(text in "[0-9]{0,25}(B|KiB|MiB|GiB|ms|s|min|%|/s| tokens)?") {
+        let _bytes = text.parse::<Bytes>();
+        let _tokens = text.parse::<Tokens>();
+        let _rate = text.parse::<Rate>();
+        let _share = text.parse::<Share>();
+        let _period = period::parse(&text);
+    }
+
+    /// Guards against a size that reads back differently from how it was printed.
+    #[test]
+    fn sizes_round_trip(number in any::<u64>()) {
+        let bytes = Bytes::new(number);
+        prop_assert_eq!(bytes.to_string().parse(), Ok(bytes));
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,28 @@
+//! Messages between an entry and an agent, and their encoding.
+//!
+//! Each [`Frame`] is one CBOR value in one binary WebSocket message of at most [`FRAME_MAX`].
+//! The agent listens and the entry connects; both send [`Hello`] first.
+//!
+//! ```
+//! use mulberrymill::wire::{self, Cancel, Frame};
+//!
+//! let attempt = "0000000000000000000000000000002a.1".parse()?;
+//! let frame = Frame::Cancel(Cancel { attempt });
+//! assert_eq!(wire::decode(&wire::encode(&frame)?)?, frame);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod codec;
+mod imp;
+#[cfg(test)]
+mod tests;
+
+pub use codec::{Error, FRAME_MAX, decode, encode};
+pub use imp::{
+    Cancel, Change, Chunk, Credit, Document, Done, End, Fail, Fetch, Frame, Generate, Hello,
+    Invoke, Load, Lookup, Message, Order, Outcome, PROTOCOL, Prompt, Recorded, Report, Role,
+    Sampling, Submit, Verdict, Work,
+};
+
+/// Result of encoding or decoding a frame.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/src/wire/tests.rs
@@ -0,0 +1,63 @@
+use proptest::prelude::*;
+
+use super::*;
+use crate::{id::Attempt, unit::Bytes};
+
+fn chunk(data: &[u8]) -> Frame {
+    let attempt: Attempt = "0000000000000000000000000000002a.3"
+        .parse()
+        .expect("valid id");
+    Frame::Chunk(Chunk {
+        attempt,
+        offset: Bytes::new(1 << 40),
+        data: data.to_vec(),
+    })
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes
+        .iter()
+        .fold(String::new(), |text, byte| format!("{text}{byte:02x}"))
+}
+
+/// Guards against a change of the encoding that an older process could not read.
+#[test]
+fn chunk_encoding_is_stable() {
+    let bytes = encode(&chunk(b"trace of nuts")).expect("small frame");
+    insta::assert_snapshot!(hex(&bytes));
+}
+
+/// Guards against a frame that would be accepted although a part of it is missing or extra.
+#[test]
+fn damaged_frames_are_refused() {
+    let whole = encode(&chunk(b"trace of nuts")).expect("small frame");
+    for cut in 0..whole.len() {
+        assert!(
+            decode(&whole[..cut]).is_err(),
+            "accepted {cut} of {} bytes",
+            whole.len()
+        );
+    }
+    let mut longer = whole.clone();
+    longer.push(0);
+    assert!(decode(&longer).is_err(), "accepted a byte after the end");
+    assert!(
+        decode(&vec![0; 3 << 20]).is_err(),
+        "accepted an oversized frame"
+    );
+}
+
+proptest! {
+    /// Guards against a decoder that panics on bytes from a faulty peer.
+    #[test]
+    fn decoder_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _frame = decode(&bytes);
+    }
+
+    /// Guards against a chunk that changes on the way.
+    #[test]
+    fn chunks_round_trip(data in proptest::collection::vec(any::<u8>(), 0..3000)) {
+        let frame = chunk(&data);
+        prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
+    }
+}
