--- /dev/null
+++ b/src/link/connection.rs
@@ -0,0 +1,189 @@
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{self, Message, protocol::WebSocketConfig},
+};
+
+use super::{Identity, Outbox, Peer, Session, Sink, imp::Item};
+use crate::{
+    clock,
+    error::{Error, Kind, Result},
+    wire::{self, FRAME_MAX, Frame, Hello, PROTOCOL},
+};
+
+/// A connection on which nothing arrived for this long is closed by both ends. Three reports of
+/// one second may be lost or late before a live peer is taken for dead.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
+/// Frames that are written between two flushes, so that one busy attempt does not hold back the
+/// frames of others in the buffer.
+const FLUSH_EVERY: usize = 64;
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// Limits of the WebSocket layer, which refuses larger messages before it has read them.
+pub(super) fn limits() -> WebSocketConfig {
+    let largest = usize::try_from(FRAME_MAX.get()).unwrap_or(usize::MAX);
+    WebSocketConfig::default()
+        .max_message_size(Some(largest))
+        .max_frame_size(Some(largest))
+}
+
+/// Runs a connection until it is closed, and says why it ended.
+pub(super) async fn run(
+    socket: Socket,
+    identity: &Identity,
+    clock: &clock::Shared,
+    sink: &Rc<dyn Sink>,
+) -> Error {
+    let (outbox, queue) = Outbox::channel();
+    outbox.send(identity.hello());
+    let (writer, mut reader) = socket.split();
+    let writer = tokio::task::spawn_local(write(writer, queue));
+    let error = read(&mut reader, clock, sink, &outbox).await;
+    writer.abort();
+    error
+}
+
+async fn read(
+    reader: &mut SplitStream<Socket>,
+    clock: &clock::Shared,
+    sink: &Rc<dyn Sink>,
+    outbox: &Outbox,
+) -> Error {
+    let hello = match expect_hello(reader).await {
+        Ok(hello) => hello,
+        Err(error) => return error,
+    };
+    let peer = Peer {
+        session: Session::next(),
+        hello,
+    };
+    sink.opened(&peer, outbox);
+    let error = read_frames(reader, clock, sink, outbox, &peer).await;
+    sink.closed(&peer);
+    error
+}
+
+async fn expect_hello(reader: &mut SplitStream<Socket>) -> Result<Hello> {
+    match next_frame(reader).await? {
+        Frame::Hello(hello) if hello.protocol == PROTOCOL => Ok(hello),
+        Frame::Hello(hello) => {
+            let detail = format!("peer speaks protocol {}, not {PROTOCOL}", hello.protocol);
+            Err(Error::new(Kind::BadRequest, detail))
+        }
+        _ => Err(Error::new(
+            Kind::BadRequest,
+            "peer did not introduce itself",
+        )),
+    }
+}
+
+async fn read_frames(
+    reader: &mut SplitStream<Socket>,
+    clock: &clock::Shared,
+    sink: &Rc<dyn Sink>,
+    outbox: &Outbox,
+    peer: &Peer,
+) -> Error {
+    let mut heard = clock.now();
+    loop {
+        let frame = match next_frame(reader).await {
+            Ok(frame) => frame,
+            Err(error) => return error,
+        };
+        // A process that was frozen finds old frames in its socket. The peer has given up this
+        // connection by then, so acting on them would run what was already retried elsewhere.
+        let now = clock.now();
+        if now.duration_since(heard) > SILENCE {
+            return Error::new(Kind::EndpointLost, "connection was silent for too long");
+        }
+        heard = now;
+        sink.arrived(peer, frame, outbox);
+    }
+}
+
+async fn next_frame(reader: &mut SplitStream<Socket>) -> Result<Frame> {
+    loop {
+        let message = time::timeout(SILENCE, reader.next())
+            .await
+            .map_err(|_elapsed| Error::new(Kind::EndpointLost, "connection is silent"))?;
+        match message {
+            Some(Ok(Message::Binary(bytes))) => {
+                return wire::decode(&bytes).map_err(|error| {
+                    Error::new(Kind::BadRequest, "peer sent an invalid frame").with_source(error)
+                });
+            }
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            Some(Ok(_)) | None => {
+                return Err(Error::new(Kind::EndpointLost, "peer closed the connection"));
+            }
+            Some(Err(error)) => {
+                return Err(Error::new(Kind::EndpointLost, "connection failed").with_source(error));
+            }
+        }
+    }
+}
+
+async fn write(
+    mut writer: SplitSink<Socket, Message>,
+    mut queue: mpsc::UnboundedReceiver<Item>,
+) -> std::result::Result<(), tungstenite::Error> {
+    let mut batch = Vec::with_capacity(FLUSH_EVERY);
+    while queue.recv_many(&mut batch, FLUSH_EVERY).await > 0 {
+        for item in batch.drain(..) {
+            match item {
+                Item::Frame(frame) => write_frame(&mut writer, &frame).await?,
+                Item::Close => return writer.close().await,
+            }
+        }
+        writer.flush().await?;
+    }
+    Ok(())
+}
+
+async fn write_frame(
+    writer: &mut SplitSink<Socket, Message>,
+    frame: &Frame,
+) -> std::result::Result<(), tungstenite::Error> {
+    match wire::encode(frame) {
+        Ok(bytes) => {
+            metrics::counter!("link_sent_bytes_total", "frame" => kind(frame))
+                .increment(bytes.len() as u64);
+            writer.feed(Message::Binary(Bytes::from(bytes))).await
+        }
+        Err(error) => {
+            log::error!(error:% = error; "frame could not be encoded");
+            Err(tungstenite::Error::ConnectionClosed)
+        }
+    }
+}
+
+/// Whether a frame carries work or control, for the metric that control traffic is read from.
+const fn kind(frame: &Frame) -> &'static str {
+    match frame {
+        Frame::Submit(_)
+        | Frame::Credit(_)
+        | Frame::Cancel(_)
+        | Frame::Chunk(_)
+        | Frame::End(_)
+        | Frame::Fail(_)
+        | Frame::Lookup(_)
+        | Frame::Outcome(_) => "work",
+        Frame::Hello(_)
+        | Frame::Report(_)
+        | Frame::Beat(_)
+        | Frame::Bye
+        | Frame::Order(_)
+        | Frame::Done(_)
+        | Frame::Fetch(_)
+        | Frame::Document(_) => "control",
+    }
+}
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -36,6 +36,8 @@
     Report(Report),
     /// A heartbeat without news, entry to agent.
     Beat(Revision),
+    /// The agent takes no new attempts; the entry answers with the same frame once it sends none.
+    Bye,
     /// A planned change, entry to agent.
     Order(Order),
     /// Result of an order, agent to entry.
@@ -105,6 +107,8 @@
 pub struct Generate {
     /// The model.
     pub model: Model,
+    /// Adapter of the model, if the caller asked for one.
+    pub adapter: Option<String>,
     /// The prompt.
     pub prompt: Prompt,
     /// Most tokens to generate.
