Parse and check the document and the settings, and open the log

The readers walk the jsonc-parser tree by hand: deserializing with serde was ruled out because it stops at the first fault and gives no range for it.

--- /dev/null
+++ b/src/config/spec.rs
@@ -0,0 +1,196 @@
+use std::{net::SocketAddr, time::Duration};
+
+use jsonc_parser::{ast::Value, common::Ranged};
+
+use super::{
+    ClassSpec, EndpointKind, Limits, ModelSpec, RoleSpec,
+    reader::{Fields, Period, Reader},
+};
+use crate::{
+    unit::{Bytes, Rate, Share, Tokens, Worth},
+    wire::Role,
+};
+
+/// Largest request body: a frame of 2 MiB must hold it with its envelope.
+const BODY_MAX: u64 = 1 << 20;
+
+/// Reads the kind of an endpoint.
+pub(crate) fn kind(r: &mut Reader, value: &Value<'_>) -> Option<EndpointKind> {
+    let service = r.choice(value, &[("engine", false), ("service", true)])?;
+    Some(if service {
+        EndpointKind::Service
+    } else {
+        EndpointKind::Engine
+    })
+}
+
+/// Checks that an engine has models and a service endpoint has a service, and not both.
+pub(super) fn purpose(r: &mut Reader, fields: &Fields<'_, '_>, kind: &EndpointKind) {
+    let models = fields.get("models");
+    let any = matches!(models, Some(Value::Array(array)) if !array.elements.is_empty());
+    let at = |value: Option<&Value<'_>>| value.map_or(fields.range, Ranged::range);
+    let service = fields.get("service");
+    match kind {
+        EndpointKind::Engine => {
+            if !any {
+                r.fault(at(models), "an engine needs at least one model");
+            }
+            if service.is_some() {
+                r.fault(at(service), "an engine runs no service");
+            }
+        }
+        EndpointKind::Service => {
+            if any {
+                r.fault(at(models), "a service endpoint has no models");
+            }
+            if service.is_none() {
+                r.fault(fields.range, "a service endpoint needs a service");
+            }
+        }
+    }
+}
+
+pub(super) fn positive<T>(
+    r: &mut Reader,
+    v: &Value<'_>,
+    value: T,
+    zero: bool,
+    what: &str,
+) -> Option<T> {
+    if zero {
+        r.fault(v.range(), format!("the {what} must be above 0"));
+        return None;
+    }
+    Some(value)
+}
+
+pub(super) fn count(r: &mut Reader, value: &Value<'_>) -> Option<u32> {
+    r.whole(value, 1, u32::MAX.into())
+}
+
+pub(super) fn target(r: &mut Reader, value: &Value<'_>) -> Option<Duration> {
+    let Period(period) = r.text(value)?;
+    positive(r, value, period, period.is_zero(), "duration")
+}
+
+pub(super) fn tokens(r: &mut Reader, value: &Value<'_>) -> Option<Tokens> {
+    let tokens: Tokens = r.text(value)?;
+    positive(r, value, tokens, tokens == Tokens::ZERO, "number of tokens")
+}
+
+pub(super) fn key_hash(r: &mut Reader, value: &Value<'_>) -> Option<String> {
+    let hash: String = r.text(value)?;
+    if hash.len() != 64 || !hash.bytes().all(|b| b.is_ascii_hexdigit()) {
+        r.fault(value.range(), "expected 64 hexadecimal digits");
+        return None;
+    }
+    // The case of the digits must not hide a duplicate or defeat the comparison.
+    r.unique("key hash", hash.to_ascii_lowercase(), value.range());
+    Some(hash.to_ascii_lowercase())
+}
+
+pub(super) fn model(r: &mut Reader, value: &Value<'_>) -> Option<ModelSpec> {
+    let fields = r.object(value, &["version", "context", "adapters"])?;
+    let version = r.field(&fields, "version", Reader::text);
+    let context = r.field(&fields, "context", tokens);
+    let adapters = r.optional(&fields, "adapters", Vec::new(), |r, v| {
+        r.list(v, Reader::text)
+    });
+    Some(ModelSpec {
+        version: version?,
+        context: context?,
+        adapters: adapters?,
+    })
+}
+
+pub(super) fn class(r: &mut Reader, value: &Value<'_>) -> Option<ClassSpec> {
+    let known = [
+        "rank",
+        "first_token",
+        "between_tokens",
+        "whole",
+        "worth",
+        "share",
+    ];
+    let fields = r.object(value, &known)?;
+    let rank = r.field(&fields, "rank", |r, v| {
+        let rank: u8 = r.whole(v, 1, u8::MAX.into())?;
+        r.unique("rank", rank.to_string(), v.range());
+        Some(rank)
+    });
+    let first_token = r.field(&fields, "first_token", target);
+    let between_tokens = r.field(&fields, "between_tokens", target);
+    let whole = r.field(&fields, "whole", target);
+    let worth = r.field(&fields, "worth", |r, v| r.whole(v, 0, u32::MAX.into()));
+    let share = r.field(&fields, "share", Reader::text);
+    if let (Some(first), Some(whole), Some(at)) = (first_token, whole, fields.get("first_token"))
+        && first > whole
+    {
+        r.fault(at.range(), "first_token is above whole");
+    }
+    Some(ClassSpec {
+        rank: rank?,
+        first_token: first_token?,
+        between_tokens: between_tokens?,
+        whole: whole?,
+        worth: Worth::new(worth?),
+        share: share?,
+    })
+}
+
+pub(super) fn role(r: &mut Reader, value: &Value<'_>) -> Option<RoleSpec> {
+    let fields = r.object(value, &["change_cost", "pay_back", "at_once"])?;
+    let change_cost = r.field(&fields, "change_cost", Reader::text::<Period>);
+    let pay_back = r.field(&fields, "pay_back", Reader::text::<Period>);
+    let at_once = r.field(&fields, "at_once", |r, v| {
+        let share: Share = r.text(v)?;
+        positive(r, v, share, share.get() <= 0.0, "share")
+    });
+    Some(RoleSpec {
+        change_cost: change_cost?.0,
+        pay_back: pay_back?.0,
+        at_once: at_once?,
+    })
+}
+
+pub(super) fn limits(r: &mut Reader, value: &Value<'_>) -> Option<Limits> {
+    let fields = r.object(value, &["body", "max_output", "stop_delay", "longest"])?;
+    let body = r.field(&fields, "body", |r, v| {
+        let body: Bytes = r.text(v)?;
+        if body.get() > BODY_MAX {
+            r.fault(v.range(), "the body must be at most 1MiB");
+            return None;
+        }
+        positive(r, v, body, body == Bytes::ZERO, "size")
+    });
+    let max_output = r.field(&fields, "max_output", tokens);
+    let stop_delay = r.field(&fields, "stop_delay", Reader::text::<Period>);
+    let longest = r.field(&fields, "longest", target);
+    Some(Limits {
+        body: body?,
+        max_output: max_output?,
+        stop_delay: stop_delay?.0,
+        longest: longest?,
+    })
+}
+
+pub(super) fn rate(r: &mut Reader, value: &Value<'_>) -> Option<Rate> {
+    let rate: Rate = r.text(value)?;
+    positive(r, value, rate, rate.get() <= 0.0, "rate")
+}
+
+/// Reads the address of an agent, which no other endpoint has.
+pub(super) fn agent(r: &mut Reader, value: &Value<'_>) -> Option<SocketAddr> {
+    let agent = r.address(value)?;
+    r.unique("agent address", agent.to_string(), value.range());
+    Some(agent)
+}
+
+pub(super) fn role_of_engine(r: &mut Reader, value: &Value<'_>) -> Option<Role> {
+    let roles = [
+        ("mixed", Role::Mixed),
+        ("prefill", Role::Prefill),
+        ("decode", Role::Decode),
+    ];
+    r.choice(value, &roles)
+}
--- /dev/null
+++ b/src/log/imp.rs
@@ -0,0 +1,104 @@
+use std::fmt;
+
+use ::log::{Level, Log, Metadata, Record, kv};
+use log4rs::{
+    Logger,
+    append::console::{ConsoleAppender, Target},
+    config::{Appender, Config, Root, runtime::ConfigErrors},
+    encode::json::JsonEncoder,
+};
+
+use crate::id::Process;
+
+/// Why the log cannot be opened.
+#[derive(Debug)]
+pub struct Error(Cause);
+
+#[derive(Debug)]
+enum Cause {
+    Config(ConfigErrors),
+    Installed(::log::SetLoggerError),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the log cannot be opened")
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match &self.0 {
+            Cause::Config(error) => Some(error),
+            Cause::Installed(error) => Some(error),
+        }
+    }
+}
+
+/// Result of opening the log.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Adds the name of the process to the attributes of each line.
+pub(super) struct Named {
+    pub(super) inner: Box<dyn Log>,
+    pub(super) process: String,
+}
+
+/// Attributes of a record and the name of the process.
+struct Attributes<'a> {
+    inner: &'a dyn kv::Source,
+    process: &'a str,
+}
+
+impl kv::Source for Attributes<'_> {
+    fn visit<'kvs>(
+        &'kvs self,
+        visitor: &mut dyn kv::VisitSource<'kvs>,
+    ) -> std::result::Result<(), kv::Error> {
+        visitor.visit_pair(kv::Key::from("process"), kv::Value::from(self.process))?;
+        self.inner.visit(visitor)
+    }
+}
+
+impl Log for Named {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let attributes = Attributes {
+            inner: record.key_values(),
+            process: &self.process,
+        };
+        let named = record.to_builder().key_values(&attributes).build();
+        self.inner.log(&named);
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
+
+/// Installs the log of the process on standard output, one JSON object per line.
+///
+/// # Errors
+///
+/// Fails if a log is already installed.
+pub fn open(level: Level, process: &Process) -> Result<()> {
+    let console = ConsoleAppender::builder()
+        .target(Target::Stdout)
+        .encoder(Box::new(JsonEncoder::new()))
+        .build();
+    let filter = level.to_level_filter();
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(Root::builder().appender("console").build(filter))
+        .map_err(|error| Error(Cause::Config(error)))?;
+    let logger = Named {
+        inner: Box::new(Logger::new(config)),
+        process: process.to_string(),
+    };
+    ::log::set_boxed_logger(Box::new(logger)).map_err(|error| Error(Cause::Installed(error)))?;
+    ::log::set_max_level(filter);
+    Ok(())
+}
--- /dev/null
+++ b/src/log/mod.rs
@@ -0,0 +1,7 @@
+//! Log lines as JSON on standard output.
+
+mod imp;
+#[cfg(test)]
+mod tests;
+
+pub use imp::{Error, Result, open};
