Add the in-memory store

Slices that use the platform store need one that runs on a passed-in clock and whose faults a test can set: outage, lost answer and delay, each with the execution state that the real store would leave. Transactions are checked before they are sent; a comparison with revision 0 is refused, because etcd takes it for an absent key.

--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -1,4 +1,4 @@
-use std::{fmt, str::FromStr, time::Duration};
+use std::{collections::BTreeSet, fmt, str::FromStr, time::Duration};
 
 use futures_util::{future::LocalBoxFuture, stream::LocalBoxStream};
 
@@ -10,6 +10,12 @@
 
 /// Longest key, in bytes.
 const PATH_MAX: usize = 512;
+/// Longest value, in bytes: the platform's limit.
+const VALUE_MAX: usize = 1 << 20;
+/// Most conditions and writes of one transaction, the default limit of etcd.
+const TXN_MAX: usize = 128;
+/// Limit of one call. A store that answers later counts as down.
+pub(super) const CALL_LIMIT: Duration = Duration::from_secs(2);
 
 /// A key of the store, such as `/mulberrymill/config/models`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -145,6 +151,48 @@
     pub writes: Vec<Write>,
 }
 
+impl Txn {
+    /// Refuses what the store would refuse, before it is sent.
+    ///
+    /// # Errors
+    ///
+    /// `Kind::TooLarge` for too many parts or too large a value; `Kind::BadRequest` for two writes
+    /// of one key, or for a comparison with revision 0, which etcd takes for an absent key.
+    pub fn check(&self) -> Result<()> {
+        if self.compares.len() + self.writes.len() > TXN_MAX {
+            return Err(Error::new(
+                Kind::TooLarge,
+                "the transaction has too many parts",
+            ));
+        }
+        let zero = Revision::default();
+        let mut paths = BTreeSet::new();
+        let compares_zero = self.compares.iter().any(|compare| match compare {
+            Compare::Absent(_) => false,
+            Compare::Modified(_, revision) | Compare::Created(_, revision) => *revision == zero,
+        });
+        if compares_zero {
+            return Err(Error::new(
+                Kind::BadRequest,
+                "a comparison names revision 0",
+            ));
+        }
+        for write in &self.writes {
+            let (path, size) = match write {
+                Write::Put(path, value, _) => (path, value.len()),
+                Write::Delete(path) => (path, 0),
+            };
+            if size > VALUE_MAX {
+                return Err(Error::new(Kind::TooLarge, "the value is larger than 1 MiB"));
+            }
+            if !paths.insert(path) {
+                return Err(Error::new(Kind::BadRequest, "a key is written twice"));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Result of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Commit {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,9 +5,16 @@
 //! of the platform.
 
 mod imp;
+mod keyspace;
+mod memory;
+#[cfg(test)]
+mod tests;
 
 pub use imp::{
     Change, Commit, Compare, Event, Events, Future, Item, Lease, Path, Range, Store, Txn, Write,
 };
+pub use memory::{Counts, Faults, Memory};
+
+use imp::CALL_LIMIT;
 
 pub use crate::error::Result;
