Add the etcd gateway client and the store stand-in

The client takes only a connection that the kernel refused as 'not executed'.

One list of operations runs against the in-memory store and against the client with the stand-in, and the results must be equal. The stand-in keeps its keys in the in-memory store, so the list checks the two codecs and not the store semantics twice.

--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,12 +4,15 @@
 //! compare before they write, leases, and watches. Each method is one call against the rate limit
 //! of the platform.
 
+mod etcd;
+mod gateway;
 mod imp;
 mod keyspace;
 mod memory;
 #[cfg(test)]
 mod tests;
 
+pub use etcd::Etcd;
 pub use imp::{
     Change, Commit, Compare, Event, Events, Future, Item, Lease, Path, Range, Store, Txn, Write,
 };
