Keep the refused port of the store test bound

The test stopped a stand-in and expected its port to refuse connections; in one of four runs of the whole suite a parallel test had been given the port. A socket that is bound and does not listen holds it.

--- a/mulberrymill-bench/tests/store.rs
+++ b/mulberrymill-bench/tests/store.rs
@@ -17,7 +17,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
 };
 
 const PERIOD: Duration = Duration::from_secs(9);
@@ -228,9 +228,11 @@
 /// gives up although another address answers.
 #[actix_rt::test]
 async fn addresses_are_tried_in_turn() -> Result<()> {
-    let (dead, _) = start();
-    let address = dead.address();
-    dead.stop().await;
+    // A port that is bound without listening refuses connections and cannot be given to the
+    // stand-in of another test.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(Config::default().address).expect("a port");
+    let address = socket.local_addr().expect("an address");
     let refused = ran(open(vec![address]).commit(write("1")).await);
     let (handle, _) = start();
     let client = open(vec![address, handle.address()]);
