--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod edit;
 pub mod error;
 pub mod id;
 pub mod invariant;
