--- a/src/authority/tests.rs
+++ b/src/authority/tests.rs
@@ -128,6 +128,14 @@
     });
 }
 
+fn slow(millis: u64) -> Faults {
+    let delay = Duration::from_millis(millis);
+    Faults {
+        delay,
+        ..Faults::default()
+    }
+}
+
 /// Guards against a permit that outlives the holder's own limit, by the last answered renewal.
 #[test]
 fn permits_end_by_the_clock() {
@@ -277,6 +285,64 @@
     });
 }
 
+/// Guards against a key that is adopted again while the transaction that deletes it is in flight.
+#[test]
+fn released_key_is_not_adopted_again() {
+    run(async {
+        let store = Memory::new(System::shared());
+        let first = holder(&store, 1);
+        let mut judge = Judge::default();
+        first.address.do_send(groups(1));
+        judge
+            .watch(std::slice::from_ref(&first), TAKEOVER, "start")
+            .await;
+        store.set_faults(slow(1_900));
+        first.address.send(groups(0)).await.expect("running");
+        time::sleep(Duration::from_millis(100)).await;
+        store.set_faults(Faults::default());
+        let second = holder(&store.client(), 2);
+        first.address.do_send(groups(1));
+        second.address.do_send(groups(1));
+        let held = judge
+            .watch(&[first, second], TAKEOVER, "deleted late")
+            .await;
+        assert_eq!(held, 1);
+    });
+}
+
+/// Guards against a transaction that counts as a renewal: a key that is created shortly before the
+/// end of a term says nothing about the time that its lease has left.
+#[test]
+fn taking_a_key_does_not_renew_the_lease() {
+    run(async {
+        let store = Memory::new(System::shared());
+        let first = holder(&store, 1);
+        let second = holder(&store.client(), 2);
+        let mut judge = Judge::default();
+        let mut all = groups(2).0;
+        first.address.do_send(groups(1));
+        time::sleep(Duration::from_secs(1)).await;
+        let permit = first
+            .address
+            .send(Ask(all.remove(0)))
+            .await
+            .expect("running");
+        let until = time::Instant::from_std(permit.expect("a permit").until());
+        down(&store, true);
+        time::sleep_until(until - Duration::from_millis(250)).await;
+        down(&store, false);
+        first.address.send(groups(2)).await.expect("running");
+        time::sleep(Duration::from_millis(1)).await;
+        store.set_faults(slow(1_900));
+        time::sleep_until(until + Duration::from_secs(2)).await;
+        let taken = store.counts().writes;
+        second.address.do_send(groups(2));
+        let holders = [first, second];
+        judge.watch(&holders, TAKEOVER, "key taken late").await;
+        insta::assert_debug_snapshot!(taken);
+    });
+}
+
 fn disturb(store: &Memory, handle: &Handle, rng: &mut StdRng) {
     store.set_faults(Faults {
         down: rng.random_bool(0.3),
