--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,10 @@
 //! A serving system for a fixed fleet of model engines under a shifting prompt-to-output mix.
 
+pub mod authority;
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod edit;
 pub mod error;
 pub mod id;
 pub mod invariant;
