Add routing, retry budget, ejection and admission

The relay needs an endpoint per attempt, a verdict on retries and a permit per request. Decisions are plain code (routing::Table, retry::Window, retry::Ejector, admission::Scheduler); routing::Router and admission::Desk are the actors around them. The router owns the ejector and the retry budget.

Ruled out: a separate retry actor, because each ejection would cost one more message between the failure and the next choice. Ruled out: copying the view for each choice, because it holds the prompt blocks sent to each endpoint.

--- /dev/null
+++ b/src/admission/actor.rs
@@ -0,0 +1,177 @@
+use std::{collections::HashMap, time::Instant};
+
+use actix::{Actor, Addr, AsyncContext as _, Context, Handler, ResponseFuture, SpawnHandle};
+use tokio::sync::oneshot;
+
+use super::{Adopt, Capacity, Finish, Offer, Policy, Scheduler, Shares};
+use crate::{
+    clock::Shared,
+    error::{Error, Executed, Kind, Result},
+    id::Request,
+    invariant::{self, Point},
+};
+
+/// Requests sent to a pool per slot, so that an engine always finds the next request for its
+/// batch. To be replaced by a measured value.
+const QUEUEING: f64 = 1.25;
+
+/// What an admission desk needs.
+#[derive(Debug)]
+pub struct Config {
+    clock: Shared,
+    policy: Box<dyn Policy>,
+    queueing: f64,
+}
+
+impl Config {
+    /// The default policy on a clock.
+    #[must_use]
+    pub fn new(clock: Shared) -> Self {
+        Self {
+            clock,
+            policy: Box::new(Shares),
+            queueing: QUEUEING,
+        }
+    }
+
+    /// Replaces the policy.
+    #[must_use]
+    pub fn policy(mut self, policy: Box<dyn Policy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Replaces the number of requests sent to a pool per slot, at least 1.
+    #[must_use]
+    pub fn queueing(mut self, factor: f64) -> Self {
+        self.queueing = factor;
+        self
+    }
+}
+
+/// The right to use a slot, until it is dropped.
+#[derive(Debug)]
+pub struct Permit {
+    request: Request,
+    desk: Addr<Desk>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.desk.do_send(Finish(self.request));
+    }
+}
+
+/// The actor that answers offers.
+#[derive(Debug)]
+pub struct Desk {
+    clock: Shared,
+    scheduler: Scheduler,
+    pending: HashMap<Request, oneshot::Sender<Result<Permit>>>,
+    timer: Option<(Instant, SpawnHandle)>,
+}
+
+/// Starts an admission desk in the current arbiter.
+#[must_use]
+pub fn spawn(config: Config) -> Addr<Desk> {
+    Desk {
+        scheduler: Scheduler::new(config.policy, config.queueing),
+        clock: config.clock,
+        pending: HashMap::new(),
+        timer: None,
+    }
+    .start()
+}
+
+impl Desk {
+    fn pump(&mut self, ctx: &mut Context<Self>) {
+        for decision in self.scheduler.poll(self.clock.now()) {
+            let Some(answer) = self.pending.remove(&decision.request) else {
+                continue;
+            };
+            let permit = || Permit {
+                request: decision.request,
+                desk: ctx.address(),
+            };
+            // A permit that nobody receives is dropped here, which frees its slot.
+            drop(answer.send(decision.outcome.map(|()| permit())));
+        }
+        self.arm(ctx);
+    }
+
+    fn arm(&mut self, ctx: &mut Context<Self>) {
+        let next = self.scheduler.next_expiry();
+        if self.timer.map(|(at, _)| at) == next {
+            return;
+        }
+        if let Some((_, handle)) = self.timer.take() {
+            ctx.cancel_future(handle);
+        }
+        if let Some(at) = next {
+            let period = at.saturating_duration_since(self.clock.now());
+            let handle = ctx.run_later(period, |desk, ctx| {
+                desk.timer = None;
+                desk.pump(ctx);
+            });
+            self.timer = Some((at, handle));
+        }
+    }
+}
+
+impl Actor for Desk {
+    type Context = Context<Self>;
+}
+
+impl Handler<Offer> for Desk {
+    type Result = ResponseFuture<Result<Permit>>;
+
+    fn handle(&mut self, msg: Offer, ctx: &mut Context<Self>) -> Self::Result {
+        let (answer, receiver) = oneshot::channel();
+        match self.scheduler.offer(&msg, self.clock.now()) {
+            Ok(()) => {
+                self.pending.insert(msg.request, answer);
+                self.pump(ctx);
+            }
+            Err(error) => {
+                invariant::check(Point::NotRun, error.executed() == Executed::No, || {
+                    error.to_string()
+                });
+                drop(answer.send(Err(error)));
+            }
+        }
+        Box::pin(async move {
+            receiver.await.unwrap_or_else(|_closed| {
+                let error = Error::new(Kind::Leaving, "the offer was withdrawn");
+                Err(error.with_executed(Executed::No))
+            })
+        })
+    }
+}
+
+impl Handler<Finish> for Desk {
+    type Result = ();
+
+    fn handle(&mut self, Finish(request): Finish, ctx: &mut Context<Self>) {
+        self.pending.remove(&request);
+        self.scheduler.finish(request, self.clock.now());
+        self.pump(ctx);
+    }
+}
+
+impl Handler<Capacity> for Desk {
+    type Result = ();
+
+    fn handle(&mut self, msg: Capacity, ctx: &mut Context<Self>) {
+        self.scheduler.set_capacity(&msg);
+        self.pump(ctx);
+    }
+}
+
+impl Handler<Adopt> for Desk {
+    type Result = ();
+
+    fn handle(&mut self, Adopt(document): Adopt, ctx: &mut Context<Self>) {
+        self.scheduler.adopt(document);
+        self.pump(ctx);
+    }
+}
--- /dev/null
+++ b/src/admission/imp.rs
@@ -0,0 +1,307 @@
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{Capacity, Lane, Offer, Policy, caller::Account};
+use crate::{
+    config::{ClassSpec, Document},
+    error::{Error, Kind, Result},
+    id::{Caller, Class, Request},
+    routing::Pool,
+};
+
+/// Weight of the newest observation in the mean service time.
+const NEWEST: f64 = 0.1;
+/// Shortest and longest wait that a refused caller is told.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
+
+/// The answer to one offer.
+#[derive(Debug)]
+pub struct Decision {
+    /// The request.
+    pub request: Request,
+    /// Admitted, or why not.
+    pub outcome: Result<()>,
+}
+
+/// Queues and slots of all pools, as plain code.
+#[derive(Debug)]
+pub struct Scheduler {
+    policy: Box<dyn Policy>,
+    queueing: f64,
+    document: Option<Arc<Document>>,
+    accounts: HashMap<Caller, Account>,
+    pools: BTreeMap<Pool, Queues>,
+    entries: HashMap<Request, Entry>,
+}
+
+#[derive(Debug, Default)]
+struct Queues {
+    limit: u32,
+    classes: BTreeMap<Class, Queue>,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    waiting: VecDeque<Request>,
+    running: u32,
+    service: Duration,
+}
+
+#[derive(Debug)]
+struct Entry {
+    caller: Caller,
+    class: Class,
+    pool: Pool,
+    arrived: Instant,
+    latest: Instant,
+    started: Option<Instant>,
+}
+
+impl Scheduler {
+    /// A scheduler without capacity. `queueing` multiplies the slots of a pool: engines batch, so
+    /// a request that waits inside an engine starts sooner than one that waits here.
+    #[must_use]
+    pub fn new(policy: Box<dyn Policy>, queueing: f64) -> Self {
+        Self {
+            policy,
+            queueing: queueing.max(1.0),
+            document: None,
+            accounts: HashMap::new(),
+            pools: BTreeMap::new(),
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Puts a document in force.
+    pub fn adopt(&mut self, document: Arc<Document>) {
+        self.accounts.retain(|caller, account| {
+            account.in_progress > 0 || document.callers.contains_key(caller)
+        });
+        self.document = Some(document);
+    }
+
+    /// Sets the slots of a pool.
+    pub fn set_capacity(&mut self, capacity: &Capacity) {
+        let pool = self.pools.entry(capacity.pool.clone()).or_default();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the product is not negative and a float cast saturates"
+        )]
+        let limit = (f64::from(capacity.slots) * self.queueing) as u32;
+        pool.limit = limit;
+    }
+
+    /// Queues a request; [`Scheduler::poll`] decides when it starts.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request whose caller is over its limit or whose target cannot be met.
+    pub fn offer(&mut self, offer: &Offer, now: Instant) -> Result<()> {
+        let document = self
+            .document
+            .as_ref()
+            .map(Arc::clone)
+            .ok_or_else(not_ready)?;
+        let class = document.classes.get(&offer.class).ok_or_else(forbidden)?;
+        let caller = document.callers.get(&offer.caller).ok_or_else(forbidden)?;
+        if self.entries.contains_key(&offer.request) {
+            return Err(Error::new(Kind::BadRequest, "the request id is in use"));
+        }
+        let account = self
+            .accounts
+            .entry(offer.caller.clone())
+            .or_insert_with(|| Account::new(caller.rate, now));
+        if account.in_progress >= caller.in_progress {
+            return Err(Error::new(
+                Kind::RateLimited,
+                "too many requests in progress",
+            ));
+        }
+        account.take(caller.rate, now).map_err(|wait| {
+            Error::new(Kind::RateLimited, "too many requests per second").with_retry_after(wait)
+        })?;
+        let latest = offer.deadline.min(now + start_target(class, &offer.pool));
+        self.check_wait(offer, latest, now)?;
+        if let Some(account) = self.accounts.get_mut(&offer.caller) {
+            account.in_progress += 1;
+        }
+        let pool = self.pools.entry(offer.pool.clone()).or_default();
+        let queue = pool.classes.entry(offer.class.clone()).or_default();
+        queue.waiting.push_back(offer.request);
+        self.entries.insert(
+            offer.request,
+            Entry {
+                caller: offer.caller.clone(),
+                class: offer.class.clone(),
+                pool: offer.pool.clone(),
+                arrived: now,
+                latest,
+                started: None,
+            },
+        );
+        Ok(())
+    }
+
+    fn check_wait(&self, offer: &Offer, latest: Instant, now: Instant) -> Result<()> {
+        let lanes = self.lanes(&offer.pool);
+        let limit = self.pools.get(&offer.pool).map_or(0, |pool| pool.limit);
+        let index = lanes.iter().position(|(class, _)| *class == offer.class);
+        let lanes: Vec<Lane> = lanes.into_iter().map(|(_, lane)| lane).collect();
+        let wait = match index {
+            Some(index) if limit > 0 => self.policy.wait(&lanes, index, limit),
+            _ => Duration::MAX,
+        };
+        let left = latest.saturating_duration_since(now);
+        if left.is_zero() || wait > left {
+            return Err(overloaded(wait.saturating_sub(left)));
+        }
+        Ok(())
+    }
+
+    fn lanes(&self, pool: &Pool) -> Vec<(Class, Lane)> {
+        let Some(document) = &self.document else {
+            return Vec::new();
+        };
+        let queues = self.pools.get(pool);
+        let lane = |(class, spec): (&Class, &ClassSpec)| {
+            let queue = queues.and_then(|queues| queues.classes.get(class));
+            let first = queue.and_then(|queue| queue.waiting.front());
+            let lane = Lane {
+                rank: spec.rank,
+                share: spec.share,
+                worth: spec.worth,
+                running: queue.map_or(0, |queue| queue.running),
+                queued: queue.map_or(0, |queue| count(queue.waiting.len())),
+                oldest: first.map(|request| self.entries[request].arrived),
+                service: queue.map_or(Duration::ZERO, |queue| queue.service),
+            };
+            (class.clone(), lane)
+        };
+        document.classes.iter().map(lane).collect()
+    }
+
+    /// Ends a request that runs or waits. Unknown requests are ignored.
+    pub fn finish(&mut self, request: Request, now: Instant) {
+        let Some(entry) = self.entries.remove(&request) else {
+            return;
+        };
+        if let Some(account) = self.accounts.get_mut(&entry.caller) {
+            account.in_progress = account.in_progress.saturating_sub(1);
+        }
+        let pool = self.pools.entry(entry.pool).or_default();
+        let queue = pool.classes.entry(entry.class).or_default();
+        let Some(started) = entry.started else {
+            queue.waiting.retain(|other| *other != request);
+            return;
+        };
+        queue.running = queue.running.saturating_sub(1);
+        let period = now.saturating_duration_since(started);
+        queue.service = if queue.service.is_zero() {
+            period
+        } else {
+            queue.service.mul_f64(1.0 - NEWEST) + period.mul_f64(NEWEST)
+        };
+    }
+
+    /// Refuses what has expired and starts what may start.
+    pub fn poll(&mut self, now: Instant) -> Vec<Decision> {
+        let mut decisions = self.expire(now);
+        let pools: Vec<Pool> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            while let Some(request) = self.start(&pool, now) {
+                let outcome = Ok(());
+                decisions.push(Decision { request, outcome });
+            }
+        }
+        decisions
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<Decision> {
+        let known = |class: &Class| {
+            let document = self.document.as_ref();
+            document.is_some_and(|document| document.classes.contains_key(class))
+        };
+        let mut expired: Vec<(Instant, Request)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.started.is_none())
+            .filter(|(_, entry)| entry.latest <= now || !known(&entry.class))
+            .map(|(request, entry)| (entry.arrived, *request))
+            .collect();
+        expired.sort_unstable();
+        let refuse = |(_, request)| {
+            self.finish(request, now);
+            let outcome = Err(overloaded(Duration::ZERO));
+            Decision { request, outcome }
+        };
+        expired.into_iter().map(refuse).collect()
+    }
+
+    fn start(&mut self, pool: &Pool, now: Instant) -> Option<Request> {
+        let lanes = self.lanes(pool);
+        let queues = self.pools.get_mut(pool)?;
+        let running: u32 = queues.classes.values().map(|queue| queue.running).sum();
+        if running >= queues.limit {
+            return None;
+        }
+        let (classes, lanes): (Vec<Class>, Vec<Lane>) = lanes.into_iter().unzip();
+        let index = self.policy.next(&lanes, queues.limit)?;
+        let queue = queues.classes.get_mut(classes.get(index)?)?;
+        let request = queue.waiting.pop_front()?;
+        queue.running += 1;
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.started = Some(now);
+        }
+        Some(request)
+    }
+
+    /// When the next request that waits expires.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let waiting = self
+            .entries
+            .values()
+            .filter(|entry| entry.started.is_none());
+        waiting.map(|entry| entry.latest).min()
+    }
+
+    /// Requests that hold a slot of a pool, per class.
+    #[must_use]
+    pub fn running(&self, pool: &Pool) -> BTreeMap<Class, u32> {
+        let queues = self.pools.get(pool).into_iter();
+        let classes = queues.flat_map(|queues| &queues.classes);
+        classes
+            .map(|(class, queue)| (class.clone(), queue.running))
+            .collect()
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+/// Latest start: engines must send the first token in time, services the whole answer.
+fn start_target(class: &ClassSpec, pool: &Pool) -> Duration {
+    match pool {
+        Pool::Model(_) => class.first_token,
+        Pool::Service(_) => class.whole,
+    }
+}
+
+fn not_ready() -> Error {
+    Error::new(Kind::NotReady, "admission has no document")
+}
+
+fn forbidden() -> Error {
+    Error::new(Kind::Forbidden, "the caller or class is not configured")
+}
+
+fn overloaded(excess: Duration) -> Error {
+    let (shortest, longest) = RETRY_AFTER;
+    Error::new(Kind::Overloaded, "the expected wait is over the target")
+        .with_retry_after(excess.clamp(shortest, longest))
+}
--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,17 @@
+//! Decides which requests start, and when.
+//!
+//! [`Scheduler`] is the decision as plain code on a time that its caller passes in. [`Desk`] is
+//! the actor around it, which answers each [`Offer`] once.
+
+mod actor;
+mod caller;
+mod imp;
+mod message;
+mod policy;
+#[cfg(test)]
+mod tests;
+
+pub use actor::{Config, Desk, Permit, spawn};
+pub use imp::{Decision, Scheduler};
+pub use message::{Adopt, Capacity, Finish, Offer};
+pub use policy::{Fifo, Lane, Policy, Shares, StrictPriority};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,13 @@
 //! A serving system for a fixed fleet of model engines under a shifting prompt-to-output mix.
 
+pub mod admission;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod error;
 pub mod id;
 pub mod invariant;
+pub mod retry;
 pub mod routing;
 pub mod store;
 pub mod unit;
--- /dev/null
+++ b/src/retry/tests.rs
@@ -0,0 +1,69 @@
+use std::time::{Duration, Instant};
+
+use super::*;
+use crate::id::Endpoint;
+
+fn pool(size: usize) -> Vec<Endpoint> {
+    (0..size)
+        .map(|index| format!("e{index}").parse().expect("valid name"))
+        .collect()
+}
+
+/// Guards against a retry storm, and against an idle entry that can never retry.
+#[test]
+fn retries_follow_recent_requests() {
+    let start = Instant::now();
+    let mut budget = Window::new();
+    let mut allowed = Vec::new();
+    for (second, requests) in [(0, 0), (1, 100), (30, 0)] {
+        let now = start + Duration::from_secs(second);
+        (0..requests).for_each(|_| budget.record(now));
+        allowed.push((0..50).filter(|_| budget.may_retry(now)).count());
+    }
+    assert_eq!(allowed, [3, 10, 3]);
+}
+
+/// Guards against ejections that do not grow, and against a full flood on return.
+#[test]
+fn ejections_double_and_end_gradually() {
+    let pools = [pool(4)];
+    let endpoint = &pools[0][0];
+    let mut now = Instant::now();
+    let mut ejector = Ejector::new();
+    let mut lengths = Vec::new();
+    for _ in 0..7 {
+        while !ejector.failed(endpoint, &pools, now) {}
+        let start = now;
+        while ejector.is_ejected(endpoint, now) {
+            now += Duration::from_millis(500);
+        }
+        lengths.push((now - start).as_secs());
+    }
+    assert_eq!(lengths, [1, 2, 4, 8, 16, 30, 30]);
+    let portions: Vec<String> = (0..=5)
+        .map(|second| ejector.portion(endpoint, now + Duration::from_secs(second)))
+        .map(|portion| format!("{:.0}%", portion.get() * 100.0))
+        .collect();
+    assert_eq!(portions, ["10%", "28%", "46%", "64%", "82%", "100%"]);
+}
+
+/// Guards against a pool that loses most of its endpoints to ejection.
+#[test]
+fn half_of_a_pool_stays() {
+    let now = Instant::now();
+    for size in 1..7 {
+        let mut members = pool(size);
+        let mut ejector = Ejector::new();
+        for endpoint in members.iter().cycle().take(size * 5) {
+            ejector.failed(endpoint, std::slice::from_ref(&members), now);
+        }
+        let ejected = |ejector: &Ejector, members: &[Endpoint]| {
+            let out = members.iter().filter(|e| ejector.is_ejected(e, now));
+            out.count()
+        };
+        assert_eq!(ejected(&ejector, &members), size / 2);
+        members.truncate(size.div_ceil(2));
+        ejector.relax(&members, now);
+        assert!(ejected(&ejector, &members) * 2 <= members.len());
+    }
+}
--- /dev/null
+++ b/src/routing/actor.rs
@@ -0,0 +1,167 @@
+use std::time::Duration;
+
+use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Recipient};
+
+use super::{Adopt, Balanced, Choose, Finish, Linked, MayRetry, Observe, Policy, Table};
+use crate::{
+    admission::Capacity,
+    clock::Shared,
+    error::Result,
+    id::{Endpoint, Zone},
+    retry::{Budget, Window},
+};
+
+/// Interval of the check for slots that change with time alone: the end of an ejection, and an
+/// endpoint that goes down.
+const REFRESH: Duration = Duration::from_millis(250);
+
+/// What a router needs.
+#[derive(Debug)]
+pub struct Config {
+    clock: Shared,
+    policy: Box<dyn Policy>,
+    budget: Box<dyn Budget>,
+    seed: u64,
+    zone: Option<Zone>,
+    capacity: Option<Recipient<Capacity>>,
+}
+
+impl Config {
+    /// The default policy and retry budget on a clock, without a zone, with seed 0.
+    #[must_use]
+    pub fn new(clock: Shared) -> Self {
+        Self {
+            clock,
+            policy: Box::new(Balanced::default()),
+            budget: Box::new(Window::new()),
+            seed: 0,
+            zone: None,
+            capacity: None,
+        }
+    }
+
+    /// Replaces the policy.
+    #[must_use]
+    pub fn policy(mut self, policy: Box<dyn Policy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Replaces the retry budget.
+    #[must_use]
+    pub fn budget(mut self, budget: Box<dyn Budget>) -> Self {
+        self.budget = budget;
+        self
+    }
+
+    /// Sets the seed of the random choices. Entries need different seeds.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the zone of this entry.
+    #[must_use]
+    pub fn zone(mut self, zone: Zone) -> Self {
+        self.zone = Some(zone);
+        self
+    }
+
+    /// Sets who is told the slots of each pool.
+    #[must_use]
+    pub fn capacity(mut self, recipient: Recipient<Capacity>) -> Self {
+        self.capacity = Some(recipient);
+        self
+    }
+}
+
+/// The actor that chooses endpoints.
+#[derive(Debug)]
+pub struct Router {
+    clock: Shared,
+    table: Table,
+    capacity: Option<Recipient<Capacity>>,
+}
+
+/// Starts a router in the current arbiter.
+#[must_use]
+pub fn spawn(config: Config) -> Addr<Router> {
+    Router {
+        clock: config.clock,
+        table: Table::new(config.policy, config.budget, config.seed, config.zone),
+        capacity: config.capacity,
+    }
+    .start()
+}
+
+impl Router {
+    fn publish(&mut self) {
+        for change in self.table.capacities(self.clock.now()) {
+            if let Some(recipient) = &self.capacity {
+                recipient.do_send(change);
+            }
+        }
+    }
+}
+
+impl Actor for Router {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(REFRESH, |router, _| router.publish());
+    }
+}
+
+impl Handler<Adopt> for Router {
+    type Result = ();
+
+    fn handle(&mut self, Adopt(document): Adopt, _: &mut Context<Self>) {
+        self.table.adopt(&document, self.clock.now());
+        self.publish();
+    }
+}
+
+impl Handler<Observe> for Router {
+    type Result = ();
+
+    fn handle(&mut self, Observe(report): Observe, _: &mut Context<Self>) {
+        self.table.observe(report, self.clock.now());
+        self.publish();
+    }
+}
+
+impl Handler<Linked> for Router {
+    type Result = ();
+
+    fn handle(&mut self, msg: Linked, _: &mut Context<Self>) {
+        self.table.link(&msg.endpoint, msg.up);
+        self.publish();
+    }
+}
+
+impl Handler<Choose> for Router {
+    type Result = Result<Endpoint>;
+
+    fn handle(&mut self, Choose(demand): Choose, _: &mut Context<Self>) -> Self::Result {
+        self.table.choose(&demand, self.clock.now())
+    }
+}
+
+impl Handler<Finish> for Router {
+    type Result = ();
+
+    fn handle(&mut self, msg: Finish, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        self.table.finish(&msg.endpoint, msg.cost, msg.ending, now);
+        self.publish();
+    }
+}
+
+impl Handler<MayRetry> for Router {
+    type Result = bool;
+
+    fn handle(&mut self, _: MayRetry, _: &mut Context<Self>) -> bool {
+        self.table.may_retry(self.clock.now())
+    }
+}
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -106,3 +106,9 @@
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct Adopt(pub Arc<Document>);
+
+/// Asks whether a failed request may be retried now. A retry that is allowed counts against the
+/// budget.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "bool")]
+pub struct MayRetry;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,20 @@
 //! Chooses the endpoint of each attempt.
+//!
+//! [`Table`] is the decision as plain code on a time that its caller passes in; [`Router`] is the
+//! actor around it. A [`Policy`] picks one endpoint out of a [`View`].
 
+mod actor;
+mod imp;
 mod message;
+mod policy;
+#[cfg(test)]
+mod tests;
+mod view;
 
-pub use message::{Adopt, Choose, Cost, Demand, Ending, Finish, Linked, Observe, Pool, Prefix};
+pub use actor::{Config, Router, spawn};
+pub use imp::Table;
+pub use message::{
+    Adopt, Choose, Cost, Demand, Ending, Finish, Linked, MayRetry, Observe, Pool, Prefix,
+};
+pub use policy::{Balanced, LeastInFlight, Policy, RoundRobin, Weights};
+pub use view::{Status, View};
