Test routing and admission decisions; refuse an offer that would expire on time

An offer whose expected start fell exactly on its latest start was queued and then expired at that moment. The test of bounded queues showed it: the eighth offer was the first to be refused, now the seventh is.

The tests of the flood and of stale reports also run a baseline policy, to show that the scenario provokes the failure.

--- a/src/admission/imp.rs
+++ b/src/admission/imp.rs
@@ -156,7 +156,8 @@
             _ => Duration::MAX,
         };
         let left = latest.saturating_duration_since(now);
-        if left.is_zero() || wait > left {
+        // A request whose start is expected at its latest start would expire at that moment.
+        if wait >= left {
             return Err(overloaded(wait.saturating_sub(left)));
         }
         Ok(())
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -1,1 +1,293 @@
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use proptest::prelude::*;
+use rand::{Rng as _, SeedableRng, rngs::StdRng};
+
+use super::*;
+use crate::{
+    clock::System,
+    config::{CallerSpec, ClassSpec, Document},
+    error::{Executed, Kind},
+    id::Request,
+    routing::{Cost, Pool},
+    unit::{Rate, Share, Worth},
+};
+
+const CLASSES: [&str; 3] = ["urgent", "normal", "bulk"];
+const SHARES: [f64; 3] = [0.5, 0.3, 0.2];
+
+fn pool() -> Pool {
+    Pool::Model("m".parse().expect("valid name"))
+}
+
+fn document(rate: f64, in_progress: u32) -> Arc<Document> {
+    let class = |index: usize| ClassSpec {
+        rank: [1, 2, 3][index],
+        first_token: Duration::from_secs(1 + 2 * index as u64),
+        between_tokens: Duration::from_millis(100),
+        whole: Duration::from_secs(20),
+        worth: Worth::new(10),
+        share: Share::new(SHARES[index]),
+    };
+    let caller = CallerSpec {
+        key_sha256: String::new(),
+        classes: Vec::new(),
+        rate: Rate::new(rate),
+        in_progress,
+    };
+    Arc::new(Document {
+        classes: (0..3)
+            .map(|index| (CLASSES[index].parse().expect("valid name"), class(index)))
+            .collect(),
+        callers: [("a".parse().expect("valid name"), caller)].into(),
+        ..Document::default()
+    })
+}
+
+fn request(number: u128) -> Request {
+    Request::from_bytes(number.to_be_bytes())
+}
+
+fn offer(number: u128, class: usize, now: Instant) -> Offer {
+    Offer {
+        request: request(number),
+        caller: "a".parse().expect("valid name"),
+        class: CLASSES[class].parse().expect("valid name"),
+        pool: pool(),
+        cost: Cost::default(),
+        deadline: now + Duration::from_secs(20),
+    }
+}
+
+fn capacity(slots: u32) -> Capacity {
+    Capacity {
+        pool: pool(),
+        slots,
+    }
+}
+
+fn scheduler(policy: Box<dyn Policy>, slots: u32) -> Scheduler {
+    let mut scheduler = Scheduler::new(policy, 1.0);
+    scheduler.adopt(document(1e9, u32::MAX));
+    scheduler.set_capacity(&capacity(slots));
+    scheduler
+}
+
+/// Serves a flood of class `flood` and demand of twice the share by the others on 10 slots for
+/// 30 s of virtual time, 100 ms a request. Returns the started requests per class.
+fn flood(policy: Box<dyn Policy>, flood: usize, seed: u64) -> [u32; 3] {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut scheduler = scheduler(policy, 10);
+    let mut now = Instant::now();
+    let (mut number, mut started) = (0, [0; 3]);
+    let mut classes = BTreeMap::new();
+    let mut ends: Vec<(Instant, Request)> = Vec::new();
+    for _ in 0..3_000 {
+        for (class, share) in SHARES.iter().enumerate() {
+            // Ten slots serve one request per tick; a flood is ten times that.
+            let ticks = if class == flood { 1.0 } else { 0.2 * share };
+            for _ in 0..if rng.random_bool(ticks) { 10 } else { 0 } {
+                number += 1;
+                classes.insert(request(number), class);
+                drop(scheduler.offer(&offer(number, class, now), now));
+            }
+        }
+        for decision in scheduler.poll(now) {
+            if decision.outcome.is_ok() {
+                started[classes[&decision.request]] += 1;
+                let length = Duration::from_millis(rng.random_range(80..120));
+                ends.push((now + length, decision.request));
+            }
+        }
+        now += Duration::from_millis(10);
+        let (over, open) = ends.into_iter().partition(|(end, _)| *end <= now);
+        ends = open;
+        let over: Vec<(Instant, Request)> = over;
+        for (_, id) in over {
+            scheduler.finish(id, now);
+        }
+    }
+    started
+}
+
+/// Guards against a flood of one class that takes the guaranteed share of another.
+#[test]
+fn flood_leaves_the_shares() {
+    for class in 0..3 {
+        for seed in 0..3 {
+            let started = flood(Box::new(Shares), class, seed);
+            let total = f64::from(started.iter().sum::<u32>());
+            for (other, share) in SHARES.iter().enumerate() {
+                let part = f64::from(started[other]) / total;
+                assert!(part > share * 0.95, "{class} {seed} {started:?}");
+            }
+        }
+    }
+    // The scenario provokes the failure in a policy without shares.
+    let strict = flood(Box::new(StrictPriority), 0, 0);
+    assert!(strict[2] * 20 < strict[0], "{strict:?}");
+}
+
+/// Guards against idle capacity while requests wait, and against a lent slot that does not return.
+#[test]
+fn idle_shares_are_lent_and_taken_back() {
+    let now = Instant::now();
+    let mut results = Vec::new();
+    let policies: [(&str, Box<dyn Policy>); 3] = [
+        ("fifo", Box::new(Fifo)),
+        ("strict", Box::new(StrictPriority)),
+        ("shares", Box::new(Shares)),
+    ];
+    for (label, policy) in policies {
+        let mut scheduler = scheduler(policy, 10);
+        for number in 0..20 {
+            scheduler
+                .offer(&offer(number, 2, now), now)
+                .expect("queued");
+        }
+        scheduler.poll(now);
+        results.push(format!(
+            "{label}, bulk alone: {:?}",
+            scheduler.running(&pool())
+        ));
+        for number in 20..40 {
+            let class = number as usize % 2;
+            scheduler
+                .offer(&offer(number, class, now), now)
+                .expect("queued");
+        }
+        (0..9).for_each(|number| scheduler.finish(request(number), now));
+        scheduler.poll(now);
+        results.push(format!(
+            "{label}, nine ended: {:?}",
+            scheduler.running(&pool())
+        ));
+    }
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a queue that grows without bound, and against a refusal without advice.
+#[test]
+fn hopeless_requests_are_refused() {
+    let mut now = Instant::now();
+    let mut scheduler = scheduler(Box::new(Shares), 2);
+    scheduler.offer(&offer(0, 0, now), now).expect("queued");
+    scheduler.poll(now);
+    now += Duration::from_millis(400);
+    scheduler.finish(request(0), now);
+    let refused = (1..100).find_map(|number| {
+        let error = scheduler.offer(&offer(number, 0, now), now).err();
+        scheduler.poll(now);
+        error.map(|error| (number, error))
+    });
+    let (number, error) = refused.expect("the queue is bounded");
+    assert_eq!(
+        (error.kind(), error.executed()),
+        (Kind::Overloaded, Executed::No)
+    );
+    assert!(error.retry_after().is_some());
+    assert_eq!(
+        number, 7,
+        "two run, four wait 200 ms each, the fifth would wait a second"
+    );
+    now += Duration::from_secs(1);
+    let expired = scheduler.poll(now);
+    assert!(expired.iter().all(|decision| decision.outcome.is_err()));
+    assert_eq!((expired.len(), scheduler.next_expiry()), (4, None));
+}
+
+/// Guards against a caller that exceeds its rate or its requests in progress.
+#[test]
+fn callers_are_limited() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(Box::new(Shares), 100);
+    scheduler.adopt(document(5.0, 3));
+    let mut results = Vec::new();
+    for number in 0..7 {
+        let outcome = scheduler.offer(&offer(number, 0, now), now);
+        results.push(match outcome {
+            Ok(()) => "queued".to_owned(),
+            Err(error) => format!("{error}, retry after {:?}", error.retry_after()),
+        });
+        if number == 3 {
+            (0..3).for_each(|number| scheduler.finish(request(number), now));
+        }
+    }
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a slot that leaks when nobody receives the answer or a permit is dropped.
+#[test]
+fn dropped_permits_free_their_slots() {
+    let runtime = || {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        builder
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("runtime")
+    };
+    actix::System::with_tokio_rt(runtime).block_on(async {
+        let clock = System::shared();
+        let desk = spawn(Config::new(Arc::clone(&clock)).queueing(1.0));
+        desk.send(Adopt(document(1e9, 100))).await.expect("running");
+        desk.send(capacity(1)).await.expect("running");
+        let first = desk.send(offer(1, 0, clock.now())).await.expect("running");
+        let gone = desk.send(offer(2, 0, clock.now()));
+        let answer = tokio::time::timeout(Duration::from_millis(10), gone).await;
+        answer.expect_err("the only slot is taken");
+        let last = desk.send(offer(3, 0, clock.now()));
+        drop(first.expect("admitted"));
+        let third = last.await.expect("running");
+        drop(third.expect("admitted"));
+        let held = desk.send(offer(4, 0, clock.now())).await.expect("running");
+        let late = desk.send(offer(5, 0, clock.now())).await.expect("running");
+        let _held = held.expect("admitted");
+        assert_eq!(late.expect_err("expires").kind(), Kind::Overloaded);
+    });
+}
+
+proptest! {
+    /// Guards against slots that leak, a limit that is passed, and offers with no or two answers.
+    #[test]
+    fn each_offer_gets_one_answer(
+        steps in prop::collection::vec((0..3_usize, 0..4_u32, 0..400_u64), 1..80),
+        which in 0..3_usize,
+    ) {
+        let policies: [fn() -> Box<dyn Policy>; 3] =
+            [|| Box::new(Fifo), || Box::new(StrictPriority), || Box::new(Shares)];
+        let mut scheduler = scheduler(policies[which](), 3);
+        let mut now = Instant::now();
+        let mut running: Vec<Request> = Vec::new();
+        let mut answers: BTreeMap<Request, u32> = BTreeMap::new();
+        for (number, (class, action, millis)) in steps.into_iter().enumerate() {
+            now += Duration::from_millis(millis);
+            let offer = offer(number as u128, class, now);
+            let refused = scheduler.offer(&offer, now).is_err();
+            answers.insert(offer.request, u32::from(refused));
+            if action == 0 && !running.is_empty() {
+                scheduler.finish(running.remove(0), now);
+            }
+            for decision in scheduler.poll(now) {
+                *answers.entry(decision.request).or_default() += 1;
+                running.extend(decision.outcome.is_ok().then_some(decision.request));
+            }
+            prop_assert!(running.len() <= 3);
+            let counted: u32 = scheduler.running(&pool()).values().sum();
+            prop_assert_eq!(counted as usize, running.len());
+        }
+        now += Duration::from_mins(1);
+        for id in running {
+            scheduler.finish(id, now);
+        }
+        for decision in scheduler.poll(now) {
+            *answers.entry(decision.request).or_default() += 1;
+        }
+        prop_assert!(answers.values().all(|count| *count == 1));
+        prop_assert_eq!(scheduler.running(&pool()).values().sum::<u32>(), 0);
+    }
+}
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,1 +1,249 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
+use proptest::prelude::*;
+
+use super::*;
+use crate::{
+    config::{Document, EndpointKind, EndpointSpec},
+    error::Kind,
+    id::{Endpoint, Revision},
+    retry::Window,
+    unit::Tokens,
+    wire::{Load, Report, Role},
+};
+
+/// Changes a table and a demand at a time.
+type Prepare = fn(&mut Table, &mut Demand, Instant);
+
+fn name(index: usize) -> Endpoint {
+    format!("e{index}").parse().expect("valid name")
+}
+
+fn spec(zone: usize) -> EndpointSpec {
+    EndpointSpec {
+        kind: EndpointKind::Engine,
+        group: "g".parse().expect("valid name"),
+        host: "h".parse().expect("valid name"),
+        zone: format!("z{zone}").parse().expect("valid name"),
+        agent: ([127, 0, 0, 1], 1).into(),
+        fenced: true,
+        models: vec!["m".parse().expect("valid name")],
+        role: Role::Mixed,
+        service: None,
+        slots: 4,
+    }
+}
+
+fn demand() -> Demand {
+    Demand {
+        pool: Pool::Model("m".parse().expect("valid name")),
+        class: "c".parse().expect("valid name"),
+        cost: Cost {
+            input: Tokens::new(400),
+            output: Tokens::new(50),
+        },
+        prefix: Prefix::default(),
+        avoid: Vec::new(),
+    }
+}
+
+fn report(endpoint: usize, prefill: u64) -> Report {
+    Report {
+        endpoint: name(endpoint),
+        revision: Revision::new(1),
+        leaving: false,
+        role: Role::Mixed,
+        models: spec(0).models,
+        load: Load {
+            prefill: Tokens::new(prefill),
+            ..Load::default()
+        },
+    }
+}
+
+/// A table with `size` linked endpoints, endpoint `i` in zone `i % 2`; the entry is in zone 1.
+fn table(policy: Box<dyn Policy>, size: usize, seed: u64, now: Instant) -> Table {
+    let zone = "z1".parse().expect("valid name");
+    let mut table = Table::new(policy, Box::new(Window::new()), seed, Some(zone));
+    let document = Document {
+        endpoints: (0..size).map(|i| (name(i), spec(i % 2))).collect(),
+        ..Document::default()
+    };
+    table.adopt(&document, now);
+    (0..size).for_each(|i| table.link(&name(i), true));
+    table
+}
+
+fn balanced(size: usize, seed: u64, now: Instant) -> Table {
+    table(Box::new(Balanced::default()), size, seed, now)
+}
+
+/// Counts the choices of `requests` requests that end at once.
+fn spread(table: &mut Table, demand: &Demand, requests: usize, now: Instant) -> Vec<usize> {
+    let mut counts = vec![0; table.view().endpoints().len()];
+    for _ in 0..requests {
+        let endpoint = table.choose(demand, now).expect("an endpoint fits");
+        table.finish(&endpoint, demand.cost, Ending::Abandoned, now);
+        let index: usize = endpoint.as_str()[1..].parse().expect("index");
+        counts[index] += 1;
+    }
+    counts
+}
+
+/// Guards against work for an endpoint that is leaving, down, without the model, or avoided, and
+/// against the loss of one whose reports are only late.
+#[test]
+fn filters_apply() {
+    let start = Instant::now();
+    let scenarios: [(&str, Prepare); 7] = [
+        ("all", |_, _, _| {}),
+        ("leaving", |table, _, now| {
+            let leaving = true;
+            table.observe(
+                Report {
+                    leaving,
+                    ..report(0, 0)
+                },
+                now,
+            );
+        }),
+        ("link down", |table, _, now| {
+            table.observe(report(0, 0), now);
+            table.link(&name(0), false);
+        }),
+        ("report late, link up", |table, _, now| {
+            table.observe(
+                report(0, 0),
+                now.checked_sub(Duration::from_secs(9)).expect("past"),
+            );
+        }),
+        ("model not loaded", |table, _, now| {
+            let models = Vec::new();
+            table.observe(
+                Report {
+                    models,
+                    ..report(0, 0)
+                },
+                now,
+            );
+        }),
+        ("avoided", |_, demand, _| demand.avoid.push(name(0))),
+        ("three failures", |table, demand, now| {
+            for _ in 0..3 {
+                table.finish(&name(0), demand.cost, Ending::Failed, now);
+            }
+        }),
+    ];
+    let mut results = Vec::new();
+    for (label, prepare) in scenarios {
+        let now = start + Duration::from_mins(1);
+        let mut table = balanced(3, 1, now);
+        let mut demand = demand();
+        prepare(&mut table, &mut demand, now);
+        let counts = spread(&mut table, &demand, 100, now);
+        let slots: Vec<u32> = table.capacities(now).iter().map(|c| c.slots).collect();
+        let used: Vec<bool> = counts.iter().map(|count| *count > 0).collect();
+        results.push(format!("{label}: used {used:?}, slots {slots:?}"));
+    }
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a pool without endpoints that yields anything but the right kind of error.
+#[test]
+fn nothing_fits() {
+    let now = Instant::now();
+    let mut table = balanced(0, 1, now);
+    let error = table
+        .choose(&demand(), now)
+        .expect_err("there is no endpoint");
+    assert_eq!(error.kind(), Kind::NoEndpoint);
+}
+
+/// Guards against entries with the same stale reports that all choose the endpoint which reported
+/// the least load. The baseline shows that the scenario provokes it.
+#[test]
+fn stale_reports_do_not_attract_all() {
+    let now = Instant::now();
+    let most = |policy: fn() -> Box<dyn Policy>| {
+        let mut totals = vec![0; 9];
+        for seed in 0..100 {
+            let mut table = table(policy(), 9, seed, now);
+            (0..9).for_each(|i| table.observe(report(i, 100 + 10 * i as u64), now));
+            let counts = spread(&mut table, &demand(), 1, now);
+            totals.iter_mut().zip(counts).for_each(|(t, c)| *t += c);
+        }
+        totals.into_iter().max().unwrap_or(0)
+    };
+    let baseline = most(|| Box::new(LeastInFlight));
+    let own = most(|| Box::new(Balanced::default()));
+    assert_eq!(baseline, 100);
+    assert!(
+        own * 3 < baseline,
+        "{own} of 100 entries chose one endpoint"
+    );
+}
+
+/// Guards against a cached prompt, a load or a zone that has no influence on the choice.
+#[test]
+fn load_cache_and_zone_count() {
+    let now = Instant::now();
+    let mut results = BTreeMap::new();
+    results.insert(
+        "zone",
+        spread(&mut balanced(2, 1, now), &demand(), 100, now),
+    );
+    let mut loaded = balanced(2, 1, now);
+    loaded.observe(report(1, 5_000), now);
+    results.insert("load before zone", spread(&mut loaded, &demand(), 100, now));
+    let mut warm = balanced(8, 1, now);
+    let mut demand = demand();
+    demand.prefix = Prefix((0..25).collect());
+    results.insert("cache", spread(&mut warm, &demand, 100, now));
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a returning endpoint that is flooded, and against one that never recovers.
+#[test]
+fn returning_endpoint_gets_a_growing_part() {
+    let now = Instant::now();
+    let mut table = balanced(4, 1, now);
+    let demand = demand();
+    for _ in 0..3 {
+        table.finish(&name(1), demand.cost, Ending::Failed, now);
+    }
+    let mut part = |millis| {
+        let at = now + Duration::from_millis(millis);
+        spread(&mut table, &demand, 1_000, at)[1]
+    };
+    let parts = [part(999), part(1_000), part(3_500), part(6_000)];
+    let normal = parts[3];
+    assert_eq!(parts[0], 0);
+    assert!(parts[1] > 0 && parts[1] * 4 < normal, "{parts:?}");
+    assert!(parts[2] > parts[1] && parts[2] < normal, "{parts:?}");
+}
+
+proptest! {
+    /// Guards against work in progress that is lost or counted for ever.
+    #[test]
+    fn in_flight_returns_to_zero(seed in any::<u64>(), endings in prop::collection::vec(0..4_usize, 1..60)) {
+        let now = Instant::now();
+        let mut table = balanced(5, seed, now);
+        let demand = demand();
+        let chosen: Vec<Endpoint> = endings
+            .iter()
+            .map(|_| table.choose(&demand, now).expect("an endpoint fits"))
+            .collect();
+        let total: u32 = table.view().endpoints().values().map(|s| s.in_flight).sum();
+        prop_assert_eq!(total as usize, endings.len());
+        let kinds = [Ending::Served, Ending::Refused, Ending::Failed, Ending::Abandoned];
+        for (endpoint, ending) in chosen.iter().zip(endings) {
+            table.finish(endpoint, demand.cost, kinds[ending], now);
+        }
+        for status in table.view().endpoints().values() {
+            prop_assert_eq!((status.in_flight, status.own), (0, Cost::default()));
+        }
+    }
+}
