Bound the work per message of the router and the admission desk

The router summed the slots of every pool over every endpoint for each report and each finished request, and the scheduler looked at every queued request for each poll. At 600 endpoints, 35 models and thousands of queued requests both grow with the product. Slots are now summed in one pass and only after a change that can affect them; the latest starts are kept in order.

Ruled out: sending slots only on the timer, because admission would fill an endpoint for up to 250 ms after it leaves. No time was measured for this change.

A router test covers the messages to admission over an ejection, its end and an empty document.

--- a/src/admission/imp.rs
+++ b/src/admission/imp.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -35,6 +35,8 @@
     accounts: HashMap<Caller, Account>,
     pools: BTreeMap<Pool, Queues>,
     entries: HashMap<Request, Entry>,
+    /// Latest starts of the requests that wait, so that a poll need not look at all of them.
+    expiries: BTreeSet<(Instant, Request)>,
 }
 
 #[derive(Debug, Default)]
@@ -72,10 +74,12 @@
             accounts: HashMap::new(),
             pools: BTreeMap::new(),
             entries: HashMap::new(),
+            expiries: BTreeSet::new(),
         }
     }
 
-    /// Puts a document in force.
+    /// Puts a document in force. Requests that wait in a class that is gone expire at their latest
+    /// start.
     pub fn adopt(&mut self, document: Arc<Document>) {
         self.accounts.retain(|caller, account| {
             account.in_progress > 0 || document.callers.contains_key(caller)
@@ -132,6 +136,7 @@
         let pool = self.pools.entry(offer.pool.clone()).or_default();
         let queue = pool.classes.entry(offer.class.clone()).or_default();
         queue.waiting.push_back(offer.request);
+        self.expiries.insert((latest, offer.request));
         self.entries.insert(
             offer.request,
             Entry {
@@ -196,6 +201,7 @@
         let pool = self.pools.entry(entry.pool).or_default();
         let queue = pool.classes.entry(entry.class).or_default();
         let Some(started) = entry.started else {
+            self.expiries.remove(&(entry.latest, request));
             queue.waiting.retain(|other| *other != request);
             return;
         };
@@ -222,18 +228,9 @@
     }
 
     fn expire(&mut self, now: Instant) -> Vec<Decision> {
-        let known = |class: &Class| {
-            let document = self.document.as_ref();
-            document.is_some_and(|document| document.classes.contains_key(class))
-        };
-        let mut expired: Vec<(Instant, Request)> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.started.is_none())
-            .filter(|(_, entry)| entry.latest <= now || !known(&entry.class))
-            .map(|(request, entry)| (entry.arrived, *request))
-            .collect();
-        expired.sort_unstable();
+        let waiting = self.expiries.iter();
+        let expired: Vec<(Instant, Request)> =
+            waiting.take_while(|(at, _)| *at <= now).copied().collect();
         let refuse = |(_, request)| {
             self.finish(request, now);
             let outcome = Err(overloaded(Duration::ZERO));
@@ -256,6 +253,7 @@
         queue.running += 1;
         if let Some(entry) = self.entries.get_mut(&request) {
             entry.started = Some(now);
+            self.expiries.remove(&(entry.latest, request));
         }
         Some(request)
     }
@@ -263,11 +261,7 @@
     /// When the next request that waits expires.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        let waiting = self
-            .entries
-            .values()
-            .filter(|entry| entry.started.is_none());
-        waiting.map(|entry| entry.latest).min()
+        self.expiries.first().map(|(at, _)| *at)
     }
 
     /// Requests that hold a slot of a pool, per class.
--- a/src/routing/actor.rs
+++ b/src/routing/actor.rs
@@ -12,7 +12,7 @@
 };
 
 /// Interval of the check for slots that change with time alone: the end of an ejection, and an
-/// endpoint that goes down.
+/// endpoint that goes down. Other changes are sent at once.
 const REFRESH: Duration = Duration::from_millis(250);
 
 /// What a router needs.
@@ -126,8 +126,9 @@
     type Result = ();
 
     fn handle(&mut self, Observe(report): Observe, _: &mut Context<Self>) {
-        self.table.observe(report, self.clock.now());
-        self.publish();
+        if self.table.observe(report, self.clock.now()) {
+            self.publish();
+        }
     }
 }
 
@@ -153,8 +154,10 @@
 
     fn handle(&mut self, msg: Finish, _: &mut Context<Self>) {
         let now = self.clock.now();
-        self.table.finish(&msg.endpoint, msg.cost, msg.ending, now);
-        self.publish();
+        let ejected = self.table.finish(&msg.endpoint, msg.cost, msg.ending, now);
+        if ejected {
+            self.publish();
+        }
     }
 }
 
--- a/src/routing/imp.rs
+++ b/src/routing/imp.rs
@@ -66,11 +66,15 @@
         }
     }
 
-    /// Takes in a load report.
-    pub fn observe(&mut self, report: Report, now: Instant) {
-        if let Some(status) = self.view.endpoints.get_mut(&report.endpoint) {
-            status.report = Some((report, now));
-        }
+    /// Takes in a load report. Returns whether it can change the slots of a pool.
+    pub fn observe(&mut self, report: Report, now: Instant) -> bool {
+        let Some(status) = self.view.endpoints.get_mut(&report.endpoint) else {
+            return false;
+        };
+        let old = status.report.replace((report, now));
+        let new = status.report.as_ref();
+        let relevant = |(report, _): &(Report, Instant)| (report.leaving, report.models.clone());
+        old.as_ref().map(relevant) != new.map(relevant)
     }
 
     /// Takes in the state of a link. An unknown endpoint is ignored.
@@ -109,22 +113,28 @@
         Ok(endpoint)
     }
 
-    /// Ends what [`Table::choose`] began.
-    pub fn finish(&mut self, endpoint: &Endpoint, cost: Cost, ending: Ending, now: Instant) {
+    /// Ends what [`Table::choose`] began. Returns whether the endpoint is ejected for it.
+    pub fn finish(
+        &mut self,
+        endpoint: &Endpoint,
+        cost: Cost,
+        ending: Ending,
+        now: Instant,
+    ) -> bool {
         let Some(status) = self.view.endpoints.get_mut(endpoint) else {
-            return;
+            return false;
         };
         status.end(cost);
         match ending {
             Ending::Served => self.ejector.served(endpoint, now),
             Ending::Failed => {
-                let pools = self.pools();
-                let members = pools.iter().map(|pool| self.members(pool));
-                let members: Vec<_> = members.filter(|pool| pool.contains(endpoint)).collect();
-                self.ejector.failed(endpoint, &members, now);
+                let pools = status.pools();
+                let members: Vec<_> = pools.iter().map(|pool| self.members(pool)).collect();
+                return self.ejector.failed(endpoint, &members, now);
             }
             Ending::Refused | Ending::Abandoned => {}
         }
+        false
     }
 
     /// Whether a failed request may be retried.
@@ -134,17 +144,21 @@
 
     /// The pools whose slots changed since the last call.
     pub fn capacities(&mut self, now: Instant) -> Vec<Capacity> {
-        let mut slots: BTreeMap<Pool, u32> = BTreeMap::new();
-        for pool in self.pools().into_iter().chain(self.slots.keys().cloned()) {
-            let usable = |(endpoint, status): &(&Endpoint, &Status)| {
-                status.serves(&pool)
-                    && !status.is_down(now)
-                    && !status.is_leaving()
-                    && !self.ejector.is_ejected(endpoint, now)
-            };
-            let usable = self.view.endpoints.iter().filter(usable);
-            let sum = usable.map(|(_, status)| status.spec.slots).sum();
-            slots.insert(pool, sum);
+        let mut slots: BTreeMap<Pool, u32> = self.pools().into_iter().map(|p| (p, 0)).collect();
+        for (pool, old) in &self.slots {
+            // A pool that is gone is announced once more, without slots.
+            if *old > 0 {
+                slots.entry(pool.clone()).or_default();
+            }
+        }
+        for (endpoint, status) in &self.view.endpoints {
+            let ejected = self.ejector.is_ejected(endpoint, now);
+            if ejected || status.is_down(now) || status.is_leaving() {
+                continue;
+            }
+            for pool in status.pools() {
+                *slots.entry(pool).or_default() += status.spec.slots;
+            }
         }
         let change = |(pool, slots): (&Pool, &u32)| {
             (self.slots.get(pool) != Some(slots)).then(|| Capacity {
@@ -164,12 +178,10 @@
     }
 
     fn pools(&self) -> BTreeSet<Pool> {
-        let specs = self.view.endpoints.values().map(|status| &status.spec);
-        specs
-            .flat_map(|spec| {
-                let models = spec.models.iter().cloned().map(Pool::Model);
-                models.chain(spec.service.iter().cloned().map(Pool::Service))
-            })
+        self.view
+            .endpoints
+            .values()
+            .flat_map(Status::pools)
             .collect()
     }
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -3,10 +3,13 @@
     time::{Duration, Instant},
 };
 
+use actix::{Actor, Context, Handler, Message};
 use proptest::prelude::*;
 
 use super::*;
 use crate::{
+    admission::Capacity,
+    clock::System,
     config::{Document, EndpointKind, EndpointSpec},
     error::Kind,
     id::{Endpoint, Revision},
@@ -171,7 +174,9 @@
         let mut totals = vec![0; 9];
         for seed in 0..100 {
             let mut table = table(policy(), 9, seed, now);
-            (0..9).for_each(|i| table.observe(report(i, 100 + 10 * i as u64), now));
+            for i in 0..9 {
+                table.observe(report(i, 100 + 10 * i as u64), now);
+            }
             let counts = spread(&mut table, &demand(), 1, now);
             totals.iter_mut().zip(counts).for_each(|(t, c)| *t += c);
         }
@@ -225,6 +230,76 @@
     assert!(parts[2] > parts[1] && parts[2] < normal, "{parts:?}");
 }
 
+/// Guards against admission that counts slots of endpoints which cannot be used, and against a
+/// router that does not say when they return.
+#[test]
+fn admission_hears_of_slots() {
+    let runtime = || {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let builder = builder.enable_all().start_paused(true);
+        builder.build().expect("runtime")
+    };
+    actix::System::with_tokio_rt(runtime).block_on(async {
+        let clock = System::shared();
+        let listener = Listener::default().start();
+        let config = Config::new(clock).capacity(listener.clone().recipient());
+        let router = spawn(config);
+        let endpoints = (0..2).map(|i| (name(i), spec(0))).collect();
+        let document = Document {
+            endpoints,
+            ..Document::default()
+        };
+        router.send(Adopt(document.into())).await.expect("running");
+        for endpoint in [name(0), name(1)] {
+            let up = true;
+            router.send(Linked { endpoint, up }).await.expect("running");
+        }
+        for _ in 0..3 {
+            let failed = Finish {
+                endpoint: name(0),
+                cost: Cost::default(),
+                ending: Ending::Failed,
+            };
+            router.send(failed).await.expect("running");
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let gone = Adopt(Document::default().into());
+        router.send(gone).await.expect("running");
+        let slots = listener.send(Heard).await.expect("running");
+        assert_eq!(slots, [0, 4, 8, 4, 8, 0]);
+        assert!(router.send(MayRetry).await.expect("running"));
+    });
+}
+
+/// Keeps the slots that it hears of.
+#[derive(Debug, Default)]
+struct Listener(Vec<u32>);
+
+impl Actor for Listener {
+    type Context = Context<Self>;
+}
+
+impl Handler<Capacity> for Listener {
+    type Result = ();
+
+    fn handle(&mut self, msg: Capacity, _: &mut Context<Self>) {
+        self.0.push(msg.slots);
+    }
+}
+
+/// Asks a [`Listener`] what it heard.
+#[derive(Message)]
+#[rtype(result = "Vec<u32>")]
+struct Heard;
+
+impl Handler<Heard> for Listener {
+    type Result = Vec<u32>;
+
+    fn handle(&mut self, _: Heard, _: &mut Context<Self>) -> Vec<u32> {
+        self.0.clone()
+    }
+}
+
 proptest! {
     /// Guards against work in progress that is lost or counted for ever.
     #[test]
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -86,6 +86,15 @@
         }
     }
 
+    /// The pools that it belongs to.
+    #[must_use]
+    pub fn pools(&self) -> Vec<Pool> {
+        let reported = self.report.as_ref().map(|(report, _)| &report.models);
+        let models = reported.unwrap_or(&self.spec.models).iter();
+        let services = self.spec.service.iter().cloned().map(Pool::Service);
+        models.cloned().map(Pool::Model).chain(services).collect()
+    }
+
     /// Role of the engine.
     #[must_use]
     pub fn role(&self) -> Role {
