--- a/src/admission/actor.rs
+++ b/src/admission/actor.rs
@@ -87,6 +87,7 @@
     fn pump(&mut self, ctx: &mut Context<Self>) {
         for decision in self.scheduler.poll(self.clock.now()) {
             let Some(answer) = self.pending.remove(&decision.request) else {
+                ctx.notify(Finish(decision.request));
                 continue;
             };
             let permit = || Permit {
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -248,6 +248,15 @@
         let late = desk.send(offer(5, 0, clock.now())).await.expect("running");
         let _held = held.expect("admitted");
         assert_eq!(late.expect_err("expires").kind(), Kind::Overloaded);
+        let waiting = desk.send(offer(6, 0, clock.now()));
+        let withdraw = desk.send(Finish(request(6)));
+        let (waiting, withdrawn) = futures_util::join!(waiting, withdraw);
+        withdrawn.expect("running");
+        let error = waiting.expect("running").expect_err("withdrawn");
+        assert_eq!(
+            (error.kind(), error.executed()),
+            (Kind::Leaving, Executed::No)
+        );
     });
 }
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -210,6 +210,27 @@
     insta::assert_debug_snapshot!(results);
 }
 
+/// Guards against a memory of sent prompts that grows without bound, and against one that forgets
+/// blocks which are still in use.
+#[test]
+fn memory_of_prompts_is_bounded() {
+    let now = Instant::now();
+    let mut table = balanced(1, 1, now);
+    let mut send = |blocks: std::ops::Range<u64>| {
+        let mut demand = demand();
+        demand.prefix = Prefix(blocks.collect());
+        let cached = table.view().endpoints()[&name(0)].cached(&demand);
+        spread(&mut table, &demand, 1, now);
+        cached.get()
+    };
+    let first = [send(0..4), send(0..4), send(0..8)];
+    assert_eq!(first, [0, 400, 200]);
+    (1..100).for_each(|part| {
+        send(part * 100..part * 100 + 100);
+    });
+    assert_eq!(send(0..4), 0);
+}
+
 /// Guards against a returning endpoint that is flooded, and against one that never recovers.
 #[test]
 fn returning_endpoint_gets_a_growing_part() {
