Let several entries divide a pool, and leave services time to answer

Admission clamped the queueing factor to at least 1, so each of several entries filled a whole pool. Any factor is taken now, and a pool with slots keeps a limit of at least 1. An offer to a service could start as late as the target of its whole answer; the mean service time is now left for the answer.

The property test also checks that no slot stays idle while requests wait.

--- a/src/admission/actor.rs
+++ b/src/admission/actor.rs
@@ -41,7 +41,8 @@
         self
     }
 
-    /// Replaces the number of requests sent to a pool per slot, at least 1.
+    /// Replaces the number of requests that this entry sends to a pool per slot. Several entries
+    /// in front of one pool divide it among themselves.
     #[must_use]
     pub fn queueing(mut self, factor: f64) -> Self {
         self.queueing = factor;
--- a/src/admission/imp.rs
+++ b/src/admission/imp.rs
@@ -64,12 +64,13 @@
 
 impl Scheduler {
     /// A scheduler without capacity. `queueing` multiplies the slots of a pool: engines batch, so
-    /// a request that waits inside an engine starts sooner than one that waits here.
+    /// a request that waits inside an engine starts sooner than one that waits here. A factor below
+    /// 1 leaves slots to other entries; a pool with slots always keeps a limit of at least 1.
     #[must_use]
     pub fn new(policy: Box<dyn Policy>, queueing: f64) -> Self {
         Self {
             policy,
-            queueing: queueing.max(1.0),
+            queueing,
             document: None,
             accounts: HashMap::new(),
             pools: BTreeMap::new(),
@@ -93,10 +94,10 @@
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "the product is not negative and a float cast saturates"
+            reason = "a float cast saturates at 0 and at the largest number"
         )]
         let limit = (f64::from(capacity.slots) * self.queueing) as u32;
-        pool.limit = limit;
+        pool.limit = limit.max(capacity.slots.min(1));
     }
 
     /// Queues a request; [`Scheduler::poll`] decides when it starts.
@@ -128,7 +129,8 @@
         account.take(caller.rate, now).map_err(|wait| {
             Error::new(Kind::RateLimited, "too many requests per second").with_retry_after(wait)
         })?;
-        let latest = offer.deadline.min(now + start_target(class, &offer.pool));
+        let target = self.start_target(class, offer);
+        let latest = offer.deadline.min(now + target);
         self.check_wait(offer, latest, now)?;
         if let Some(account) = self.accounts.get_mut(&offer.caller) {
             account.in_progress += 1;
@@ -151,6 +153,19 @@
         Ok(())
     }
 
+    /// Longest wait: an engine must send the first token in time, a service the whole answer.
+    fn start_target(&self, class: &ClassSpec, offer: &Offer) -> Duration {
+        if matches!(offer.pool, Pool::Model(_)) {
+            return class.first_token;
+        }
+        let queues = self.pools.get(&offer.pool);
+        let queue = queues.and_then(|queues| queues.classes.get(&offer.class));
+        let service = queue.map_or(Duration::ZERO, |queue| queue.service);
+        // An idle service that is slower than its target still gets requests, or its mean service
+        // time could never fall again.
+        class.whole.saturating_sub(service).max(class.whole / 10)
+    }
+
     fn check_wait(&self, offer: &Offer, latest: Instant, now: Instant) -> Result<()> {
         let lanes = self.lanes(&offer.pool);
         let limit = self.pools.get(&offer.pool).map_or(0, |pool| pool.limit);
@@ -279,14 +294,6 @@
     u32::try_from(length).unwrap_or(u32::MAX)
 }
 
-/// Latest start: engines must send the first token in time, services the whole answer.
-fn start_target(class: &ClassSpec, pool: &Pool) -> Duration {
-    match pool {
-        Pool::Model(_) => class.first_token,
-        Pool::Service(_) => class.whole,
-    }
-}
-
 fn not_ready() -> Error {
     Error::new(Kind::NotReady, "admission has no document")
 }
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -200,6 +200,23 @@
     assert_eq!((expired.len(), scheduler.next_expiry()), (4, None));
 }
 
+/// Guards against a limit that ignores the queueing factor, or that shuts a pool with slots.
+#[test]
+fn limit_follows_the_queueing_factor() {
+    let now = Instant::now();
+    let limit = |queueing, slots| {
+        let mut scheduler = Scheduler::new(Box::new(Shares), queueing);
+        scheduler.adopt(document(1e9, u32::MAX));
+        scheduler.set_capacity(&capacity(slots));
+        for number in 0..50 {
+            drop(scheduler.offer(&offer(number, 0, now), now));
+        }
+        scheduler.poll(now).len()
+    };
+    let limits = [(1.25, 8), (1.0, 8), (0.25, 8), (0.25, 1), (1.25, 0)].map(|(q, s)| limit(q, s));
+    assert_eq!(limits, [10, 8, 2, 1, 0]);
+}
+
 /// Guards against a caller that exceeds its rate or its requests in progress.
 #[test]
 fn callers_are_limited() {
@@ -261,7 +278,8 @@
 }
 
 proptest! {
-    /// Guards against slots that leak, a limit that is passed, and offers with no or two answers.
+    /// Guards against slots that leak or stay idle while requests wait, a limit that is passed,
+    /// and offers with no or two answers.
     #[test]
     fn each_offer_gets_one_answer(
         steps in prop::collection::vec((0..3_usize, 0..4_u32, 0..400_u64), 1..80),
@@ -286,6 +304,8 @@
                 running.extend(decision.outcome.is_ok().then_some(decision.request));
             }
             prop_assert!(running.len() <= 3);
+            let idle = running.len() < 3;
+            prop_assert!(!idle || answers.values().all(|count| *count == 1), "idle slot");
             let counted: u32 = scheduler.running(&pool()).values().sum();
             prop_assert_eq!(counted as usize, running.len());
         }
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -45,6 +45,11 @@
         .map(|portion| format!("{:.0}%", portion.get() * 100.0))
         .collect();
     assert_eq!(portions, ["10%", "28%", "46%", "64%", "82%", "100%"]);
+    now += Duration::from_secs(5);
+    ejector.served(endpoint, now);
+    let failures = (1..9).find(|_| ejector.failed(endpoint, &pools, now));
+    assert_eq!(failures, Some(3));
+    assert!(!ejector.is_ejected(endpoint, now + Duration::from_secs(1)));
 }
 
 /// Guards against a pool that loses most of its endpoints to ejection.
