Check the guarantee of shares at each start, not only in the totals

The test now also checks that no slot goes to a class beyond its share while a class below its share waits. Strict priority, as the baseline, breaks this check.

--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -78,12 +78,14 @@
 }
 
 /// Serves a flood of class `flood` and demand of twice the share by the others on 10 slots for
-/// 30 s of virtual time, 100 ms a request. Returns the started requests per class.
-fn flood(policy: Box<dyn Policy>, flood: usize, seed: u64) -> [u32; 3] {
+/// 30 s of virtual time, 100 ms a request. Returns the started requests per class, and
+/// how often a class beyond its share got a slot while one below its share waited.
+fn flood(policy: Box<dyn Policy>, flood: usize, seed: u64) -> ([u32; 3], u32) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut scheduler = scheduler(policy, 10);
     let mut now = Instant::now();
-    let (mut number, mut started) = (0, [0; 3]);
+    let (mut number, mut started, mut breaches) = (0, [0; 3], 0);
+    let mut queued = [0; 3];
     let mut classes = BTreeMap::new();
     let mut ends: Vec<(Instant, Request)> = Vec::new();
     for _ in 0..3_000 {
@@ -93,16 +95,27 @@
             for _ in 0..if rng.random_bool(ticks) { 10 } else { 0 } {
                 number += 1;
                 classes.insert(request(number), class);
-                drop(scheduler.offer(&offer(number, class, now), now));
+                let outcome = scheduler.offer(&offer(number, class, now), now);
+                queued[class] += u32::from(outcome.is_ok());
             }
         }
+        let before = started;
         for decision in scheduler.poll(now) {
+            let class = classes[&decision.request];
+            queued[class] -= 1;
             if decision.outcome.is_ok() {
-                started[classes[&decision.request]] += 1;
+                started[class] += 1;
                 let length = Duration::from_millis(rng.random_range(80..120));
                 ends.push((now + length, decision.request));
             }
         }
+        let running = scheduler.running(&pool());
+        let running = |class: usize| running.get(&CLASSES[class].parse().expect("valid name"));
+        let part = |class| running(class).map_or(0.0, |count| f64::from(*count) / 10.0);
+        let below = (0..3).any(|class| queued[class] > 0 && part(class) < SHARES[class]);
+        let beyond =
+            (0..3).any(|class| started[class] > before[class] && part(class) > SHARES[class]);
+        breaches += u32::from(below && beyond);
         now += Duration::from_millis(10);
         let (over, open) = ends.into_iter().partition(|(end, _)| *end <= now);
         ends = open;
@@ -111,7 +124,7 @@
             scheduler.finish(id, now);
         }
     }
-    started
+    (started, breaches)
 }
 
 /// Guards against a flood of one class that takes the guaranteed share of another.
@@ -119,17 +132,19 @@
 fn flood_leaves_the_shares() {
     for class in 0..3 {
         for seed in 0..3 {
-            let started = flood(Box::new(Shares), class, seed);
+            let (started, breaches) = flood(Box::new(Shares), class, seed);
+            assert_eq!(breaches, 0, "{class} {seed}");
             let total = f64::from(started.iter().sum::<u32>());
             for (other, share) in SHARES.iter().enumerate() {
                 let part = f64::from(started[other]) / total;
+                // Shares are of slots; requests differ because their lengths are random.
                 assert!(part > share * 0.95, "{class} {seed} {started:?}");
             }
         }
     }
     // The scenario provokes the failure in a policy without shares.
-    let strict = flood(Box::new(StrictPriority), 0, 0);
-    assert!(strict[2] * 20 < strict[0], "{strict:?}");
+    let (strict, breaches) = flood(Box::new(StrictPriority), 0, 0);
+    assert!(breaches > 0 && strict[2] * 20 < strict[0], "{strict:?}");
 }
 
 /// Guards against idle capacity while requests wait, and against a lent slot that does not return.
