--- /dev/null
+++ b/mulberrymill-bench/src/engine/tests.rs
@@ -0,0 +1,295 @@
+use std::{sync::Arc, time::Duration};
+
+use futures_util::StreamExt;
+use mulberrymill::{
+    clock::Manual,
+    id::Fence,
+    unit::{Bytes, Share, Tokens},
+    wire::{Change, Role},
+};
+
+use super::*;
+
+fn config() -> Config {
+    Config {
+        models: vec!["m".parse().expect("a name")],
+        ..Config::default()
+    }
+}
+
+fn engine(config: Config) -> (Manual, Model) {
+    let clock = Manual::new();
+    let model = Model::new(config, Arc::new(clock.clone()));
+    (clock, model)
+}
+
+fn work(prompt: &str, output: u64, priority: u8) -> Generate {
+    Generate {
+        model: "m".parse().expect("a name"),
+        prompt: prompt.to_owned(),
+        output: Tokens::new(output),
+        resume: Bytes::ZERO,
+        priority,
+    }
+}
+
+/// Runs until idle and lists the milliseconds at which jobs ended, broke or changed.
+fn run(clock: &Manual, model: &mut Model) -> Vec<String> {
+    let mut lines = Vec::new();
+    while let Some(due) = model.due() {
+        clock.advance(due.saturating_duration_since(mulberrymill::clock::Clock::now(clock)));
+        for output in model.poll() {
+            if !matches!(output, Output::Text(..)) {
+                lines.push(format!("{} ms {output:?}", clock.elapsed().as_millis()));
+            }
+        }
+    }
+    lines
+}
+
+fn text(outputs: &[Output]) -> String {
+    let parts = outputs.iter().filter_map(|output| match output {
+        Output::Text(_, text) => Some(text.as_str()),
+        _ => None,
+    });
+    parts.collect()
+}
+
+/// Guards against a resumed answer that differs from the uninterrupted one.
+#[test]
+fn answers_continue_at_any_byte() {
+    let prompt = "is there celery in the soup?";
+    let whole = Text::new(&work(prompt, 6, 0).model, prompt).whole(Tokens::new(6));
+    for resume in 0..=24 {
+        let (clock, mut model) = engine(config());
+        let mut work = work(prompt, 6, 0);
+        work.resume = Bytes::new(resume);
+        model.submit(Job::new(1), &work).expect("accepted");
+        clock.advance(Duration::from_secs(1));
+        let cut = usize::try_from(resume).expect("small");
+        assert_eq!(text(&model.poll()), whole[cut..]);
+    }
+    insta::assert_snapshot!(whole);
+}
+
+/// Guards against a batch that serves less urgent work first or loses preempted work.
+#[test]
+fn urgent_work_preempts() {
+    let (clock, mut model) = engine(Config {
+        batch: 2,
+        ..config()
+    });
+    for (job, priority) in [(1, 5), (2, 5), (3, 0), (4, 1)] {
+        let work = work(&"menu ".repeat(400), 50, priority);
+        model.submit(Job::new(job), &work).expect("accepted");
+    }
+    insta::assert_debug_snapshot!((run(&clock, &mut model), model.tally()));
+}
+
+/// Guards against a sequence that stays stuck when its blocks run out.
+#[test]
+fn full_cache_preempts_and_finishes() {
+    let (clock, mut model) = engine(Config {
+        blocks: 10,
+        ..config()
+    });
+    for job in 1..=4 {
+        let work = work(&format!("{job}{}", "x".repeat(500)), 300, 1);
+        model.submit(Job::new(job), &work).expect("accepted");
+    }
+    let lines = run(&clock, &mut model);
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    assert!(model.tally().preempted > 0);
+    assert!(model.current().cache.get().abs() < f64::EPSILON);
+}
+
+/// Guards against a prefix cache without effect, and against exports that miss it.
+#[test]
+fn cached_and_imported_prefixes_save_prefill() {
+    let prompt = "ingredient ".repeat(1_000);
+    let (clock, mut first) = engine(config());
+    first
+        .submit(Job::new(1), &work(&prompt, 1, 0))
+        .expect("accepted");
+    let cold = run(&clock, &mut first);
+    let start = clock.elapsed();
+    first
+        .submit(Job::new(2), &work(&prompt, 1, 0))
+        .expect("accepted");
+    run(&clock, &mut first);
+    let warm = clock.elapsed().saturating_sub(start);
+    let (clock, mut second) = engine(config());
+    let blocks = first.export(&work("", 1, 0).model, &prompt);
+    let imported = second.import(&blocks);
+    second
+        .submit(Job::new(1), &work(&prompt, 1, 0))
+        .expect("accepted");
+    let other = run(&clock, &mut second);
+    insta::assert_debug_snapshot!((cold, warm, imported, other));
+}
+
+/// Guards against two orders at once and against orders of a former holder.
+#[test]
+fn orders_are_checked() {
+    let fence = |number| Some(Fence::new(number));
+    let table: Vec<String> = [true, false]
+        .into_iter()
+        .flat_map(|fenced| {
+            let (clock, mut model) = engine(Config { fenced, ..config() });
+            let mut lines = Vec::new();
+            let mut order = |model: &mut Model, change, number| {
+                let result = model.order(change, fence(number));
+                lines.push(format!("fenced={fenced} {number}: {result:?}"));
+            };
+            order(&mut model, Change::Role(Role::Prefill), 5);
+            order(&mut model, Change::Drain, 6);
+            clock.advance(Duration::from_secs(5));
+            order(&mut model, Change::Role(Role::Decode), 4);
+            lines.extend(run(&clock, &mut model));
+            lines.push(format!("{:?} {:?}", model.current().role, model.tally()));
+            lines
+        })
+        .collect();
+    insta::assert_debug_snapshot!(table);
+}
+
+/// Guards against a role change that interrupts a stream, and against a crash that goes unseen.
+#[test]
+fn role_change_stalls_and_crash_breaks() {
+    let (clock, mut model) = engine(config());
+    model
+        .submit(Job::new(1), &work("p", 10, 0))
+        .expect("accepted");
+    model
+        .order(Change::Role(Role::Decode), None)
+        .expect("accepted");
+    let refused = model.submit(Job::new(2), &work("p", 10, 0));
+    let stalled = run(&clock, &mut model);
+    model
+        .submit(Job::new(3), &work("p", 10, 0))
+        .expect("accepted");
+    model.fault(Fault::CrashNextChange);
+    model
+        .order(Change::Role(Role::Mixed), None)
+        .expect("accepted");
+    let crashed = run(&clock, &mut model);
+    let down = model.submit(Job::new(4), &work("p", 10, 0));
+    model.fault(Fault::Restart);
+    model
+        .submit(Job::new(5), &work("p", 1, 0))
+        .expect("accepted");
+    let back = run(&clock, &mut model);
+    let refused = [refused, down].map(|result| result.expect_err("refused").to_string());
+    insta::assert_debug_snapshot!((refused, stalled, crashed, back));
+}
+
+/// Guards against load reports that are fresher than an engine's, and against a missing freeze.
+#[test]
+fn load_reports_lag() {
+    let (clock, mut model) = engine(config());
+    model
+        .submit(Job::new(1), &work(&"x".repeat(40_000), 100, 0))
+        .expect("accepted");
+    let mut lines = Vec::new();
+    for frozen in [false, true] {
+        model.fault(Fault::StaleReports { on: frozen });
+        for _ in 0..4 {
+            clock.advance(Duration::from_millis(400));
+            let (report, age) = model.load();
+            lines.push(format!("{} prefill, age {age:?}", report.prefill));
+        }
+    }
+    insta::assert_debug_snapshot!(lines);
+}
+
+/// Guards against cache events that are complete or on time, on which routing must not depend.
+#[test]
+fn cache_events_are_late_and_lossy() {
+    let (clock, mut model) = engine(Config {
+        event_loss: Share::new(0.3),
+        ..config()
+    });
+    model
+        .submit(Job::new(1), &work(&"x".repeat(4_000), 1, 0))
+        .expect("accepted");
+    run(&clock, &mut model);
+    let early = model.events(0).len();
+    clock.advance(Duration::from_secs(1));
+    let numbers = model.events(0).into_iter().map(|event| event.sequence);
+    insta::assert_debug_snapshot!((early, numbers.collect::<Vec<_>>()));
+}
+
+/// Guards against model delays at speed 0, which would count as overhead of the path.
+#[test]
+fn speed_zero_takes_no_time() {
+    let (clock, mut model) = engine(Config {
+        speed: 0.0,
+        ..config()
+    });
+    model
+        .submit(Job::new(1), &work("p", 500, 0))
+        .expect("accepted");
+    assert_eq!(text(&model.poll()).len(), 2_000);
+    assert_eq!(clock.elapsed(), Duration::ZERO);
+}
+
+async fn post(address: std::net::SocketAddr, path: &str, body: &serde_json::Value) -> String {
+    let client = awc::Client::default();
+    let sent = client
+        .post(format!("http://{address}{path}"))
+        .send_json(body);
+    let Ok(mut response) = sent.await else {
+        return "no connection".to_owned();
+    };
+    let mut text = format!("{} ", response.status());
+    while let Some(part) = response.next().await {
+        match part {
+            Ok(part) => text.push_str(&String::from_utf8_lossy(&part)),
+            Err(_error) => return text + "broken",
+        }
+    }
+    text
+}
+
+/// Guards against a change of the stream format on which agents depend.
+#[actix_web::test]
+async fn http_forms_are_stable() {
+    let engine = bind(Config {
+        speed: 0.0,
+        ..config()
+    })
+    .expect("bound");
+    let mut results = Vec::new();
+    for stream in [false, true] {
+        let body = serde_json::json!({
+            "model": "m", "prompt": "p", "max_tokens": 2, "resume_offset": 3, "stream": stream,
+            "messages": [{"role": "user", "content": "p"}],
+        });
+        results.push(post(engine.address(), "/v1/completions", &body).await);
+        results.push(post(engine.address(), "/v1/chat/completions", &body).await);
+    }
+    insta::assert_snapshot!(results.join("\n---\n"));
+}
+
+/// Guards against a crash that looks like the end of an answer, and a restart on another port.
+#[actix_web::test]
+async fn http_faults_break_connections() {
+    let engine = bind(Config {
+        speed: 0.0,
+        ..config()
+    })
+    .expect("bound");
+    let body = serde_json::json!({"model": "m", "prompt": "p", "max_tokens": 2, "stream": true});
+    let mut results = Vec::new();
+    let faults = [
+        serde_json::json!({"fault": "break_next_stream", "after_bytes": 6}),
+        serde_json::json!({"fault": "crash"}),
+        serde_json::json!({"fault": "restart"}),
+    ];
+    for fault in faults {
+        results.push(post(engine.fault_address(), "/fault", &fault).await);
+        let answer = post(engine.address(), "/v1/completions", &body).await;
+        results.push(answer);
+    }
+    insta::assert_debug_snapshot!(results);
+}
--- /dev/null
+++ b/mulberrymill-bench/src/service/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+async fn print(service: &Handle, key: &str) -> String {
+    let url = format!("http://{}/print", service.address());
+    let request = awc::Client::default()
+        .post(url)
+        .insert_header(("idempotency-key", key));
+    match request.send_body("labels").await {
+        Ok(mut response) => match response.body().await {
+            Ok(body) => format!("{} {}", response.status(), String::from_utf8_lossy(&body)),
+            Err(_error) => "answer lost".to_owned(),
+        },
+        Err(_error) => "no connection".to_owned(),
+    }
+}
+
+/// Guards against an execution that goes uncounted, and against faults of the wrong kind: a lost
+/// answer must follow the effect, a refusal must prevent it.
+#[actix_web::test]
+async fn executions_are_counted_through_faults() {
+    let service = bind(Config::default()).expect("bound");
+    let mut lines = vec![print(&service, "a").await, print(&service, "a").await];
+    for (fault, key) in [
+        (Fault::LoseNextAnswer, "lost"),
+        (Fault::Refuse { count: 1 }, "refused"),
+        (Fault::Down, "down"),
+        (Fault::Up, "up"),
+    ] {
+        service.fault(fault).await.expect("injected");
+        lines.push(print(&service, key).await);
+    }
+    let executions = service.executions().await.expect("running");
+    insta::assert_debug_snapshot!((lines, executions));
+}
