--- a/mulberrymill-bench/src/lib.rs
+++ b/mulberrymill-bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins, load generator and experiments for mulberrymill. Not shipped.
 
 pub mod engine;
+pub mod hosts;
+pub mod load;
 pub mod port;
 pub mod service;
