--- /dev/null
+++ b/mulberrymill-bench/src/cli/imp.rs
@@ -0,0 +1,56 @@
+use std::{ffi::OsString, process::ExitCode};
+
+use clap::{ArgMatches, Command};
+use mulberrymill::invariant;
+
+use super::{load, standin};
+
+/// Result of a subcommand.
+pub(super) type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+/// Builds the command line.
+pub(super) fn command() -> Command {
+    Command::new("mulberrymill-bench")
+        .about("Stand-ins and load generator for mulberrymill")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(standin::commands())
+        .subcommands(load::commands())
+}
+
+/// Runs the command line. Exit codes: 0 done, 1 failed or unsound results, 2 wrong usage.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = match command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => error.exit(),
+    };
+    invariant::set_fatal(true);
+    match actix_rt::System::new().block_on(dispatch(&matches)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a subcommand and returns whether its results are sound.
+async fn dispatch(matches: &ArgMatches) -> Result<bool> {
+    match matches.subcommand() {
+        Some(("engine", args)) => standin::engine(args).await,
+        Some(("service", args)) => standin::service(args).await,
+        Some(("hosts", args)) => standin::hosts(args).await,
+        Some(("load", args)) => load::load(args).await,
+        Some(("overhead", args)) => load::overhead(args).await,
+        Some(("stream", args)) => load::stream(args).await,
+        _ => Err("unknown subcommand".into()),
+    }
+}
+
+/// A required or defaulted argument, whose presence clap has checked.
+pub(super) fn value<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> T {
+    let found = args.get_one::<T>(name);
+    found.expect("the argument has a default").clone()
+}
--- /dev/null
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -0,0 +1,12 @@
+//! The command line of the bench. Each subcommand runs in the foreground.
+//!
+//! A stand-in prints its addresses as one JSON line and runs until it is interrupted.
+
+mod imp;
+mod load;
+mod mix;
+mod standin;
+#[cfg(test)]
+mod tests;
+
+pub use imp::run;
--- /dev/null
+++ b/mulberrymill-bench/src/main.rs
@@ -0,0 +1,5 @@
+//! The `mulberrymill-bench` binary.
+
+fn main() -> std::process::ExitCode {
+    mulberrymill_bench::cli::run(std::env::args_os())
+}
