--- a/mulberrymill-bench/src/cli/standin.rs
+++ b/mulberrymill-bench/src/cli/standin.rs
@@ -98,7 +98,7 @@
             _ => Role::Mixed,
         },
         speed: value(args, "speed"),
-        prefill_rate: value::<Rate>(args, "prefill-rate").get(),
+        prefill_rate: value(args, "prefill-rate"),
         step: value(args, "step"),
         step_per_sequence: Duration::from_micros(value(args, "step-per-sequence-us")),
         batch: value(args, "batch"),
--- a/mulberrymill-bench/src/engine/mod.rs
+++ b/mulberrymill-bench/src/engine/mod.rs
@@ -46,7 +46,7 @@
 pub use http::bind;
 pub use model::{Model, Output};
 pub use report::{Event, Report};
-pub use sequence::{Generate, Job};
+pub use sequence::{Block, Generate, Job};
 pub use text::{TOKEN_BYTES, Text, conversation, tokens};
 
 /// Result of an operation of an engine.
--- a/mulberrymill-bench/src/engine/model.rs
+++ b/mulberrymill-bench/src/engine/model.rs
@@ -230,7 +230,7 @@
             let step = self.config.step + self.config.step_per_sequence * count;
             period = step.mul_f64(profile.step);
         }
-        let rate = (self.config.prefill_rate * profile.prefill).max(1.0);
+        let rate = (self.config.prefill_rate.get() * profile.prefill).max(1.0);
         #[expect(clippy::cast_precision_loss, reason = "a step has few tokens")]
         let tokens = (profile.chunk - budget) as f64;
         period += Duration::from_secs_f64(tokens / rate);
--- a/mulberrymill-bench/src/engine/report.rs
+++ b/mulberrymill-bench/src/engine/report.rs
@@ -11,7 +11,7 @@
 use super::{
     cache::Change,
     model::Model,
-    sequence::{Phase, Sequence},
+    sequence::{Block, Phase, Sequence},
 };
 
 /// Load reports and events that are kept at most.
@@ -44,8 +44,8 @@
 pub struct Event {
     /// Counts from 1.
     pub sequence: u64,
-    /// Chained hash of the block.
-    pub block: String,
+    /// The block.
+    pub block: Block,
     /// Stored, or else removed.
     pub stored: bool,
 }
@@ -149,7 +149,7 @@
             }
             let event = Event {
                 sequence: self.last_event,
-                block: format!("{hash:016x}"),
+                block: Block(hash),
                 stored,
             };
             self.events.push_back((arrival, event));
--- a/mulberrymill-bench/src/engine/sequence.rs
+++ b/mulberrymill-bench/src/engine/sequence.rs
@@ -4,6 +4,7 @@
     id::Model,
     unit::{Bytes, Tokens},
 };
+use serde::{Deserialize, Serialize};
 
 use super::text::{TOKEN_BYTES, Text, hash, tokens};
 
@@ -33,6 +34,41 @@
     }
 }
 
+/// A full KV block of a prompt, named by the chained hash of the prompt up to its end and written
+/// as 16 hexadecimal digits. Equal blocks mean equal prefixes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Block(pub(super) u64);
+
+impl fmt::Display for Block {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl std::str::FromStr for Block {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl From<Block> for String {
+    fn from(block: Block) -> Self {
+        block.to_string()
+    }
+}
+
+impl TryFrom<String> for Block {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
 /// Text generation as an engine is asked for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Generate {
--- a/mulberrymill-bench/src/lib.rs
+++ b/mulberrymill-bench/src/lib.rs
@@ -1,4 +1,8 @@
 //! Stand-ins, load generator and experiments for mulberrymill. Not shipped.
+//!
+//! Each slice is a stand-in or a tool: [`engine`], [`service`] and [`hosts`] serve HTTP on a free
+//! loopback port and take faults over `POST /fault`, also on a second port that stays up while they
+//! are down; [`load`] sends requests and checks the answers; [`cli`] runs them in the foreground.
 
 pub mod cli;
 pub mod engine;
