--- a/mulberrymill-bench/src/engine/tests/http.rs
+++ b/mulberrymill-bench/src/engine/tests/http.rs
@@ -103,3 +103,51 @@
         .await
         .expect("cancelled");
 }
+
+async fn get(address: std::net::SocketAddr, path: &str) -> String {
+    let client = awc::Client::default();
+    let sent = client.get(format!("http://{address}{path}")).send();
+    let body = sent.await.expect("up").body().await.expect("a body");
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+/// Guards against a change of the control interface on which agents depend.
+#[actix_web::test]
+async fn http_control_is_stable() {
+    let open = || {
+        bind(Config {
+            speed: 0.0,
+            load_lag: Duration::ZERO,
+            event_lag: Duration::ZERO,
+            event_loss: mulberrymill::unit::Share::new(0.0),
+            ..config()
+        })
+    };
+    let (first, second) = (open().expect("bound"), open().expect("bound"));
+    let prompt = "x".repeat(600);
+    let prefix = serde_json::json!({"model": "m", "prompt": prompt, "max_tokens": 1});
+    post(first.address(), "/v1/completions", &prefix).await;
+    let mut lines = vec![get(first.address(), "/control/events?since=1").await];
+    let exported = post(first.address(), "/control/kv/export", &prefix).await;
+    lines.push(exported.clone());
+    let blocks = exported.strip_prefix("200 OK ").expect("exported");
+    let blocks = serde_json::from_str(blocks).expect("JSON");
+    lines.push(post(second.address(), "/control/kv/import", &blocks).await);
+    for (path, body) in [
+        ("role", r#"{"role": "decode", "fence": 3}"#),
+        ("role", r#"{"role": "mixed", "fence": 2}"#),
+        ("models", r#"{"load": "n", "fence": 3}"#),
+        ("models", r#"{"unload": "m", "fence": 4}"#),
+        ("models", r#"{"fence": 4}"#),
+        ("drain", r#"{"drain": true, "fence": 4}"#),
+    ] {
+        let order = serde_json::from_str(body).expect("JSON");
+        let answer = post(second.address(), &format!("/control/{path}"), &order).await;
+        lines.push(format!("{path} {body}: {answer}"));
+    }
+    for path in ["/control/load", "/control/tally", "/v1/models"] {
+        let answer = get(second.address(), path).await;
+        lines.push(format!("{path}: {answer}"));
+    }
+    insta::assert_debug_snapshot!(lines);
+}
