--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -268,6 +268,17 @@
         }
     }
 
+    /// Reads a SHA-256 hash as 64 hexadecimal digits, and returns it in lower case so that the case
+    /// of the digits neither hides a duplicate nor defeats the comparison.
+    pub(crate) fn key_hash(&mut self, value: &Value<'_>) -> Option<String> {
+        let hash: String = self.text(value)?;
+        if hash.len() != 64 || !hash.bytes().all(|b| b.is_ascii_hexdigit()) {
+            self.fault(value.range(), "expected 64 hexadecimal digits");
+            return None;
+        }
+        Some(hash.to_ascii_lowercase())
+    }
+
     /// Reads an IP address with a port.
     pub(crate) fn address(&mut self, value: &Value<'_>) -> Option<SocketAddr> {
         self.text(value).map(|Address(address)| address)
--- a/src/config/spec.rs
+++ b/src/config/spec.rs
@@ -79,14 +79,9 @@
 }
 
 pub(super) fn key_hash(r: &mut Reader, value: &Value<'_>) -> Option<String> {
-    let hash: String = r.text(value)?;
-    if hash.len() != 64 || !hash.bytes().all(|b| b.is_ascii_hexdigit()) {
-        r.fault(value.range(), "expected 64 hexadecimal digits");
-        return None;
-    }
-    // The case of the digits must not hide a duplicate or defeat the comparison.
-    r.unique("key hash", hash.to_ascii_lowercase(), value.range());
-    Some(hash.to_ascii_lowercase())
+    let hash = r.key_hash(value)?;
+    r.unique("key hash", hash.clone(), value.range());
+    Some(hash)
 }
 
 pub(super) fn model(r: &mut Reader, value: &Value<'_>) -> Option<ModelSpec> {
--- a/src/edit/envelope.rs
+++ b/src/edit/envelope.rs
@@ -3,7 +3,7 @@
 use super::Result;
 use crate::{
     error::{Error, Kind},
-    id::{Caller, Edit, Revision},
+    id::{self, Edit, Revision},
 };
 
 /// Value of a section in the store.
@@ -12,7 +12,7 @@
 #[serde(deny_unknown_fields)]
 pub(super) struct Envelope {
     /// Who wrote it.
-    pub(super) editor: Caller,
+    pub(super) editor: id::Editor,
     /// By which the writer recognizes its own write.
     pub(super) edit: Edit,
     /// Revision of the section that this edit replaced. It tells a writer whose answer was lost
--- a/src/edit/imp.rs
+++ b/src/edit/imp.rs
@@ -6,7 +6,7 @@
 use crate::{
     config::Section,
     error::{Error, Executed, Kind},
-    id::{Caller, Edit, Revision},
+    id::{self, Edit, Revision},
     invariant::{self, Point},
     store::{Compare, Item, Path, Store, Txn, Write},
 };
@@ -39,7 +39,7 @@
     /// Revision of its last edit.
     pub revision: Revision,
     /// Who made that edit.
-    pub editor: Caller,
+    pub editor: id::Editor,
 }
 
 /// The document as it is in the store.
@@ -52,10 +52,34 @@
 }
 
 /// An edit that is in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Accepted {
     /// Revision of the section, and of the document at that moment.
     pub revision: Revision,
+    /// The document with the edit in it, so that it can be put into force without reading it again.
+    pub document: Texts,
+}
+
+/// The texts of a document.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Texts {
+    /// Its revision.
+    pub revision: Revision,
+    /// Text of each section that has been written.
+    pub sections: BTreeMap<Section, String>,
+}
+
+impl Texts {
+    fn of(sections: &Sections) -> Self {
+        let revision = sections.values().map(|stored| stored.revision).max();
+        let texts = sections
+            .iter()
+            .map(|(section, stored)| (*section, stored.envelope.text.clone()));
+        Self {
+            revision: revision.unwrap_or_default(),
+            sections: texts.collect(),
+        }
+    }
 }
 
 /// Reads and edits the document. Keeps nothing between calls.
@@ -127,7 +151,7 @@
         section: Section,
         text: String,
         base: Revision,
-        editor: Caller,
+        editor: id::Editor,
     ) -> Result<Accepted> {
         let edit = Edit::random(&mut rand::rng());
         let envelope = Envelope {
@@ -150,7 +174,9 @@
             };
             let step = match result {
                 Ok(sections) => match find(&sections, section, &envelope, open) {
-                    Finding::Accepted(revision) => return Ok(accepted(revision, base)),
+                    Finding::Accepted(revision) => {
+                        return Ok(accepted(revision, base, Texts::of(&sections)));
+                    }
                     Finding::Lost(error) => return Err(error),
                     Finding::Unknown => return Err(unsettled()),
                     Finding::Open => self.try_commit(section, &envelope, &sections).await,
@@ -159,7 +185,7 @@
                 Err(error) => Err(error.with_executed(Executed::No)),
             };
             match step {
-                Ok(Step::Accepted(revision)) => return Ok(accepted(revision, base)),
+                Ok(Step::Accepted(texts)) => return Ok(accepted(texts.revision, base, texts)),
                 Ok(Step::Moved(sections)) => known = Some(sections),
                 Err(error) if error.kind() != Kind::StoreUnavailable => return Err(error),
                 Err(error) if error.executed() == Executed::No && !open => return Err(error),
@@ -173,6 +199,43 @@
         Err(Error::new(Kind::EditConflict, detail))
     }
 
+    /// Writes all sections of a first document.
+    ///
+    /// The sections refer to each other, so that none of them would pass the checks alone.
+    ///
+    /// # Errors
+    ///
+    /// `Kind::EditConflict` if any section exists; `Kind::InvalidDocument`;
+    /// `Kind::StoreUnavailable`, with `executed: unknown` if the answer of the store was lost. A
+    /// further try then tells by its conflict that the first one took effect.
+    pub async fn create(
+        &self,
+        sections: BTreeMap<Section, String>,
+        editor: id::Editor,
+    ) -> Result<Accepted> {
+        self.check.check(&sections)?;
+        let root = root()?;
+        let mut txn = Txn::default();
+        for (section, text) in &sections {
+            let envelope = Envelope {
+                editor: editor.clone(),
+                edit: Edit::random(&mut rand::rng()),
+                base: Revision::default(),
+                text: text.clone(),
+            };
+            let path = root.join(section);
+            txn.compares.push(Compare::Absent(path.clone()));
+            txn.writes.push(Write::Put(path, envelope.encode()?, None));
+        }
+        let commit = self.store.commit(txn).await?;
+        if !commit.succeeded {
+            return Err(Error::new(Kind::EditConflict, "the document exists"));
+        }
+        let revision = commit.revision;
+        let document = Texts { revision, sections };
+        Ok(accepted(revision, Revision::default(), document))
+    }
+
     async fn fetch(&self) -> Result<Sections> {
         let range = self.store.range(root()?).await?;
         sections(range.items)
@@ -186,12 +249,9 @@
         envelope: &Envelope,
         sections: &Sections,
     ) -> Result<Step> {
-        let mut texts: BTreeMap<Section, String> = sections
-            .iter()
-            .map(|(section, stored)| (*section, stored.envelope.text.clone()))
-            .collect();
-        texts.insert(section, envelope.text.clone());
-        self.check.check(&texts)?;
+        let mut texts = Texts::of(sections);
+        texts.sections.insert(section, envelope.text.clone());
+        self.check.check(&texts.sections)?;
         let root = root()?;
         let compares = Section::ALL.into_iter().map(|section| {
             let path = root.join(&section);
@@ -206,7 +266,8 @@
         };
         let commit = self.store.commit(txn).await?;
         if commit.succeeded {
-            return Ok(Step::Accepted(commit.revision));
+            texts.revision = commit.revision;
+            return Ok(Step::Accepted(texts));
         }
         // The compared keys are all sections, so no further read is needed.
         self::sections(commit.found).map(Step::Moved)
@@ -214,7 +275,7 @@
 }
 
 enum Step {
-    Accepted(Revision),
+    Accepted(Texts),
     Moved(Sections),
 }
 
@@ -265,11 +326,11 @@
     ))
 }
 
-fn accepted(revision: Revision, base: Revision) -> Accepted {
+fn accepted(revision: Revision, base: Revision, document: Texts) -> Accepted {
     invariant::check(Point::NoRevert, revision > base, || {
         format!("edit accepted at revision {revision} over base {base}")
     });
-    Accepted { revision }
+    Accepted { revision, document }
 }
 
 fn unsettled() -> Error {
--- a/src/edit/mod.rs
+++ b/src/edit/mod.rs
@@ -10,6 +10,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use imp::{Accepted, Check, Editor, Part, Snapshot};
+pub use imp::{Accepted, Check, Editor, Part, Snapshot, Texts};
 
 pub use crate::error::Result;
--- a/src/edit/tests.rs
+++ b/src/edit/tests.rs
@@ -10,7 +10,7 @@
     clock::System,
     config::Section,
     error::{Error, Executed, Kind},
-    id::{Caller, Revision},
+    id::{self, Revision},
     store::{Change, Faults, Memory, Store},
 };
 
@@ -53,7 +53,7 @@
     Editor::new(Rc::new(store.clone()), Rc::new(Hook(RefCell::new(hook))))
 }
 
-fn name(text: &str) -> Caller {
+fn name(text: &str) -> id::Editor {
     text.parse().expect("valid name")
 }
 
--- /dev/null
+++ b/src/entry/imp.rs
@@ -0,0 +1,256 @@
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use actix::Addr;
+use metrics_exporter_prometheus::PrometheusHandle;
+use rand::Rng;
+use tokio::{sync::watch, task::AbortHandle, time};
+
+use super::{Result, recorder, sink::Inbox};
+use crate::{
+    admission, authority, clock,
+    config::Document,
+    edit::Editor,
+    front,
+    id::{Group, Incarnation, Revision},
+    link::{self, Identity},
+    membership::{Hosts, List},
+    operator, reconcile,
+    relay::{Ports, Relay},
+    routing, settings, spread,
+    store::{Etcd, Store},
+};
+
+/// Pause between two heartbeats to the agents.
+const BEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    server: front::Server,
+    actors: Actors,
+    stopping: watch::Sender<bool>,
+    stop_delay: Duration,
+    tasks: Vec<AbortHandle>,
+}
+
+/// The actors of an entry.
+#[derive(Clone, Debug)]
+struct Actors {
+    holder: Addr<spread::Holder>,
+    desk: Addr<admission::Desk>,
+    router: Addr<routing::Router>,
+    pool: Addr<link::Pool>,
+    authority: Addr<authority::Holder>,
+    reconciler: Addr<reconcile::Reconciler>,
+    operator: Addr<operator::Desk>,
+}
+
+impl Entry {
+    /// The address at which callers and operators are served.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops gracefully: announces it on `/readyz`, still serves what the balancer sends during
+    /// the stop delay, and waits until all answers are complete.
+    pub async fn stop(self) {
+        log::info!("entry is stopping");
+        self.stopping.send_replace(true);
+        time::sleep(self.stop_delay).await;
+        self.server.stop().await;
+        if self
+            .actors
+            .authority
+            .send(authority::Release)
+            .await
+            .is_err()
+        {
+            log::warn!("the lease was not released");
+        }
+        self.actors.pool.do_send(link::Stop);
+        for task in &self.tasks {
+            task.abort();
+        }
+        log::info!("entry has stopped");
+    }
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn open(settings: &settings::Entry) -> Result<Entry> {
+    let clock = clock::System::shared();
+    let metrics = recorder::install()?;
+    let store: Rc<dyn Store> = Rc::new(Etcd::open(settings.store.clone(), Arc::clone(&clock))?);
+    let (holder, view) = spread::spawn();
+    let actors = spawn(settings, &clock, &store, holder, &view);
+    actors.subscribe();
+    let (stopping, stopping_view) = watch::channel(false);
+    let server = front::bind(front::Config {
+        listen: settings.listen,
+        workers: settings.workers,
+        relay: Relay::new(actors.ports(), Arc::clone(&clock)),
+        lookup: actors.pool.clone().recipient(),
+        view: view.clone(),
+        stopping: stopping_view,
+        operator: actors.operator_ports(settings),
+        clock,
+        metrics: metrics.clone(),
+    })?;
+    let editor = Rc::new(Editor::new(store, Rc::new(operator::Checker)));
+    let tasks = vec![
+        spread::follow(editor, actors.holder.clone(), actors.authority.clone()),
+        tokio::task::spawn_local(beat(actors.pool.clone(), view.revision)).abort_handle(),
+        tokio::task::spawn_local(upkeep(metrics)).abort_handle(),
+    ];
+    let stop_delay = settings.stop_delay;
+    Ok(Entry {
+        server,
+        actors,
+        stopping,
+        stop_delay,
+        tasks,
+    })
+}
+
+fn spawn(
+    settings: &settings::Entry,
+    clock: &clock::Shared,
+    store: &Rc<dyn Store>,
+    holder: Addr<spread::Holder>,
+    view: &spread::View,
+) -> Actors {
+    let incarnation = Incarnation::random(&mut rand::rng());
+    let desk = admission::spawn(admission::Config::new(Arc::clone(clock)));
+    let router = routing::spawn(
+        routing::Config::new(Arc::clone(clock))
+            .seed(rand::rng().random())
+            .zone(settings.zone.clone())
+            .capacity(desk.clone().recipient()),
+    );
+    let inbox = Rc::new(Inbox::new(router.clone(), holder.clone()));
+    let pool = link::spawn(link::Config {
+        identity: Identity {
+            process: settings.process.clone(),
+            incarnation,
+            zone: settings.zone.clone(),
+            revision: view.revision.clone(),
+        },
+        seeds: settings.seeds.clone(),
+        clock: Arc::clone(clock),
+        router: router.clone().recipient(),
+        sink: Rc::clone(&inbox) as Rc<dyn link::Sink>,
+    });
+    let authority = authority::Holder::spawn(authority::Config {
+        process: settings.process.clone(),
+        incarnation,
+        store: Rc::clone(store),
+        clock: Arc::clone(clock),
+    });
+    let authority = authority.address;
+    let hosts = settings
+        .hosts
+        .map(|address| Rc::new(List::open(address)) as Rc<dyn Hosts>);
+    let reconciler = reconcile::spawn(reconcile::Config {
+        store: Rc::clone(store),
+        hosts,
+        authority: authority.clone(),
+        link: pool.clone().recipient(),
+        clock: Arc::clone(clock),
+    });
+    inbox.connect(reconciler.clone());
+    let operator = operator::spawn(operator::Config {
+        process: settings.process.clone(),
+        store: Rc::clone(store),
+        holder: holder.clone(),
+        router: router.clone(),
+        authority: authority.clone(),
+        view: view.clone(),
+    });
+    Actors {
+        holder,
+        desk,
+        router,
+        pool,
+        authority,
+        reconciler,
+        operator,
+    }
+}
+
+impl Actors {
+    /// Tells the actors of each document that comes into force.
+    fn subscribe(&self) {
+        let Self {
+            desk,
+            router,
+            pool,
+            authority,
+            reconciler,
+            ..
+        } = self.clone();
+        self.holder
+            .do_send(spread::Subscribe(Box::new(move |document| {
+                desk.do_send(admission::Adopt(Arc::clone(document)));
+                router.do_send(routing::Adopt(Arc::clone(document)));
+                pool.do_send(link::Adopt(Arc::clone(document)));
+                pool.do_send(link::Announce(document.revision));
+                authority.do_send(authority::Groups(groups(document)));
+                reconciler.do_send(reconcile::Adopt(Arc::clone(document)));
+            })));
+    }
+
+    fn ports(&self) -> Ports {
+        Ports {
+            offer: self.desk.clone().recipient(),
+            leave: self.desk.clone().recipient(),
+            choose: self.router.clone().recipient(),
+            may_retry: self.router.clone().recipient(),
+            submit: self.pool.clone().recipient(),
+            credit: self.pool.clone().recipient(),
+            cancel: self.pool.clone().recipient(),
+            tally: self.operator.clone().recipient(),
+        }
+    }
+
+    fn operator_ports(&self, settings: &settings::Entry) -> front::OperatorPorts {
+        front::OperatorPorts {
+            key_sha256: settings.operator_key_sha256.clone(),
+            read: self.operator.clone().recipient(),
+            put: self.operator.clone().recipient(),
+            create: self.operator.clone().recipient(),
+            drain: self.operator.clone().recipient(),
+            status: self.operator.clone().recipient(),
+        }
+    }
+}
+
+/// The groups of a document, each once.
+fn groups(document: &Document) -> Vec<Group> {
+    let groups = document.endpoints.values().map(|spec| spec.group.clone());
+    groups
+        .collect::<std::collections::BTreeSet<_>>()
+        .into_iter()
+        .collect()
+}
+
+/// Sends the heartbeat of the entry on all its connections.
+async fn beat(pool: Addr<link::Pool>, revision: watch::Receiver<Revision>) {
+    let mut ticks = time::interval(BEAT_PERIOD);
+    loop {
+        ticks.tick().await;
+        let revision = *revision.borrow();
+        pool.do_send(link::Announce(revision));
+    }
+}
+
+async fn upkeep(metrics: PrometheusHandle) {
+    let mut ticks = time::interval(recorder::UPKEEP_PERIOD);
+    loop {
+        ticks.tick().await;
+        metrics.run_upkeep();
+    }
+}
--- /dev/null
+++ b/src/entry/recorder.rs
@@ -0,0 +1,31 @@
+use std::{sync::OnceLock, time::Duration};
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use super::Result;
+use crate::error::{Error, Kind};
+
+/// Upper bounds of the histogram buckets, in seconds. They are close together around the targets
+/// of a few milliseconds to a few seconds, and reach to the longest answer.
+const BUCKETS: [f64; 16] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.073, 0.1, 0.2, 0.5, 1.1, 2.0, 5.0, 15.0, 60.0, 600.0,
+];
+
+/// Pause between two clean-ups of the recorder, which else keeps every sample until it is read.
+pub(super) const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// Installs the metrics recorder of the process, once.
+pub(super) fn install() -> Result<PrometheusHandle> {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    if let Some(handle) = HANDLE.get() {
+        return Ok(handle.clone());
+    }
+    let failed = |error: metrics_exporter_prometheus::BuildError| {
+        Error::new(Kind::Internal, "the metrics recorder cannot be installed").with_source(error)
+    };
+    let builder = PrometheusBuilder::new()
+        .set_buckets(&BUCKETS)
+        .map_err(failed)?;
+    let handle = builder.install_recorder().map_err(failed)?;
+    Ok(HANDLE.get_or_init(|| handle).clone())
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,24 @@
+//! The HTTP interface of an entry.
+//!
+//! Handlers turn HTTP requests into [`relay::Request`](crate::relay::Request)s and their answers
+//! into HTTP; they decide nothing about admission, routing or retries. Errors become RFC 9457
+//! problem documents by the table of [`error::Kind`](crate::error::Kind).
+
+mod auth;
+mod estimate;
+mod health;
+mod imp;
+mod openai;
+mod operator;
+mod problem;
+mod receive;
+mod service;
+mod stream;
+
+pub use auth::{authenticate, hash_key};
+pub use estimate::{prefix, tokens};
+pub use imp::{Config, Server, bind};
+pub use openai::Body;
+pub use operator::Ports as OperatorPorts;
+
+pub use crate::error::Result;
--- /dev/null
+++ b/src/front/operator.rs
@@ -0,0 +1,276 @@
+use std::fmt;
+
+use actix::Recipient;
+use actix_web::{
+    HttpRequest, HttpResponse, Resource,
+    http::header,
+    web::{self, ServiceConfig},
+};
+use futures_util::{Stream, stream};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::sync::watch;
+
+use super::{
+    Result, auth,
+    imp::{Context, other_method},
+    problem, receive,
+};
+use crate::{
+    config::Section,
+    error::{Error, Kind},
+    id::{Editor, Endpoint, Revision},
+    operator::{Create, Drain, Put, Read, SectionText, Snapshot, Status, StatusReport},
+    unit::Bytes,
+};
+
+/// Largest section, above the largest value of the store so that the check can name the fault.
+const SECTION_MAX: Bytes = Bytes::new(2 << 20);
+
+/// The actor that serves operators.
+#[derive(Clone)]
+pub struct Ports {
+    /// Hash of the operators' bearer key.
+    pub key_sha256: String,
+    /// Reads sections.
+    pub read: Recipient<Read>,
+    /// Edits a section.
+    pub put: Recipient<Put>,
+    /// Writes a first document.
+    pub create: Recipient<Create>,
+    /// Drains an endpoint.
+    pub drain: Recipient<Drain>,
+    /// Tells the state.
+    pub status: Recipient<Status>,
+}
+
+impl fmt::Debug for Ports {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Ports")
+    }
+}
+
+pub(super) fn routes(app: &mut ServiceConfig) {
+    let resource =
+        |path: &str| -> Resource { web::resource(path).default_service(web::to(other_method)) };
+    app.service(
+        resource("/operator/v1/config")
+            .route(web::get().to(read))
+            .route(web::put().to(put_document)),
+    )
+    .service(resource("/operator/v1/config/watch").route(web::get().to(watch_revisions)))
+    .service(
+        resource("/operator/v1/config/{section}")
+            .route(web::get().to(read_section))
+            .route(web::put().to(put_section)),
+    )
+    .service(resource("/operator/v1/status").route(web::get().to(status)))
+    .service(resource("/operator/v1/drain/{endpoint}").route(web::post().to(drain)));
+}
+
+fn check_key(context: &Context, request: &HttpRequest) -> Result<()> {
+    let hash = auth::hash_key(auth::bearer(request.headers())?);
+    if auth::matches(&hash, &context.operator.key_sha256) {
+        Ok(())
+    } else {
+        Err(Error::new(
+            Kind::Unauthenticated,
+            "the operator key is unknown",
+        ))
+    }
+}
+
+fn stopping(_error: actix::MailboxError) -> Error {
+    Error::new(Kind::Leaving, "the entry is stopping")
+}
+
+fn answer<T: Serialize>(result: Result<T>) -> HttpResponse {
+    match result {
+        Ok(body) => HttpResponse::Ok().json(body),
+        Err(error) => problem::respond(&error),
+    }
+}
+
+async fn read(context: web::Data<Context>, request: HttpRequest) -> HttpResponse {
+    answer(read_all(&context, &request).await)
+}
+
+async fn read_all(context: &Context, request: &HttpRequest) -> Result<Snapshot> {
+    check_key(context, request)?;
+    context.operator.read.send(Read).await.map_err(stopping)?
+}
+
+async fn read_section(
+    context: web::Data<Context>,
+    request: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
+    let read = async {
+        let section: Section = path.parse()?;
+        let mut snapshot = read_all(&context, &request).await?;
+        let missing = || Error::new(Kind::NotFound, "the section was never written");
+        snapshot
+            .sections
+            .remove(section.as_str())
+            .ok_or_else(missing)
+    };
+    answer::<SectionText>(read.await)
+}
+
+/// Query of an edit.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EditQuery {
+    base: Revision,
+    editor: Editor,
+}
+
+/// Answer to an accepted edit.
+#[derive(Serialize)]
+struct Accepted {
+    revision: Revision,
+}
+
+async fn put_section(
+    context: web::Data<Context>,
+    request: HttpRequest,
+    path: web::Path<String>,
+    payload: web::Payload,
+) -> HttpResponse {
+    answer(put(&context, &request, &path, payload).await)
+}
+
+async fn put(
+    context: &Context,
+    request: &HttpRequest,
+    section: &str,
+    payload: web::Payload,
+) -> Result<Accepted> {
+    check_key(context, request)?;
+    let section = section.parse()?;
+    let EditQuery { base, editor } = query(request)?;
+    let text = text(payload).await?;
+    let edit = Put {
+        section,
+        text,
+        base,
+        editor,
+    };
+    let revision = context.operator.put.send(edit).await.map_err(stopping)??;
+    Ok(Accepted { revision })
+}
+
+async fn text(payload: web::Payload) -> Result<String> {
+    String::from_utf8(receive::body(payload, SECTION_MAX).await?.to_vec())
+        .map_err(|_error| Error::new(Kind::BadRequest, "the text is not UTF-8"))
+}
+
+/// Query of a first document.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CreateQuery {
+    editor: Editor,
+}
+
+async fn put_document(
+    context: web::Data<Context>,
+    request: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    answer(create(&context, &request, payload).await)
+}
+
+async fn create(
+    context: &Context,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Accepted> {
+    check_key(context, request)?;
+    let CreateQuery { editor } = query(request)?;
+    let text = text(payload).await?;
+    let create = Create { text, editor };
+    let revision = context
+        .operator
+        .create
+        .send(create)
+        .await
+        .map_err(stopping)??;
+    Ok(Accepted { revision })
+}
+
+fn query<T: DeserializeOwned>(request: &HttpRequest) -> Result<T> {
+    let query = web::Query::<T>::from_query(request.query_string());
+    query.map(web::Query::into_inner).map_err(|error| {
+        Error::new(
+            Kind::BadRequest,
+            format!("the query is not as expected: {error}"),
+        )
+    })
+}
+
+async fn status(context: web::Data<Context>, request: HttpRequest) -> HttpResponse {
+    let status = async {
+        check_key(&context, &request)?;
+        context
+            .operator
+            .status
+            .send(Status)
+            .await
+            .map_err(stopping)?
+    };
+    answer::<StatusReport>(status.await)
+}
+
+/// Query of a drain.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainQuery {
+    #[serde(default)]
+    resume: bool,
+}
+
+async fn drain(
+    context: web::Data<Context>,
+    request: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
+    let drain = async {
+        check_key(&context, &request)?;
+        let endpoint: Endpoint = path
+            .parse()
+            .map_err(|error| Error::new(Kind::BadRequest, format!("{error}")))?;
+        let DrainQuery { resume } = query(&request)?;
+        let wish = Drain {
+            endpoint,
+            drain: !resume,
+        };
+        context.operator.drain.send(wish).await.map_err(stopping)?
+    };
+    match drain.await {
+        Ok(()) => HttpResponse::Accepted().finish(),
+        Err(error) => problem::respond(&error),
+    }
+}
+
+/// One JSON line per revision that comes into force at this entry, beginning with the present one.
+async fn watch_revisions(context: web::Data<Context>, request: HttpRequest) -> HttpResponse {
+    if let Err(error) = check_key(&context, &request) {
+        return problem::respond(&error);
+    }
+    HttpResponse::Ok()
+        .insert_header((header::CONTENT_TYPE, "application/x-ndjson"))
+        .streaming(revisions(context.view.revision.clone()))
+}
+
+fn revisions(
+    mut view: watch::Receiver<Revision>,
+) -> impl Stream<Item = std::result::Result<web::Bytes, actix_web::Error>> {
+    view.mark_changed();
+    stream::unfold(view, |mut view| async move {
+        view.changed().await.ok()?;
+        let revision = *view.borrow_and_update();
+        Some((
+            Ok(web::Bytes::from(format!("{{\"revision\":{revision}}}\n"))),
+            view,
+        ))
+    })
+}
--- a/src/id/imp.rs
+++ b/src/id/imp.rs
@@ -109,6 +109,10 @@
     /// A customer that sends requests.
     Caller, "caller name"
 );
+name_id!(
+    /// An operator who edits the document.
+    Editor, "editor name"
+);
 name_id!(
     /// A service class: requests with the same target, worth and guaranteed share.
     Class, "class name"
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -9,7 +9,7 @@
 use actix::{
     Actor, ActorContext, Addr, AsyncContext, Context, Handler, Message, Recipient, ResponseFuture,
 };
-use tokio::{sync::oneshot, time};
+use tokio::{sync::oneshot, task::AbortHandle, time};
 
 use super::{
     Adopt, Announce, Cancel, Credit, Identity, Lookup, Outbox, Result, Send, Session, Sink, Submit,
@@ -37,6 +37,8 @@
 pub struct Config {
     /// Who this process is.
     pub identity: Identity,
+    /// Agents to connect to until there is a document, from which they may have one.
+    pub seeds: Vec<SocketAddr>,
     /// The clock.
     pub clock: clock::Shared,
     /// Is told when a connection comes up or goes down.
@@ -57,6 +59,7 @@
     /// take no new attempts, and close with their last one: a planned change cuts off no request.
     retired: Vec<Route>,
     sessions: HashMap<Session, Endpoint>,
+    seeds: Vec<AbortHandle>,
 }
 
 /// No connection, so that nothing was sent.
@@ -72,6 +75,7 @@
         routes: BTreeMap::new(),
         retired: Vec::new(),
         sessions: HashMap::new(),
+        seeds: Vec::new(),
     };
     pool.start()
 }
@@ -81,11 +85,18 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.set_mailbox_capacity(MAILBOX);
+        self.seeds = self
+            .config
+            .seeds
+            .iter()
+            .map(|seed| self.dial_seed(*seed))
+            .collect();
     }
 
     fn stopped(&mut self, _ctx: &mut Self::Context) {
         self.routes.clear();
         self.retired.clear();
+        self.drop_seeds();
     }
 }
 
@@ -102,6 +113,20 @@
         Route::new(endpoint.clone(), address, dialer)
     }
 
+    /// Connects to an agent whose endpoint is not known yet.
+    fn dial_seed(&self, address: SocketAddr) -> AbortHandle {
+        let identity = self.config.identity.clone();
+        let clock = Arc::clone(&self.config.clock);
+        let dialing = dialer::run(address, identity, clock, Rc::clone(&self.config.sink));
+        tokio::task::spawn_local(dialing).abort_handle()
+    }
+
+    fn drop_seeds(&mut self) {
+        for seed in self.seeds.drain(..) {
+            seed.abort();
+        }
+    }
+
     fn route_of(&mut self, session: Session) -> Option<&mut Route> {
         let endpoint = self.sessions.get(&session)?;
         let present = self.routes.get_mut(endpoint);
@@ -313,6 +338,7 @@
     type Result = ();
 
     fn handle(&mut self, Adopt(document): Adopt, ctx: &mut Self::Context) {
+        self.drop_seeds();
         let moved = |name: &Endpoint, route: &Route| {
             document
                 .endpoints
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -127,6 +127,7 @@
     let (sender, links) = mpsc::unbounded_channel();
     let pool = spawn(Config {
         identity: identity("entry", 1),
+        seeds: Vec::new(),
         clock: clock::System::shared(),
         router: Router(sender).start().recipient(),
         sink: Rc::new(Ignore),
--- /dev/null
+++ b/src/operator/imp.rs
@@ -0,0 +1,210 @@
+use std::{collections::BTreeMap, fmt, rc::Rc};
+
+use actix::{Actor, Addr, Context, Handler, ResponseFuture};
+
+use super::{
+    Count, Create, Drain, Put, Read, Result, SectionText, Snapshot, Status, StatusReport, Tally,
+    Verdict,
+};
+use crate::{
+    authority::{Held, Holder as Authority},
+    config::{self, Section},
+    edit::{Accepted, Check, Editor},
+    error::{Error, Kind},
+    id::{Class, Process, Revision},
+    reconcile::{Desired, Wish},
+    routing::{Router, Survey},
+    spread::{Holder, Offer, View},
+    store::Store,
+    wire,
+};
+
+/// What the desk needs.
+pub struct Config {
+    /// Name of the entry.
+    pub process: Process,
+    /// The platform store.
+    pub store: Rc<dyn Store>,
+    /// Puts accepted edits into force.
+    pub holder: Addr<Holder>,
+    /// Knows the endpoints.
+    pub router: Addr<Router>,
+    /// Knows the groups that the entry holds.
+    pub authority: Addr<Authority>,
+    /// The document in force.
+    pub view: View,
+}
+
+impl fmt::Debug for Config {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Config")
+            .field("process", &self.process)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The actor that serves operators.
+#[derive(Debug)]
+pub struct Desk {
+    config: Config,
+    editor: Editor,
+    desired: Desired,
+    classes: BTreeMap<Class, Count>,
+}
+
+/// Starts the actor.
+#[must_use]
+pub fn spawn(config: Config) -> Addr<Desk> {
+    let editor = Editor::new(Rc::clone(&config.store), Rc::new(Checker));
+    let desired = Desired::new(Rc::clone(&config.store));
+    Desk {
+        config,
+        editor,
+        desired,
+        classes: BTreeMap::new(),
+    }
+    .start()
+}
+
+/// The checks of the document, as edits need them.
+#[derive(Clone, Copy, Debug)]
+pub struct Checker;
+
+impl Check for Checker {
+    fn check(&self, sections: &BTreeMap<Section, String>) -> Result<()> {
+        config::assemble(Revision::default(), sections)
+            .map(|_document| ())
+            .map_err(|faults| Error::new(Kind::InvalidDocument, faults.to_string()))
+    }
+}
+
+impl Actor for Desk {
+    type Context = Context<Self>;
+}
+
+/// Puts an accepted edit into force here, from where it spreads. The store is not read again, so
+/// that the edit spreads also if the store goes down right after it was accepted.
+async fn enforce(accepted: Accepted, holder: Addr<Holder>) -> Revision {
+    let named = |(section, text): (Section, String)| (section.to_string(), text);
+    let document = wire::Document {
+        revision: accepted.document.revision,
+        sections: accepted.document.sections.into_iter().map(named).collect(),
+    };
+    if holder.send(Offer(document)).await.is_err() {
+        log::warn!("the entry stopped before the edit was in force here");
+    }
+    accepted.revision
+}
+
+impl Handler<Read> for Desk {
+    type Result = ResponseFuture<Result<Snapshot>>;
+
+    fn handle(&mut self, _msg: Read, _ctx: &mut Self::Context) -> Self::Result {
+        let editor = self.editor.clone();
+        Box::pin(async move {
+            let read = editor.read().await?;
+            let sections = read.sections.into_iter().map(|(section, part)| {
+                let text = SectionText {
+                    revision: part.revision,
+                    editor: part.editor,
+                    text: part.text,
+                };
+                (section.to_string(), text)
+            });
+            Ok(Snapshot {
+                revision: read.revision,
+                sections: sections.collect(),
+            })
+        })
+    }
+}
+
+impl Handler<Put> for Desk {
+    type Result = ResponseFuture<Result<Revision>>;
+
+    fn handle(&mut self, msg: Put, _ctx: &mut Self::Context) -> Self::Result {
+        let editor = self.editor.clone();
+        let holder = self.config.holder.clone();
+        Box::pin(async move {
+            let accepted = editor
+                .put(msg.section, msg.text, msg.base, msg.editor)
+                .await?;
+            Ok(enforce(accepted, holder).await)
+        })
+    }
+}
+
+impl Handler<Create> for Desk {
+    type Result = ResponseFuture<Result<Revision>>;
+
+    fn handle(&mut self, msg: Create, _ctx: &mut Self::Context) -> Self::Result {
+        let editor = self.editor.clone();
+        let holder = self.config.holder.clone();
+        Box::pin(async move {
+            let sections = config::split(&msg.text)
+                .map_err(|faults| Error::new(Kind::InvalidDocument, faults.to_string()))?;
+            let accepted = editor.create(sections, msg.editor).await?;
+            Ok(enforce(accepted, holder).await)
+        })
+    }
+}
+
+impl Handler<Drain> for Desk {
+    type Result = ResponseFuture<Result<()>>;
+
+    fn handle(&mut self, msg: Drain, _ctx: &mut Self::Context) -> Self::Result {
+        let known = self
+            .config
+            .view
+            .document
+            .borrow()
+            .endpoints
+            .contains_key(&msg.endpoint);
+        let desired = self.desired.clone();
+        Box::pin(async move {
+            if !known {
+                return Err(Error::new(Kind::NotFound, "there is no such endpoint"));
+            }
+            desired.set(&msg.endpoint, Wish { drain: msg.drain }).await
+        })
+    }
+}
+
+impl Handler<Status> for Desk {
+    type Result = ResponseFuture<Result<StatusReport>>;
+
+    fn handle(&mut self, _msg: Status, _ctx: &mut Self::Context) -> Self::Result {
+        let router = self.config.router.clone();
+        let authority = self.config.authority.clone();
+        let process = self.config.process.clone();
+        let revision = *self.config.view.revision.borrow();
+        let classes = self.classes.clone();
+        let stopping = |_error| Error::new(Kind::Leaving, "the entry is stopping");
+        Box::pin(async move {
+            let endpoints = router.send(Survey).await.map_err(stopping)?;
+            let held = authority.send(Held).await.map_err(stopping)?;
+            let authority = held.into_iter().collect();
+            Ok(StatusReport {
+                process,
+                revision,
+                endpoints,
+                authority,
+                classes,
+            })
+        })
+    }
+}
+
+impl Handler<Tally> for Desk {
+    type Result = ();
+
+    fn handle(&mut self, msg: Tally, _ctx: &mut Self::Context) {
+        let count = self.classes.entry(msg.class).or_default();
+        match msg.verdict {
+            Verdict::Served => count.served += 1,
+            Verdict::Late => count.late += 1,
+            Verdict::Refused => count.refused += 1,
+            Verdict::Failed => count.failed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,11 @@
+//! Serves operators: reads and edits sections, shows the state of the entry, drains endpoints.
+
+mod imp;
+mod message;
+
+pub use imp::{Checker, Config, Desk, spawn};
+pub use message::{
+    Count, Create, Drain, Put, Read, SectionText, Snapshot, Status, StatusReport, Tally, Verdict,
+};
+
+pub use crate::error::Result;
--- /dev/null
+++ b/src/reconcile/desired.rs
@@ -0,0 +1,73 @@
+use std::{collections::BTreeMap, rc::Rc};
+
+use serde::{Deserialize, Serialize};
+
+use super::Result;
+use crate::{
+    error::{Error, Kind},
+    id::Endpoint,
+    store::{Path, Store, Txn, Write},
+};
+
+/// Keys of the operators' wishes, one per endpoint.
+const ROOT: &str = "/mulberrymill/desired";
+
+/// What operators asked of an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wish {
+    /// Take no new work.
+    pub drain: bool,
+}
+
+/// The operators' wishes in the store. Keeps nothing between calls.
+///
+/// A wish is kept in the store and not in the entry that received it, so that it outlives the
+/// entry, and so that any entry can receive it for the one that holds authority.
+#[derive(Clone, Debug)]
+pub struct Desired {
+    store: Rc<dyn Store>,
+}
+
+impl Desired {
+    /// The wishes in `store`.
+    #[must_use]
+    pub fn new(store: Rc<dyn Store>) -> Self {
+        Self { store }
+    }
+
+    /// Replaces the wish for an endpoint. Repeating it does no harm.
+    ///
+    /// # Errors
+    ///
+    /// `Kind::StoreUnavailable`.
+    pub async fn set(&self, endpoint: &Endpoint, wish: Wish) -> Result<()> {
+        let path = ROOT.parse::<Path>()?.join(endpoint);
+        let value = serde_json::to_vec(&wish)
+            .map_err(|error| Error::new(Kind::Internal, "invalid wish").with_source(error))?;
+        let write = Write::Put(path, value, None);
+        let txn = Txn {
+            compares: Vec::new(),
+            writes: vec![write],
+        };
+        self.store.commit(txn).await.map(|_commit| ())
+    }
+
+    /// Reads all wishes.
+    ///
+    /// # Errors
+    ///
+    /// `Kind::StoreUnavailable`.
+    pub async fn read(&self) -> Result<BTreeMap<Endpoint, Wish>> {
+        let range = self.store.range(ROOT.parse()?).await?;
+        let wishes = range.items.into_iter().filter_map(|item| {
+            let name = item.path.as_str().strip_prefix(ROOT)?.strip_prefix('/')?;
+            Some((
+                name.parse().ok()?,
+                serde_json::from_slice(&item.value).ok()?,
+            ))
+        });
+        Ok(wishes.collect())
+    }
+}
--- a/src/routing/actor.rs
+++ b/src/routing/actor.rs
@@ -1,13 +1,15 @@
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Recipient};
+use actix::{Actor, Addr, AsyncContext as _, Context, Handler, MessageResult, Recipient};
 
-use super::{Adopt, Balanced, Choose, Finish, Linked, MayRetry, Observe, Policy, Table};
+use super::{
+    Adopt, Balanced, Choice, Choose, Finish, Linked, MayRetry, Observe, Policy, Survey, Table,
+};
 use crate::{
     admission::Capacity,
     clock::Shared,
     error::Result,
-    id::{Endpoint, Zone},
+    id::Zone,
     retry::{Budget, Window},
 };
 
@@ -142,10 +144,15 @@
 }
 
 impl Handler<Choose> for Router {
-    type Result = Result<Endpoint>;
-
-    fn handle(&mut self, Choose(demand): Choose, _: &mut Context<Self>) -> Self::Result {
-        self.table.choose(&demand, self.clock.now())
+    type Result = Result<Choice>;
+
+    fn handle(&mut self, Choose(demand): Choose, ctx: &mut Context<Self>) -> Self::Result {
+        let endpoint = self.table.choose(&demand, self.clock.now())?;
+        Ok(Choice::new(
+            endpoint,
+            demand.cost,
+            ctx.address().recipient(),
+        ))
     }
 }
 
@@ -168,3 +175,11 @@
         self.table.may_retry(self.clock.now())
     }
 }
+
+impl Handler<Survey> for Router {
+    type Result = MessageResult<Survey>;
+
+    fn handle(&mut self, _: Survey, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.table.view().survey(self.clock.now()))
+    }
+}
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -1,13 +1,14 @@
 use std::{fmt, sync::Arc};
 
-use actix::Message;
+use actix::{Message, Recipient};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     config::Document,
     error::Result,
-    id::{Class, Endpoint, Model, Service},
+    id::{Class, Endpoint, Model, Revision, Service},
     unit::Tokens,
-    wire::Report,
+    wire::{Report, Role},
 };
 
 /// The endpoints that can serve a request.
@@ -57,11 +58,62 @@
     pub avoid: Vec<Endpoint>,
 }
 
-/// Chooses an endpoint and counts the request as in progress there until [`Finish`].
+/// Chooses an endpoint and counts the request as in progress there until the choice is finished or
+/// dropped.
 #[derive(Clone, Debug, Message)]
-#[rtype(result = "Result<Endpoint>")]
+#[rtype(result = "Result<Choice>")]
 pub struct Choose(pub Demand);
 
+/// A chosen endpoint, on which the request counts as in progress.
+///
+/// A choice that is dropped, for example with an answer that nobody waits for any more, counts as
+/// abandoned.
+#[derive(Debug)]
+pub struct Choice {
+    endpoint: Endpoint,
+    cost: Cost,
+    router: Option<Recipient<Finish>>,
+}
+
+impl Choice {
+    /// A choice that reports its end to `router`.
+    #[must_use]
+    pub const fn new(endpoint: Endpoint, cost: Cost, router: Recipient<Finish>) -> Self {
+        Self {
+            endpoint,
+            cost,
+            router: Some(router),
+        }
+    }
+
+    /// The chosen endpoint.
+    #[must_use]
+    pub const fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Ends the choice.
+    pub fn finish(mut self, ending: Ending) {
+        self.report(ending);
+    }
+
+    fn report(&mut self, ending: Ending) {
+        if let Some(router) = self.router.take() {
+            router.do_send(Finish {
+                endpoint: self.endpoint.clone(),
+                cost: self.cost,
+                ending,
+            });
+        }
+    }
+}
+
+impl Drop for Choice {
+    fn drop(&mut self) {
+        self.report(Ending::Abandoned);
+    }
+}
+
 /// How an attempt ended, as far as the endpoint's health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -112,3 +164,26 @@
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "bool")]
 pub struct MayRetry;
+
+/// Asks for the endpoints as the router sees them.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Vec<EndpointStatus>")]
+pub struct Survey;
+
+/// An endpoint as an entry sees it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// Its name.
+    pub endpoint: Endpoint,
+    /// Whether its agent can be reached.
+    pub up: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Role of an engine.
+    pub role: Role,
+    /// Attempts in progress, as last reported.
+    pub in_progress: u32,
+    /// Revision in force at its agent, as last reported.
+    pub revision: Revision,
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,7 +14,8 @@
 pub use actor::{Config, Router, spawn};
 pub use imp::Table;
 pub use message::{
-    Adopt, Choose, Cost, Demand, Ending, Finish, Linked, MayRetry, Observe, Pool, Prefix,
+    Adopt, Choice, Choose, Cost, Demand, Ending, EndpointStatus, Finish, Linked, MayRetry, Observe,
+    Pool, Prefix, Survey,
 };
 pub use policy::{Balanced, LeastInFlight, Policy, RoundRobin, Weights};
 pub use view::{Status, View};
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -3,10 +3,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Cost, Demand, Pool, Prefix};
+use super::{Cost, Demand, EndpointStatus, Pool, Prefix};
 use crate::{
     config::EndpointSpec,
-    id::{Endpoint, Zone},
+    id::{Endpoint, Revision, Zone},
     unit::{Share, Tokens},
     wire::{Report, Role},
 };
@@ -43,6 +43,27 @@
     pub(super) memory: Memory,
 }
 
+impl View {
+    /// The endpoints for operators.
+    #[must_use]
+    pub fn survey(&self, now: Instant) -> Vec<EndpointStatus> {
+        let endpoints = self.endpoints.iter();
+        endpoints
+            .map(|(endpoint, status)| {
+                let report = status.report.as_ref().map(|(report, _)| report);
+                EndpointStatus {
+                    endpoint: endpoint.clone(),
+                    up: !status.is_down(now),
+                    leaving: status.is_leaving(),
+                    role: status.role(),
+                    in_progress: report.map_or(0, |report| report.load.in_progress),
+                    revision: report.map_or_else(Revision::default, |report| report.revision),
+                }
+            })
+            .collect()
+    }
+}
+
 impl Status {
     pub(super) fn new(spec: EndpointSpec) -> Self {
         Self {
--- a/src/settings/imp.rs
+++ b/src/settings/imp.rs
@@ -40,6 +40,8 @@
     pub log: Level,
     /// Threads that serve HTTP.
     pub workers: usize,
+    /// SHA-256 of the operators' bearer key, 64 hexadecimal digits.
+    pub operator_key_sha256: String,
 }
 
 impl Entry {
@@ -72,6 +74,7 @@
             "stop_delay",
             "log",
             "workers",
+            "operator_key_sha256",
         ];
         let fields = r.object(value, &known)?;
         let process = r.field(&fields, "process", Reader::text);
@@ -87,6 +90,7 @@
         let workers = r.optional(&fields, "workers", WORKERS, |r, v| {
             r.whole(v, 1, WORKERS_MAX)
         });
+        let operator_key_sha256 = r.field(&fields, "operator_key_sha256", Reader::key_hash);
         Some(Self {
             process: process?,
             zone: zone?,
@@ -97,6 +101,7 @@
             stop_delay: stop_delay?.0,
             log: log?,
             workers: workers?,
+            operator_key_sha256: operator_key_sha256?,
         })
     }
 }
--- /dev/null
+++ b/src/spread/imp.rs
@@ -0,0 +1,162 @@
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use actix::{Actor, Addr, Context, Handler, MessageResult};
+use tokio::sync::watch;
+
+use super::{Observe, Offer, Provide, Subscribe, Subscriber};
+use crate::{
+    config::{self, Section},
+    id::Revision,
+    invariant::{self, Point},
+    wire::{self, Fetch, Frame},
+};
+
+/// What other tasks read without asking the holder.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Revision in force; 0 before the first document.
+    pub revision: watch::Receiver<Revision>,
+    /// Document in force, also before the first one, when it is empty.
+    pub document: watch::Receiver<Arc<config::Document>>,
+}
+
+/// The document in force.
+pub struct Holder {
+    subscribers: Vec<Subscriber>,
+    source: wire::Document,
+    revision: watch::Sender<Revision>,
+    document: watch::Sender<Arc<config::Document>>,
+}
+
+impl fmt::Debug for Holder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Holder")
+            .field("revision", &self.source.revision)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Starts the actor, with no document.
+#[must_use]
+pub fn spawn() -> (Addr<Holder>, View) {
+    let (revision, revision_view) = watch::channel(Revision::default());
+    let (document, document_view) = watch::channel(Arc::default());
+    let source = wire::Document {
+        revision: Revision::default(),
+        sections: BTreeMap::new(),
+    };
+    let holder = Holder {
+        subscribers: Vec::new(),
+        source,
+        revision,
+        document,
+    };
+    (
+        holder.start(),
+        View {
+            revision: revision_view,
+            document: document_view,
+        },
+    )
+}
+
+impl Actor for Holder {
+    type Context = Context<Self>;
+}
+
+impl Holder {
+    fn in_force(&self) -> Revision {
+        self.source.revision
+    }
+
+    /// Puts a document into force if it is newer and passes the checks.
+    ///
+    /// A document that fails them was written by a newer version of the system, since every edit
+    /// is checked before it is accepted. The process then stays on what it has and says so.
+    fn adopt(&mut self, offered: wire::Document) {
+        let revision = offered.revision;
+        if revision <= self.in_force() {
+            return;
+        }
+        let document = match parse(&offered) {
+            Ok(document) => Arc::new(document),
+            Err(reason) => {
+                log::error!(revision:% = revision, reason:% = reason; "document was not adopted");
+                metrics::counter!("documents_rejected_total").increment(1);
+                return;
+            }
+        };
+        let before = self.revision.send_replace(revision);
+        invariant::check(Point::NoRevert, before < revision, || {
+            format!("{revision} after {before}")
+        });
+        log::info!(revision:% = revision; "document is in force");
+        metrics::gauge!("document_revision").set(precise(revision));
+        self.source = offered;
+        self.document.send_replace(Arc::clone(&document));
+        for subscriber in &self.subscribers {
+            subscriber(&document);
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a gauge is a float; 2^53 revisions are enough"
+)]
+fn precise(revision: Revision) -> f64 {
+    revision.get() as f64
+}
+
+fn parse(source: &wire::Document) -> Result<config::Document, String> {
+    let mut sections = BTreeMap::new();
+    for (name, text) in &source.sections {
+        let section: Section = name
+            .parse()
+            .map_err(|_error| format!("unknown section {name}"))?;
+        sections.insert(section, text.clone());
+    }
+    config::assemble(source.revision, &sections).map_err(|faults| faults.to_string())
+}
+
+impl Handler<Subscribe> for Holder {
+    type Result = ();
+
+    fn handle(&mut self, Subscribe(subscriber): Subscribe, _ctx: &mut Self::Context) {
+        if self.in_force() > Revision::default() {
+            subscriber(&self.document.borrow());
+        }
+        self.subscribers.push(subscriber);
+    }
+}
+
+impl Handler<Observe> for Holder {
+    type Result = ();
+
+    fn handle(&mut self, msg: Observe, _ctx: &mut Self::Context) {
+        if msg.revision > self.in_force() {
+            msg.outbox.send(Frame::Fetch(Fetch {
+                have: self.in_force(),
+            }));
+        }
+    }
+}
+
+impl Handler<Offer> for Holder {
+    type Result = MessageResult<Offer>;
+
+    fn handle(&mut self, Offer(document): Offer, _ctx: &mut Self::Context) -> Self::Result {
+        self.adopt(document);
+        MessageResult(self.in_force())
+    }
+}
+
+impl Handler<Provide> for Holder {
+    type Result = ();
+
+    fn handle(&mut self, msg: Provide, _ctx: &mut Self::Context) {
+        if self.in_force() > msg.have {
+            msg.outbox.send(Frame::Document(self.source.clone()));
+        }
+    }
+}
