Bring up the whole path as separate processes

The bench starts the stand-ins and each entry and agent as a process, creates the first document through an entry and waits until it is in force. Its demo sends a streamed review, a verdict and a print order.

--- a/mulberrymill-bench/src/cli/imp.rs
+++ b/mulberrymill-bench/src/cli/imp.rs
@@ -3,7 +3,7 @@
 use clap::{ArgMatches, Command};
 use mulberrymill::invariant;
 
-use super::{load, standin};
+use super::{demo, load, standin};
 
 /// Result of a subcommand.
 pub(super) type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -17,6 +17,7 @@
         .arg_required_else_help(true)
         .subcommands(standin::commands())
         .subcommands(load::commands())
+        .subcommand(demo::command())
 }
 
 /// Runs the command line. Exit codes: 0 done, 1 failed or unsound results, 2 wrong usage.
@@ -26,7 +27,7 @@
         Err(error) => error.exit(),
     };
     invariant::set_fatal(true);
-    match actix_rt::System::new().block_on(dispatch(&matches)) {
+    match actix::System::new().block_on(dispatch(&matches)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -42,6 +43,8 @@
         Some(("engine", args)) => standin::engine(args).await,
         Some(("service", args)) => standin::service(args).await,
         Some(("hosts", args)) => standin::hosts(args).await,
+        Some(("store", args)) => standin::store(args).await,
+        Some(("demo", args)) => demo::run(args).await,
         Some(("load", args)) => load::load(args).await,
         Some(("overhead", args)) => load::overhead(args).await,
         Some(("stream", args)) => load::stream(args).await,
--- a/mulberrymill-bench/src/cli/mod.rs
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A stand-in prints its addresses as one JSON line and runs until it is interrupted.
 
+mod demo;
 mod imp;
 mod load;
 mod mix;
--- a/mulberrymill-bench/src/cli/standin.rs
+++ b/mulberrymill-bench/src/cli/standin.rs
@@ -9,14 +9,19 @@
 use serde_json::json;
 
 use super::imp::{Result, value};
-use crate::{engine, hosts, service};
+use crate::{engine, hosts, service, store};
 
 fn option(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).help(help)
 }
 
-pub(super) fn commands() -> [Command; 3] {
-    [engine_command(), service_command(), hosts_command()]
+pub(super) fn commands() -> [Command; 4] {
+    [
+        engine_command(),
+        service_command(),
+        hosts_command(),
+        store_command(),
+    ]
 }
 
 fn engine_command() -> Command {
@@ -66,6 +71,10 @@
         .arg(option("delay", "20ms", "Time of an operation").value_parser(period::parse))
 }
 
+fn store_command() -> Command {
+    Command::new("store").about("Runs a store stand-in")
+}
+
 fn hosts_command() -> Command {
     Command::new("hosts")
         .about("Runs a host list stand-in")
@@ -135,6 +144,11 @@
     serve("hosts", handle.address(), handle.fault_address()).await
 }
 
+pub(super) async fn store(_args: &ArgMatches) -> Result<bool> {
+    let handle = store::bind(store::Config::default())?;
+    serve("store", handle.address(), handle.address()).await
+}
+
 /// Prints the addresses and waits for an interrupt. The caller keeps the handle meanwhile.
 async fn serve(kind: &str, address: SocketAddr, fault: SocketAddr) -> Result<bool> {
     println!(
--- /dev/null
+++ b/mulberrymill-bench/src/fleet/document.rs
@@ -0,0 +1,108 @@
+use std::net::SocketAddr;
+
+use mulberrymill::front::hash_key;
+use serde_json::{Map, Value, json};
+
+/// Bearer key of the caller `kitchen`.
+pub const CALLER_KEY: &str = "kitchen-example-key";
+/// Bearer key of operators.
+pub const OPERATOR_KEY: &str = "operator-example-key";
+/// The model of the engines.
+pub const MODEL: &str = "allergen-7b";
+/// The plain service.
+pub const SERVICE: &str = "labels";
+
+/// An agent that the document names.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    pub(super) name: String,
+    pub(super) agent: SocketAddr,
+}
+
+/// A document for the given engines and service endpoints, at the addresses of their agents.
+#[must_use]
+pub fn document(engines: &[(String, SocketAddr)], services: &[(String, SocketAddr)]) -> String {
+    let place = |(name, agent): &(String, SocketAddr)| Place {
+        name: name.clone(),
+        agent: *agent,
+    };
+    let engines: Vec<Place> = engines.iter().map(place).collect();
+    let services: Vec<Place> = services.iter().map(place).collect();
+    let document = json!({
+        "models": { MODEL: { "version": "1", "context": "32768 tokens" } },
+        "classes": classes(),
+        "roles": { "review": { "change_cost": "4s", "pay_back": "60s", "at_once": "25%" } },
+        "callers": { "kitchen": {
+            "key_sha256": hash_key(CALLER_KEY),
+            "classes": ["verdict", "check", "review"],
+            "rate": "100000/s",
+            "in_progress": 20_000,
+        } },
+        "services": { SERVICE: { "operations": {
+            "print": { "repeatable": false, "class": "verdict", "timeout": "5s" },
+            "confirm": { "repeatable": false, "class": "verdict", "timeout": "5s" },
+            "status": { "repeatable": true, "class": "check", "timeout": "5s" },
+        } } },
+        "endpoints": endpoints(&engines, &services),
+        "limits": {
+            "body": "1MiB",
+            "max_output": "8192 tokens",
+            "stop_delay": "1s",
+            "longest": "10min",
+        },
+    });
+    format!("{document:#}")
+}
+
+fn classes() -> Value {
+    json!({
+        "verdict": {
+            "rank": 1, "first_token": "1s", "between_tokens": "73ms", "whole": "2s",
+            "worth": 20, "share": "30%",
+        },
+        "check": {
+            "rank": 2, "first_token": "2s", "between_tokens": "100ms", "whole": "10s",
+            "worth": 5, "share": "30%",
+        },
+        "review": {
+            "rank": 3, "first_token": "5s", "between_tokens": "200ms", "whole": "60s",
+            "worth": 2, "share": "20%",
+        },
+    })
+}
+
+fn endpoints(engines: &[Place], services: &[Place]) -> Value {
+    let mut all = Map::new();
+    for (index, place) in engines.iter().enumerate() {
+        let endpoint = json!({
+            "kind": "engine",
+            "group": "review",
+            "host": format!("host-{}", place.name),
+            "zone": zone(index),
+            "agent": place.agent,
+            "fenced": true,
+            "models": [MODEL],
+            "slots": 256,
+        });
+        all.insert(place.name.clone(), endpoint);
+    }
+    for (index, place) in services.iter().enumerate() {
+        let endpoint = json!({
+            "kind": "service",
+            "group": SERVICE,
+            "host": format!("host-{}", place.name),
+            "zone": zone(index),
+            "agent": place.agent,
+            "fenced": false,
+            "service": SERVICE,
+            "slots": 256,
+        });
+        all.insert(place.name.clone(), endpoint);
+    }
+    Value::Object(all)
+}
+
+/// Zone of the endpoint or entry with an index.
+pub(super) fn zone(index: usize) -> String {
+    format!("scl-{}", ["a", "b", "c", "d"][index % 4])
+}
--- a/mulberrymill-bench/src/lib.rs
+++ b/mulberrymill-bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cli;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
 pub mod load;
 pub mod port;
