Add the gate that decides whether an order has effect

The agent is the only sender of orders to its endpoint, and the only gate in front of endpoints that ignore fencing numbers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod config;
 pub mod error;
+pub mod gate;
 pub mod id;
 pub mod invariant;
 pub mod routing;
