Add the ledger of operations that must not be repeated

An agent creates a claim key in the store before it starts such an operation; claims, outcomes and releases share at most one transaction per 5 ms with at most 60 keys. Lost answers are settled by reading back. A claim that is not confirmed is reported as executed: no and removed, also when its write arrives up to 5 s late. A claim without an outcome whose owner is gone is unsettled and is never taken over.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gate;
 pub mod id;
 pub mod invariant;
+pub mod ledger;
 pub mod routing;
 pub mod store;
 pub mod unit;
