Connect the ledger and the gate to the agent

An operation that must not run twice is claimed in the store before the service is called, and its outcome is recorded; a repeated key gets the recorded answer. Orders go through the gate of the endpoint's group, which is opened when the document tells the group. The agent binds its port before it talks to endpoint or store.

--- a/src/agent/imp.rs
+++ b/src/agent/imp.rs
@@ -1,14 +1,18 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use actix::Addr;
+use rand::Rng;
 
-use super::{Result, sink::Inbox};
+use super::{Result, control::Lever, orders, sink::Inbox};
 use crate::{
     clock,
     config::EndpointKind,
+    gate,
     id::Incarnation,
-    link::{self, Broadcast, Close, Farewell, Hub, Identity, Listener},
+    ledger::{self, Ledger},
+    link::{Broadcast, Close, Farewell, Hub, Identity, Listener, Port},
     settings, spread,
+    store::{Etcd, Store},
     wire::Frame,
     work::{self, Drain, Endpoint, Engine, Idle, Plain, Worker},
 };
@@ -44,12 +48,17 @@
 
 /// Starts an agent.
 ///
+/// The port is bound before anything talks to the endpoint or the store, so that a second agent of
+/// the endpoint does neither.
+///
 /// # Errors
 ///
 /// Fails if the address cannot be bound: another agent of the endpoint, even a frozen one, still
 /// holds it.
 pub async fn open(settings: &settings::Agent) -> Result<Agent> {
     let clock = clock::System::shared();
+    let port = Port::bind(settings.listen).await?;
+    let store: Rc<dyn Store> = Rc::new(Etcd::open(settings.store.clone(), Arc::clone(&clock))?);
     let incarnation = Incarnation::random(&mut rand::rng());
     let (holder, view) = spread::spawn();
     let hub = Hub::spawn();
@@ -57,29 +66,98 @@
         EndpointKind::Engine => Rc::new(Engine::open(settings.address)),
         EndpointKind::Service => Rc::new(Plain::open(settings.address)),
     };
+    let ledger = open_ledger(settings, &store, &clock, incarnation)?;
     let reports = hub.clone();
     let worker = work::spawn(work::Config {
         name: settings.endpoint.clone(),
         incarnation,
-        endpoint,
+        endpoint: Rc::clone(&endpoint),
+        ledger: ledger.as_ref().map(ledger_ports),
         revision: view.revision.clone(),
         report: Box::new(move |report| reports.do_send(Broadcast(Frame::Report(report)))),
     });
+    let lever = Lever {
+        endpoint,
+        worker: worker.clone(),
+    };
+    let orders = open_orders(settings, &store, &clock, incarnation, lever);
+    subscribe(&holder, &worker, &orders);
     let identity = Identity {
         process: settings.process.clone(),
         incarnation,
         zone: settings.zone.clone(),
         revision: view.revision,
     };
-    let sink = Rc::new(Inbox {
+    let inbox = Inbox {
         hub: hub.clone(),
         worker: worker.clone(),
         holder,
-    });
-    let listener = link::listen(settings.listen, identity, Arc::clone(&clock), sink).await?;
+        orders,
+        ledger,
+    };
+    let listener = port.listen(identity, clock, Rc::new(inbox));
     Ok(Agent {
         listener,
         hub,
         worker,
     })
 }
+
+/// An engine runs nothing that must not run twice, so that only a service has a ledger.
+fn open_ledger(
+    settings: &settings::Agent,
+    store: &Rc<dyn Store>,
+    clock: &clock::Shared,
+    incarnation: Incarnation,
+) -> Result<Option<Addr<Ledger>>> {
+    if settings.kind != EndpointKind::Service {
+        return Ok(None);
+    }
+    let config = ledger::Config {
+        store: Rc::clone(store),
+        clock: Arc::clone(clock),
+        incarnation,
+        endpoint: settings.endpoint.clone(),
+        seed: rand::rng().random(),
+    };
+    ledger::spawn(config).map(Some)
+}
+
+fn ledger_ports(ledger: &Addr<Ledger>) -> work::Ports {
+    work::Ports {
+        claim: ledger.clone().recipient(),
+        record: ledger.clone().recipient(),
+        release: ledger.clone().recipient(),
+    }
+}
+
+fn open_orders(
+    settings: &settings::Agent,
+    store: &Rc<dyn Store>,
+    clock: &clock::Shared,
+    incarnation: Incarnation,
+    lever: Lever,
+) -> Addr<orders::Desk> {
+    let (store, clock) = (Rc::clone(store), Arc::clone(clock));
+    let endpoint = settings.endpoint.clone();
+    let control: Rc<dyn gate::Control> = Rc::new(lever);
+    orders::Desk::spawn(endpoint.clone(), move |group| {
+        gate::spawn(gate::Config {
+            store: Rc::clone(&store),
+            control: Rc::clone(&control),
+            clock: Arc::clone(&clock),
+            incarnation,
+            endpoint: endpoint.clone(),
+            group,
+        })
+    })
+}
+
+/// Tells the actors of each document that comes into force, and the entries of its revision.
+fn subscribe(holder: &Addr<spread::Holder>, worker: &Addr<Worker>, orders: &Addr<orders::Desk>) {
+    let (worker, orders) = (worker.clone(), orders.clone());
+    holder.do_send(spread::Subscribe(Box::new(move |document| {
+        worker.do_send(work::Announce);
+        orders.do_send(orders::Adopt(Arc::clone(document)));
+    })));
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,6 +1,8 @@
 //! The agent process: starts the actors of an agent and connects them.
 
+mod control;
 mod imp;
+mod orders;
 mod sink;
 
 pub use imp::{Agent, open};
--- a/src/agent/sink.rs
+++ b/src/agent/sink.rs
@@ -1,9 +1,11 @@
 use actix::Addr;
 
+use super::orders;
 use crate::{
+    ledger::{self, Ledger},
     link::{Hub, Joined, Left, Outbox, Peer, SaidBye, Sink},
     spread::{Holder, Observe, Offer, Provide},
-    wire::Frame,
+    wire::{Frame, Lookup, Outcome, Recorded},
     work::{Begin, Credit, Gone, Greet, Withdraw, Worker},
 };
 
@@ -12,6 +14,30 @@
     pub(super) hub: Addr<Hub>,
     pub(super) worker: Addr<Worker>,
     pub(super) holder: Addr<Holder>,
+    pub(super) orders: Addr<orders::Desk>,
+    /// Missing at an engine, which runs nothing that must not run twice.
+    pub(super) ledger: Option<Addr<Ledger>>,
+}
+
+impl Inbox {
+    /// Answers a question about an idempotency key.
+    fn look_up(&self, lookup: Lookup, outbox: Outbox) {
+        let question = ledger::Lookup {
+            caller: lookup.caller,
+            service: lookup.service,
+            operation: lookup.operation,
+            key: lookup.key,
+        };
+        let request = lookup.request;
+        let asking = self.ledger.as_ref().map(|ledger| ledger.send(question));
+        tokio::task::spawn_local(async move {
+            let recorded = match asking {
+                Some(asking) => asking.await.unwrap_or(Recorded::Unavailable),
+                None => Recorded::Absent,
+            };
+            outbox.send(Frame::Outcome(Outcome { request, recorded }));
+        });
+    }
 }
 
 impl Sink for Inbox {
@@ -46,6 +72,8 @@
                 outbox,
             }),
             Frame::Document(document) => self.holder.do_send(Offer(document)),
+            Frame::Order(order) => self.orders.do_send(orders::Arrived(order, outbox)),
+            Frame::Lookup(lookup) => self.look_up(lookup, outbox),
             Frame::Bye => self.hub.do_send(SaidBye(session)),
             _ => log::warn!(process:% = peer.hello.process; "entry sent an unexpected frame"),
         }
--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -41,29 +41,40 @@
     }
 }
 
-/// Accepts connections of entries.
+/// A bound port on which nothing is accepted yet.
 ///
 /// The port is bound exclusively: while another process holds it, also a frozen one, this fails.
-///
-/// # Errors
-///
-/// Fails if the address cannot be bound.
-pub async fn listen(
+#[derive(Debug)]
+pub struct Port {
     address: SocketAddr,
-    identity: Identity,
-    clock: clock::Shared,
-    sink: Rc<dyn Sink>,
-) -> Result<Listener> {
-    let failed = |error: std::io::Error| {
-        Error::new(Kind::Internal, format!("cannot listen on {address}")).with_source(error)
-    };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let address = listener.local_addr().map_err(failed)?;
-    let task = tokio::task::spawn_local(accept(listener, identity, clock, sink));
-    Ok(Listener {
-        address,
-        task: task.abort_handle(),
-    })
+    listener: TcpListener,
+}
+
+impl Port {
+    /// Binds an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> Result<Self> {
+        let failed = |error: std::io::Error| {
+            Error::new(Kind::Internal, format!("cannot listen on {address}")).with_source(error)
+        };
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        Ok(Self { address, listener })
+    }
+
+    /// Accepts connections of entries.
+    #[must_use]
+    pub fn listen(self, identity: Identity, clock: clock::Shared, sink: Rc<dyn Sink>) -> Listener {
+        let Self { address, listener } = self;
+        let task = tokio::task::spawn_local(accept(listener, identity, clock, sink));
+        Listener {
+            address,
+            task: task.abort_handle(),
+        }
+    }
 }
 
 async fn accept(
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -111,14 +111,9 @@
         outbox: Rc::clone(&outbox),
     });
     let loopback = "127.0.0.1:0".parse().expect("valid address");
-    let listener = listen(
-        loopback,
-        identity("agent", AGENT),
-        clock::System::shared(),
-        sink,
-    )
-    .await;
-    (listener.expect("a free port"), seen, outbox)
+    let port = Port::bind(loopback).await.expect("a free port");
+    let listener = port.listen(identity("agent", AGENT), clock::System::shared(), sink);
+    (listener, seen, outbox)
 }
 
 /// An entry and an agent that are connected.
@@ -328,9 +323,7 @@
 #[actix::test]
 async fn port_is_bound_exclusively() {
     let (first, _seen, _outbox) = agent().await;
-    let sink = Rc::new(Ignore);
-    let clock = clock::System::shared();
-    let second = listen(first.address(), identity("agent", 2), clock, sink).await;
+    let second = Port::bind(first.address()).await;
     assert_eq!(
         second.map(|_| ()).map_err(|error| error.kind()),
         Err(Kind::Internal)
--- a/src/work/attempt.rs
+++ b/src/work/attempt.rs
@@ -3,13 +3,13 @@
 use futures_util::StreamExt;
 use tokio::{sync::mpsc, time};
 
-use super::{Endpoint, Job, Piece, Result};
+use super::{Endpoint, Job, Piece, Ports, Result, once};
 use crate::{
     error::{Error, Kind},
     id::Attempt,
     link::Outbox,
     unit::Bytes,
-    wire::{Chunk, End, Fail, Frame, Submit, Work},
+    wire::{Chunk, End, Fail, Frame, Invoke, Submit, Work},
 };
 
 /// One attempt in progress. Its task owns the connection to the endpoint.
@@ -19,6 +19,8 @@
     pub(super) submit: Submit,
     pub(super) outbox: Outbox,
     pub(super) credit: mpsc::UnboundedReceiver<Bytes>,
+    /// Decides on operations that must not run twice. Missing at an engine.
+    pub(super) ledger: Option<Ports>,
 }
 
 impl Task {
@@ -26,20 +28,44 @@
     pub(super) async fn run(self) {
         let attempt = self.submit.attempt;
         let outbox = self.outbox.clone();
-        let time_left = self.submit.time_left;
-        let ended = match time::timeout(time_left, self.answer()).await {
-            Ok(ended) => ended,
-            Err(_elapsed) => Err(Error::new(Kind::Deadline, "the endpoint took too long")),
+        let once = match &self.submit.work {
+            Work::Invoke(invoke) if invoke.once => Some(invoke.clone()),
+            _ => None,
+        };
+        let ended = match once {
+            Some(invoke) => self.answer_once(invoke).await,
+            None => self.answer_in_time().await,
         };
         outbox.send(last_frame(attempt, ended));
     }
 
+    async fn answer_once(self, invoke: Invoke) -> Result<End> {
+        let Self {
+            endpoint,
+            submit,
+            outbox,
+            ledger,
+            ..
+        } = self;
+        let missing = || Error::new(Kind::BadRequest, "the endpoint runs no such operation");
+        let ledger = ledger.ok_or_else(missing)?;
+        once::run(ledger, endpoint.as_ref(), submit, invoke, &outbox).await
+    }
+
+    async fn answer_in_time(self) -> Result<End> {
+        let answer = time::timeout(self.submit.time_left, self.answer()).await;
+        answer.unwrap_or_else(|_elapsed| {
+            Err(Error::new(Kind::Deadline, "the endpoint took too long"))
+        })
+    }
+
     async fn answer(self) -> Result<End> {
         let Self {
             endpoint,
             submit,
             outbox,
             credit,
+            ..
         } = self;
         let attempt = submit.attempt;
         let mut window = Window {
--- a/src/work/engine.rs
+++ b/src/work/engine.rs
@@ -8,13 +8,15 @@
 use super::{Answer, Decoder, Endpoint, Job, Piece, Result, State};
 use crate::{
     error::{Error, Executed, Kind},
-    id::Model,
+    id::{Fence, Model},
     unit::{Share, Tokens},
-    wire::{Generate, Load, Message, Prompt, Role, Work},
+    wire::{Change, Generate, Load, Message, Prompt, Role, Work},
 };
 
 /// Longest time for a load report.
 const STATE_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time for a change, the same as for the order that asked for it.
+const CHANGE_LIMIT: Duration = Duration::from_secs(30);
 /// Largest load report.
 const STATE_MAX: usize = 256 << 10;
 /// Longest time until the engine begins its answer. The deadline of the attempt is shorter.
@@ -73,6 +75,52 @@
         })?;
         Ok(report.into())
     }
+
+    async fn send_change(&self, change: Change, fence: Fence) -> Result<()> {
+        let (path, order) = match change {
+            Change::Role(role) => (
+                "role",
+                EngineOrder {
+                    role: Some(role),
+                    ..EngineOrder::new(fence)
+                },
+            ),
+            Change::Load(model) => (
+                "models",
+                EngineOrder {
+                    load: Some(model),
+                    ..EngineOrder::new(fence)
+                },
+            ),
+            Change::Unload(model) => (
+                "models",
+                EngineOrder {
+                    unload: Some(model),
+                    ..EngineOrder::new(fence)
+                },
+            ),
+            Change::Drain | Change::Resume => {
+                return Err(Error::new(
+                    Kind::BadRequest,
+                    "the agent itself drains its endpoint",
+                ));
+            }
+        };
+        let url = format!("http://{}/control/{path}", self.address);
+        let request = self.client.post(url).timeout(CHANGE_LIMIT);
+        let response = request
+            .send_json(&order)
+            .await
+            .map_err(|error| send_error(&error))?;
+        if response.status().is_success() {
+            return Ok(());
+        }
+        let detail = format!(
+            "the engine refused the order with status {}",
+            response.status()
+        );
+        Err(Error::new(Kind::EndpointFailed, detail))
+    }
 }
 
 impl Endpoint for Engine {
@@ -88,6 +136,10 @@
     fn state(&self) -> LocalBoxFuture<'_, Result<State>> {
         self.fetch_state().boxed_local()
     }
+
+    fn change(&self, change: Change, fence: Fence) -> LocalBoxFuture<'_, Result<()>> {
+        self.send_change(change, fence).boxed_local()
+    }
 }
 
 fn flatten(begun: Result<impl Stream<Item = Result<Piece>> + 'static>) -> Answer {
@@ -144,6 +196,29 @@
     stop: &'a [String],
 }
 
+/// An order to an engine.
+#[derive(Serialize)]
+struct EngineOrder {
+    fence: Fence,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<Role>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    load: Option<Model>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    unload: Option<Model>,
+}
+
+impl EngineOrder {
+    const fn new(fence: Fence) -> Self {
+        Self {
+            fence,
+            role: None,
+            load: None,
+            unload: None,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct StreamOptions {
     include_usage: bool,
--- a/src/work/imp.rs
+++ b/src/work/imp.rs
@@ -4,9 +4,9 @@
 
 use super::Result;
 use crate::{
-    id::Model,
+    id::{Fence, Model},
     unit::Tokens,
-    wire::{Load, Role, Work},
+    wire::{Change, Load, Role, Work},
 };
 
 /// What an endpoint is asked to run.
@@ -62,4 +62,7 @@
 
     /// Asks for load and state.
     fn state(&self) -> LocalBoxFuture<'_, Result<State>>;
+
+    /// Changes role or models of an engine. An error does not tell whether it took effect.
+    fn change(&self, change: Change, fence: Fence) -> LocalBoxFuture<'_, Result<()>>;
 }
--- a/src/work/message.rs
+++ b/src/work/message.rs
@@ -49,6 +49,11 @@
 #[rtype(result = "Report")]
 pub struct Status;
 
+/// Sends a report on all connections at once.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Announce;
+
 /// Answers when no attempt is in progress.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod imp;
 mod message;
+mod once;
 mod plain;
 mod sse;
 #[cfg(test)]
@@ -15,7 +16,8 @@
 
 pub use engine::Engine;
 pub use imp::{Answer, Endpoint, Job, Piece, State};
-pub use message::{Begin, Credit, Drain, Gone, Greet, Idle, Status, Withdraw};
+pub use message::{Announce, Begin, Credit, Drain, Gone, Greet, Idle, Status, Withdraw};
+pub use once::Ports;
 pub use plain::Plain;
 pub use sse::Decoder;
 pub use worker::{Config, Worker, spawn};
--- a/src/work/plain.rs
+++ b/src/work/plain.rs
@@ -7,8 +7,9 @@
 use super::{Answer, Endpoint, Job, Piece, Result, State, engine::send_error};
 use crate::{
     error::{Error, Executed, Kind},
+    id::Fence,
     unit::Tokens,
-    wire::{Invoke, Load, Work},
+    wire::{Change, Invoke, Load, Work},
 };
 
 /// Largest answer of a service.
@@ -150,4 +151,9 @@
     fn state(&self) -> LocalBoxFuture<'_, Result<State>> {
         self.fetch_state().boxed_local()
     }
+
+    fn change(&self, _change: Change, _fence: Fence) -> LocalBoxFuture<'_, Result<()>> {
+        let error = Error::new(Kind::BadRequest, "a service has neither role nor models");
+        async { Err(error) }.boxed_local()
+    }
 }
--- a/src/work/tests.rs
+++ b/src/work/tests.rs
@@ -7,10 +7,10 @@
 
 use super::*;
 use crate::{
-    id::{Attempt, Incarnation, Revision},
+    id::{Attempt, Fence, Incarnation, Revision},
     link::{Item, Outbox, Session},
     unit::{Bytes, Tokens},
-    wire::{Frame, Generate, Prompt, Report, Sampling, Submit, Work},
+    wire::{Change, Frame, Generate, Prompt, Report, Sampling, Submit, Work},
 };
 
 /// An endpoint that answers what the test sends it.
@@ -35,6 +35,10 @@
     fn state(&self) -> LocalBoxFuture<'_, Result<State>> {
         async { Ok(State::default()) }.boxed_local()
     }
+
+    fn change(&self, _change: Change, _fence: Fence) -> LocalBoxFuture<'_, Result<()>> {
+        async { Ok(()) }.boxed_local()
+    }
 }
 
 struct Rig {
@@ -53,6 +57,7 @@
     let worker = spawn(Config {
         name: "review-1".parse().expect("valid name"),
         incarnation: RUN,
+        ledger: None,
         endpoint: Rc::clone(&script) as Rc<dyn Endpoint>,
         revision,
         report: Box::new(|_report: Report| ()),
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Begin, Credit, Drain, Endpoint, Gone, Greet, Idle, State, Status, Withdraw,
+    Announce, Begin, Credit, Drain, Endpoint, Gone, Greet, Idle, Ports, State, Status, Withdraw,
     attempt::{PROBE_PERIOD, Task, last_frame},
 };
 use crate::{
@@ -27,6 +27,8 @@
     pub incarnation: Incarnation,
     /// The endpoint.
     pub endpoint: Rc<dyn Endpoint>,
+    /// Decides on operations that must not run twice. Missing at an engine.
+    pub ledger: Option<Ports>,
     /// Revision of the document in force, for reports.
     pub revision: watch::Receiver<Revision>,
     /// Called with each report that is due: every second, and at once on a change that entries
@@ -154,6 +156,7 @@
             submit: begin.submit,
             outbox: begin.outbox,
             credit: receiver,
+            ledger: self.config.ledger.clone(),
         };
         let running = async move {
             task.run().await;
@@ -253,6 +256,14 @@
     }
 }
 
+impl Handler<Announce> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, _msg: Announce, _ctx: &mut Self::Context) {
+        self.send_report();
+    }
+}
+
 impl Handler<Greet> for Worker {
     type Result = ();
 
