--- a/mulberrymill-bench/src/cli/mod.rs
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod imp;
 mod load;
+mod measure;
 mod mix;
 mod standin;
 #[cfg(test)]
