Assert that a stop cuts off no request; let seeds of randomized tests be given

The environment variable MULBERRYMILL_SEEDS replaces the recorded seeds. Streamed tokens no longer wait for acknowledgements (TCP_NODELAY).

--- a/src/agent/imp.rs
+++ b/src/agent/imp.rs
@@ -9,12 +9,13 @@
     config::EndpointKind,
     gate,
     id::Incarnation,
+    invariant::{self, Point},
     ledger::{self, Ledger},
     link::{Broadcast, Close, Farewell, Hub, Identity, Listener, Port},
     settings, spread,
     store::{Etcd, Store},
     wire::Frame,
-    work::{self, Drain, Endpoint, Engine, Idle, Plain, Worker},
+    work::{self, Drain, Endpoint, Engine, Idle, Plain, Status, Worker},
 };
 
 /// A running agent.
@@ -40,6 +41,11 @@
         let gone = |_error| log::warn!("an actor stopped before the agent");
         self.hub.send(Farewell).await.unwrap_or_else(gone);
         self.worker.send(Idle).await.unwrap_or_else(gone);
+        if let Ok(report) = self.worker.send(Status).await {
+            invariant::check(Point::NoCut, report.load.in_progress == 0, || {
+                "the agent closes its connections during an attempt".to_owned()
+            });
+        }
         self.hub.send(Close).await.unwrap_or_else(gone);
         drop(self.listener);
         log::info!("agent has stopped");
--- a/src/authority/tests/random.rs
+++ b/src/authority/tests/random.rs
@@ -1,6 +1,7 @@
 use rand::Rng;
 
 use super::*;
+use crate::seeds::seeds;
 
 /// Seeds of the randomized runs.
 const SEEDS: std::ops::Range<u64> = 0..40;
@@ -24,7 +25,7 @@
 /// under any order of outages, lost answers, delays, pauses and changes of the wanted groups.
 #[test]
 fn authority_is_single_under_random_faults() {
-    for seed in SEEDS {
+    for seed in seeds(SEEDS) {
         run(async move {
             let context = format!("seed {seed}");
             let mut rng = StdRng::seed_from_u64(seed);
--- a/src/edit/tests.rs
+++ b/src/edit/tests.rs
@@ -11,6 +11,7 @@
     config::Section,
     error::{Error, Executed, Kind},
     id::{self, Revision},
+    seeds::seeds,
     store::{Change, Faults, Memory, Store},
 };
 
@@ -197,7 +198,7 @@
 #[tokio::test(start_paused = true)]
 async fn no_accepted_edit_is_lost() -> Result<()> {
     let mut accepted = 0;
-    for seed in SEEDS {
+    for seed in seeds(SEEDS) {
         let store = Memory::new(System::shared());
         let editors = (0..4).map(|number| edit_at_random(store.client(), number, seed));
         let outcomes = future::join_all(editors).await.concat();
--- a/src/front/imp.rs
+++ b/src/front/imp.rs
@@ -127,6 +127,8 @@
         .max_connections(CONNECTIONS_MAX)
         .client_request_timeout(HEAD_LIMIT)
         .h1_allow_half_closed(false)
+        // A streamed token must not wait for the acknowledgement of the one before.
+        .tcp_nodelay(true)
         .shutdown_timeout(STOP_LIMIT.as_secs())
         .disable_signals()
         .bind(listen)
--- a/src/ledger/tests/random.rs
+++ b/src/ledger/tests/random.rs
@@ -3,6 +3,8 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::*;
+use crate::seeds::seeds;
+
 /// What callers were told and what the service did.
 #[derive(Default)]
 struct Service {
@@ -145,7 +147,7 @@
 #[actix::test]
 async fn faults_in_random_order_run_keys_once() {
     time::pause();
-    for seed in 0..40 {
+    for seed in seeds(0..40) {
         let ran = run(seed).await;
         assert!(ran > 10, "seed {seed} ran only {ran} operations");
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,3 +28,6 @@
 pub mod unit;
 pub mod wire;
 pub mod work;
+
+#[cfg(test)]
+mod seeds;
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -20,6 +20,7 @@
     clock,
     error::{Error, Executed, Kind},
     id::{Attempt, Endpoint},
+    invariant::{self, Point},
     routing,
     wire::{self, Frame, Outcome},
 };
@@ -372,6 +373,11 @@
     type Result = ();
 
     fn handle(&mut self, _stop: Stop, ctx: &mut Self::Context) {
+        let mut routes = self.routes.values().chain(&self.retired);
+        let idle = routes.all(Route::is_idle);
+        invariant::check(Point::NoCut, idle, || {
+            "the entry closes connections on which attempts wait".to_owned()
+        });
         ctx.stop();
     }
 }
