Show who holds each group, and divide slots among entries

The status of an entry named only the groups that it held itself. It now reads the holders from the store. Each entry admitted requests for all slots of a pool, so that two entries sent twice what the engines take. Agents now report how many entries are connected, and the router counts its part of the slots: with 2 entries 4 of 8 slots instead of 8 (test entries_share_the_slots).

--- a/src/agent/sink.rs
+++ b/src/agent/sink.rs
@@ -43,7 +43,7 @@
 impl Sink for Inbox {
     fn opened(&self, peer: &Peer, outbox: &Outbox) {
         self.hub.do_send(Joined(peer.session, outbox.clone()));
-        self.worker.do_send(Greet(outbox.clone()));
+        self.worker.do_send(Greet(peer.session, outbox.clone()));
         let observe = Observe {
             revision: peer.hello.revision,
             outbox: outbox.clone(),
--- a/src/authority/key.rs
+++ b/src/authority/key.rs
@@ -1,5 +1,7 @@
 //! Keys of groups in the store.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Config, Result};
@@ -55,6 +57,37 @@
     Ok(root()?.join(group))
 }
 
+/// Who holds a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Tenure {
+    /// The entry that holds it.
+    pub process: Process,
+    /// Its fencing number.
+    pub fence: Fence,
+}
+
+/// Reads who holds each group, for operators. By the time of the answer it may have changed.
+///
+/// # Errors
+///
+/// `Kind::StoreUnavailable`.
+pub async fn holders(store: &dyn Store) -> Result<BTreeMap<Group, Tenure>> {
+    let range = store.range(root()?).await?;
+    let tenures = range.items.into_iter().filter_map(|item| {
+        let owner: Owner = serde_json::from_slice(&item.value).ok()?;
+        let fence = Fence::new(item.created.get());
+        Some((
+            group(&item.path)?,
+            Tenure {
+                process: owner.process,
+                fence,
+            },
+        ))
+    });
+    Ok(tenures.collect())
+}
+
 /// The group of a key.
 pub(super) fn group(path: &Path) -> Option<Group> {
     let name = path.as_str().strip_prefix(ROOT)?.strip_prefix('/')?;
--- a/src/authority/mod.rs
+++ b/src/authority/mod.rs
@@ -14,6 +14,7 @@
 mod tests;
 
 pub use imp::{Config, Handle, Holder};
+pub use key::{Tenure, holders};
 pub use message::{Ask, Changed, Groups, Held, Release, Subscribe};
 pub use term::{Permit, Term};
 
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -55,9 +55,9 @@
             count.served, count.late, count.refused, count.failed,
         );
     }
-    out.push_str("\nauthority            fencing number\n");
-    for (group, fence) in &report.authority {
-        let _infallible = writeln!(out, "{group:<20} {fence}");
+    out.push_str("\ngroup                held by  fencing number\n");
+    for (group, tenure) in &report.authority {
+        let _infallible = writeln!(out, "{group:<20} {:<8} {}", tenure.process, tenure.fence);
     }
     out
 }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -2,6 +2,7 @@
 
 use super::{imp::command, status::screen};
 use crate::{
+    authority::Tenure,
     id::{Fence, Revision},
     operator::{Count, StatusReport},
     routing::EndpointStatus,
@@ -29,7 +30,13 @@
             in_progress: 7,
             revision: Revision::new(11),
         }],
-        authority: BTreeMap::from([("review".parse().expect("valid name"), Fence::new(9))]),
+        authority: BTreeMap::from([(
+            "review".parse().expect("valid name"),
+            Tenure {
+                process: "entry-1".parse().expect("valid name"),
+                fence: Fence::new(9),
+            },
+        )]),
         classes: BTreeMap::from([(
             "verdict".parse().expect("valid name"),
             Count {
--- a/src/operator/imp.rs
+++ b/src/operator/imp.rs
@@ -7,7 +7,7 @@
     Verdict,
 };
 use crate::{
-    authority::{Held, Holder as Authority},
+    authority::{Held, Holder as Authority, Tenure, holders},
     config::{self, Section},
     edit::{Accepted, Check, Editor},
     error::{Error, Kind},
@@ -176,6 +176,7 @@
     fn handle(&mut self, _msg: Status, _ctx: &mut Self::Context) -> Self::Result {
         let router = self.config.router.clone();
         let authority = self.config.authority.clone();
+        let store = Rc::clone(&self.config.store);
         let process = self.config.process.clone();
         let revision = *self.config.view.revision.borrow();
         let classes = self.classes.clone();
@@ -183,7 +184,19 @@
         Box::pin(async move {
             let endpoints = router.send(Survey).await.map_err(stopping)?;
             let held = authority.send(Held).await.map_err(stopping)?;
-            let authority = held.into_iter().collect();
+            let own = |(group, fence)| {
+                (
+                    group,
+                    Tenure {
+                        process: process.clone(),
+                        fence,
+                    },
+                )
+            };
+            let authority = match holders(store.as_ref()).await {
+                Ok(holders) => holders,
+                Err(_unavailable) => held.into_iter().map(own).collect(),
+            };
             Ok(StatusReport {
                 process,
                 revision,
--- a/src/operator/message.rs
+++ b/src/operator/message.rs
@@ -5,8 +5,9 @@
 
 use super::Result;
 use crate::{
+    authority::Tenure,
     config::Section,
-    id::{Class, Editor, Endpoint, Fence, Group, Process, Revision},
+    id::{Class, Editor, Endpoint, Group, Process, Revision},
     routing::EndpointStatus,
 };
 
@@ -87,8 +88,9 @@
     pub revision: Revision,
     /// Endpoints as the entry sees them.
     pub endpoints: Vec<EndpointStatus>,
-    /// Groups over which the entry holds authority, with the fencing number.
-    pub authority: BTreeMap<Group, Fence>,
+    /// Who holds authority over each group; while the store is down, only what the entry itself
+    /// holds.
+    pub authority: BTreeMap<Group, Tenure>,
     /// Ended requests per class since the entry was started.
     pub classes: BTreeMap<Class, Count>,
 }
--- a/src/routing/imp.rs
+++ b/src/routing/imp.rs
@@ -73,7 +73,9 @@
         };
         let old = status.report.replace((report, now));
         let new = status.report.as_ref();
-        let relevant = |(report, _): &(Report, Instant)| (report.leaving, report.models.clone());
+        let relevant = |(report, _): &(Report, Instant)| {
+            (report.leaving, report.entries, report.models.clone())
+        };
         old.as_ref().map(relevant) != new.map(relevant)
     }
 
@@ -144,22 +146,28 @@
 
     /// The pools whose slots changed since the last call.
     pub fn capacities(&mut self, now: Instant) -> Vec<Capacity> {
-        let mut slots: BTreeMap<Pool, u32> = self.pools().into_iter().map(|p| (p, 0)).collect();
-        for (pool, old) in &self.slots {
-            // A pool that is gone is announced once more, without slots.
-            if *old > 0 {
-                slots.entry(pool.clone()).or_default();
-            }
-        }
+        // A pool that is gone is announced once more, without slots.
+        let gone = self.slots.iter().filter(|(_, old)| **old > 0);
+        let gone = gone.map(|(pool, _)| pool.clone());
+        let mut shares: BTreeMap<Pool, f64> = self
+            .pools()
+            .into_iter()
+            .chain(gone)
+            .map(|pool| (pool, 0.0))
+            .collect();
         for (endpoint, status) in &self.view.endpoints {
             let ejected = self.ejector.is_ejected(endpoint, now);
             if ejected || status.is_down(now) || status.is_leaving() {
                 continue;
             }
             for pool in status.pools() {
-                *slots.entry(pool).or_default() += status.spec.slots;
+                *shares.entry(pool).or_default() += status.share();
             }
         }
+        let slots: BTreeMap<Pool, u32> = shares
+            .into_iter()
+            .map(|(pool, share)| (pool, whole(share)))
+            .collect();
         let change = |(pool, slots): (&Pool, &u32)| {
             (self.slots.get(pool) != Some(slots)).then(|| Capacity {
                 pool: pool.clone(),
@@ -193,3 +201,13 @@
             .collect()
     }
 }
+
+/// Rounds up, so that an entry always keeps a slot of a pool that it shares with many others.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "shares are positive, and sums of slots are far below the limit"
+)]
+fn whole(share: f64) -> u32 {
+    share.ceil() as u32
+}
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -55,6 +55,7 @@
 
 fn report(endpoint: usize, prefill: u64) -> Report {
     Report {
+        entries: 1,
         endpoint: name(endpoint),
         revision: Revision::new(1),
         leaving: false,
@@ -343,3 +344,27 @@
         }
     }
 }
+
+/// Guards against several entries that each admit requests for the whole pool, which would make
+/// the engines queue what admission is meant to hold back.
+#[test]
+fn entries_share_the_slots() {
+    let start = Instant::now();
+    let mut table = balanced(2, 0, start);
+    let slots = |table: &mut Table| -> Vec<u32> {
+        let changes = table.capacities(start).into_iter();
+        changes.map(|change| change.slots).collect()
+    };
+    let mut seen = vec![slots(&mut table)];
+    for entries in [2, 3, 100] {
+        for endpoint in 0..2 {
+            let report = Report {
+                entries,
+                ..report(endpoint, 0)
+            };
+            table.observe(report, start);
+        }
+        seen.push(slots(&mut table));
+    }
+    assert_eq!(seen, [[8], [4], [3], [1]]);
+}
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -107,6 +107,18 @@
         }
     }
 
+    /// The part of its slots that this entry may use: the entries that are connected to the agent
+    /// share them evenly, as the balancer shares the requests. Without this, each of them would
+    /// admit requests for the whole endpoint.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        let entries = self
+            .report
+            .as_ref()
+            .map_or(1, |(report, _)| report.entries.max(1));
+        f64::from(self.spec.slots) / f64::from(entries)
+    }
+
     /// The pools that it belongs to.
     #[must_use]
     pub fn pools(&self) -> Vec<Pool> {
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -247,6 +247,8 @@
     pub role: Role,
     /// Models that are loaded.
     pub models: Vec<Model>,
+    /// Entries that are connected to the agent and share the endpoint.
+    pub entries: u32,
     /// Load.
     pub load: Load,
 }
--- a/src/work/message.rs
+++ b/src/work/message.rs
@@ -62,4 +62,4 @@
 /// A connection was opened: send it a report at once.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
-pub struct Greet(pub Outbox);
+pub struct Greet(pub Session, pub Outbox);
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -1,4 +1,8 @@
-use std::{collections::HashMap, fmt, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    rc::Rc,
+};
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
 use tokio::{
@@ -49,6 +53,8 @@
 pub struct Worker {
     config: Config,
     attempts: HashMap<Attempt, Running>,
+    /// Connections of entries.
+    sessions: HashSet<Session>,
     leaving: bool,
     state: State,
     idle: Vec<oneshot::Sender<()>>,
@@ -69,6 +75,7 @@
     let worker = Worker {
         config,
         attempts: HashMap::new(),
+        sessions: HashSet::new(),
         leaving: false,
         state: State::default(),
         idle: Vec::new(),
@@ -113,6 +120,7 @@
             leaving: self.is_leaving(),
             role: self.state.role,
             models: self.state.models.clone(),
+            entries: u32::try_from(self.sessions.len()).unwrap_or(u32::MAX),
             load: Load {
                 in_progress,
                 ..self.state.load
@@ -233,6 +241,7 @@
     type Result = ();
 
     fn handle(&mut self, Gone(session): Gone, _ctx: &mut Self::Context) {
+        self.sessions.remove(&session);
         let of_session = self
             .attempts
             .iter()
@@ -267,7 +276,8 @@
 impl Handler<Greet> for Worker {
     type Result = ();
 
-    fn handle(&mut self, Greet(outbox): Greet, _ctx: &mut Self::Context) {
+    fn handle(&mut self, Greet(session, outbox): Greet, _ctx: &mut Self::Context) {
+        self.sessions.insert(session);
         outbox.send(Frame::Report(self.report()));
     }
 }
