--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -191,12 +191,24 @@
             ExitCode::from(INVALID)
         }
         Err(Failure::Failed(error)) => {
-            complain(&error);
+            complain(&with_causes(&error));
             ExitCode::FAILURE
         }
     }
 }
 
+/// The text of an error and of its causes.
+pub(super) fn with_causes(error: &Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
 #[expect(clippy::print_stderr, reason = "this is the command line")]
 fn complain(what: &impl Display) {
     eprintln!("{what}");
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -37,7 +37,13 @@
 
 /// Runs a future on an actor system.
 pub(super) fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
-    actix::System::new().block_on(future)
+    actix::System::new().block_on(async {
+        let result = future.await;
+        // An actor that was never polled is started while the system is dropped, where its timers
+        // panic. This matters when a process fails right after it has spawned its actors.
+        tokio::task::yield_now().await;
+        result
+    })
 }
 
 fn invalid(faults: &crate::config::Faults) -> Failure {
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -1,7 +1,14 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, env, fs, io, net::TcpListener, process};
 
-use super::{imp::command, status::screen};
+use serde_json::json;
+
+use super::{
+    imp::{Failure, command, with_causes},
+    serve,
+    status::screen,
+};
 use crate::{
+    error::{Error, Kind},
     id::{Fence, Revision},
     operator::{Count, StatusReport},
     routing::EndpointStatus,
@@ -42,3 +49,37 @@
     };
     insta::assert_snapshot!(screen(&report));
 }
+
+/// Guards against a failure that hides its cause, such as a port that is in use.
+#[test]
+fn causes_are_shown() {
+    let cause = io::Error::other("address in use");
+    let error = Error::new(Kind::Internal, "cannot listen on 127.0.0.1:7000").with_source(cause);
+    assert_eq!(
+        with_causes(&error),
+        "internal: cannot listen on 127.0.0.1:7000: address in use"
+    );
+}
+
+/// Guards against a panic of an entry whose port is in use, which hid the reason.
+#[test]
+fn taken_port_is_reported() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("free port");
+    let address = taken.local_addr().expect("bound");
+    let settings = json!({
+        "process": "entry-1",
+        "zone": "a",
+        "listen": address,
+        "store": [address],
+        "operator_key_sha256": "0".repeat(64),
+    });
+    let file = env::temp_dir().join(format!("mulberrymill-{}-taken-port.jsonc", process::id()));
+    fs::write(&file, settings.to_string()).expect("writable folder");
+    let outcome = serve::entry(file.to_str().expect("valid path"));
+    fs::remove_file(&file).expect("written above");
+    let Err(Failure::Failed(error)) = outcome else {
+        panic!("the entry started on a taken port: {outcome:?}");
+    };
+    assert_eq!(error.kind(), Kind::Internal);
+    assert!(error.detail().contains(&address.to_string()));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,67 @@
 //! A serving system for a fixed fleet of model engines under a shifting prompt-to-output mix.
+//!
+//! One binary has two long-running roles. An *entry* ([`entry`]) serves callers and operators over
+//! HTTP; an *agent* ([`agent`]) on each endpoint host is the only process that sends its endpoint
+//! work. What must last is in the platform's key-value store ([`store`]). `docs/design.md` is the
+//! specification; `docs/operators.md` is for those who run it.
+//!
+//! Slices that own state are actors. Their decisions are plain code on a clock that is passed in
+//! ([`clock`]), without sockets or encodings.
+//!
+//! # The document
+//!
+//! Operators keep one configuration document in JSON with comments. [`config::parse`] checks the
+//! whole of it and returns the typed form that all slices read. Names and sizes are newtypes
+//! ([`id`], [`unit`]).
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use mulberrymill::{config, id::Class, unit::Share};
+//!
+//! let text = include_str!("../examples/santiago.jsonc");
+//! let document = config::parse("santiago.jsonc", text).expect("the example has no faults");
+//!
+//! let verdict: Class = "verdict".parse().expect("valid name");
+//! let spec = &document.classes[&verdict];
+//! assert_eq!(spec.rank, 1);
+//! assert_eq!(spec.first_token, Duration::from_millis(300));
+//! assert_eq!(spec.share, "40%".parse::<Share>().expect("valid share"));
+//! ```
+//!
+//! A document with faults is refused with the place of each of them.
+//!
+//! ```
+//! use mulberrymill::config;
+//!
+//! let text = include_str!("../examples/santiago.jsonc");
+//! let text = text.replace("\"whole\": \"2min\"", "\"whole\": \"2\"");
+//! let faults = config::parse("santiago.jsonc", &text).expect_err("not a duration");
+//! let first = faults.iter().next().expect("at least one fault");
+//! assert_eq!(first.place(), "santiago.jsonc:22:75");
+//! ```
+//!
+//! # Errors
+//!
+//! Each error that leaves a process is one of a closed set of kinds ([`error`]). The kind gives the
+//! HTTP status and the problem type, and says whether the operation was executed, unless the place
+//! where the error arose knows better.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use mulberrymill::error::{Error, Executed, Kind};
+//!
+//! let answer = Kind::Overloaded.answer();
+//! assert_eq!((answer.slug, answer.status), ("overloaded", 503));
+//! assert_eq!(answer.executed, Executed::No);
+//! assert_eq!(answer.retry_after, Some(Duration::from_secs(1)));
+//!
+//! // Nothing was sent to the agent, so this operation certainly was not executed.
+//! let error = Error::new(Kind::EndpointLost, "the agent cannot be reached");
+//! assert_eq!(error.executed(), Executed::Unknown);
+//! assert_eq!(error.with_executed(Executed::No).executed(), Executed::No);
+//! ```
 
 pub mod admission;
 pub mod agent;
