--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -85,6 +85,10 @@
     let section = || {
         Arg::new("section")
             .required(true)
+            .help(format!(
+                "One of {}",
+                Section::ALL.map(Section::as_str).join(", ")
+            ))
             .value_parser(value_parser!(Section))
     };
     let file = || Arg::new("file").required(true).help("File to read");
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -1,4 +1,14 @@
-use std::{collections::BTreeMap, env, fs, io, net::TcpListener, process};
+use std::{
+    collections::BTreeMap,
+    env, fs, io,
+    net::TcpListener,
+    panic, process,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+};
 
 use serde_json::json;
 
@@ -22,6 +32,15 @@
     insta::assert_snapshot!(command().render_long_help());
 }
 
+/// Guards against a help text that does not say which sections there are.
+#[test]
+fn help_lists_the_sections() {
+    let help = command().try_get_matches_from(["mulberrymill", "config", "put", "--help"]);
+    let help = help.expect_err("help is not a command").to_string();
+    let all = "One of models, classes, roles, callers, services, endpoints, limits";
+    assert!(help.contains(all), "{help}");
+}
+
 /// Guards against a status screen that is broken or leaves something out.
 #[test]
 fn status_fits_on_a_screen() {
@@ -72,11 +91,21 @@
         "listen": address,
         "store": [address],
         "operator_key_sha256": "0".repeat(64),
+        "log": "error",
     });
     let file = env::temp_dir().join(format!("mulberrymill-{}-taken-port.jsonc", process::id()));
     fs::write(&file, settings.to_string()).expect("writable folder");
+    // The runtime catches panics of tasks, so that only the hook sees them.
+    let panicked = Arc::new(AtomicBool::new(false));
+    let (seen, own) = (Arc::clone(&panicked), thread::current().id());
+    let before = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        seen.fetch_or(thread::current().id() == own, Ordering::Relaxed);
+        before(info);
+    }));
     let outcome = serve::entry(file.to_str().expect("valid path"));
     fs::remove_file(&file).expect("written above");
+    assert!(!panicked.load(Ordering::Relaxed), "an actor panicked");
     let Err(Failure::Failed(error)) = outcome else {
         panic!("the entry started on a taken port: {outcome:?}");
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! Operators keep one configuration document in JSON with comments. [`config::parse`] checks the
 //! whole of it and returns the typed form that all slices read. Names and sizes are newtypes
-//! ([`id`], [`unit`]).
+//! ([`id`], [`mod@unit`]).
 //!
 //! ```
 //! use std::time::Duration;
