Add failure tests with real processes: stops, crashes and edits

Each test starts a fleet, runs a seeded load and stops, kills or cuts off one part. The engine stand-in tells how many requests it has accepted, so that a test compares counts instead of waiting for a time.

--- a/mulberrymill-bench/src/engine/actor.rs
+++ b/mulberrymill-bench/src/engine/actor.rs
@@ -52,6 +52,15 @@
     pub async fn tally(&self) -> Result<Tally> {
         self.engine.send(Counts).await.map_err(|_error| stopped())
     }
+
+    /// Requests that the engine has accepted since it was made, those that are resumed included.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine has stopped.
+    pub async fn accepted(&self) -> Result<u64> {
+        self.engine.send(Accepted).await.map_err(|_error| stopped())
+    }
 }
 
 pub(super) fn stopped() -> Error {
@@ -115,6 +124,10 @@
 #[rtype(result = "Tally")]
 pub(super) struct Counts;
 
+#[derive(Message)]
+#[rtype(result = "u64")]
+struct Accepted;
+
 #[derive(Message)]
 #[rtype(result = "()")]
 pub(super) struct Attach(pub Port);
@@ -304,6 +317,14 @@
     }
 }
 
+impl Handler<Accepted> for Engine {
+    type Result = u64;
+
+    fn handle(&mut self, _: Accepted, _: &mut Self::Context) -> u64 {
+        self.model.accepted()
+    }
+}
+
 impl Handler<Attach> for Engine {
     type Result = ();
 
--- a/mulberrymill-bench/src/engine/model.rs
+++ b/mulberrymill-bench/src/engine/model.rs
@@ -134,6 +134,12 @@
         Ok(())
     }
 
+    /// Requests that were accepted, since the model was made.
+    #[must_use]
+    pub const fn accepted(&self) -> u64 {
+        self.arrivals
+    }
+
     /// Withdraws a request. Nothing happens if it has ended.
     pub fn cancel(&mut self, job: Job) {
         self.advance();
--- /dev/null
+++ b/mulberrymill-bench/tests/failure.rs
@@ -0,0 +1,11 @@
+//! Failures of a whole fleet: each entry and agent is a real process, and a small seeded load runs
+//! while one of them stops, dies, freezes or loses the store.
+
+mod common;
+
+#[path = "failure/crash.rs"]
+mod crash;
+#[path = "failure/edit.rs"]
+mod edit;
+#[path = "failure/stop.rs"]
+mod stop;
