Keep a stopping agent from being resumed; test drains, freezes and the store

The holder of a group resumes an endpoint for whose drain it finds no reason. It did so with an agent that had received SIGTERM: its report said that it was not leaving any more, although entries kept to the promise on their connections. A stop is now kept apart from a drain. Before: stop::agent_completes_its_streams_before_it_stops found leaving false while streams were in progress; after: it passes.

--- a/mulberrymill-bench/tests/failure.rs
+++ b/mulberrymill-bench/tests/failure.rs
@@ -5,7 +5,13 @@
 
 #[path = "failure/crash.rs"]
 mod crash;
+#[path = "failure/drain.rs"]
+mod drain;
 #[path = "failure/edit.rs"]
 mod edit;
+#[path = "failure/freeze.rs"]
+mod freeze;
 #[path = "failure/stop.rs"]
 mod stop;
+#[path = "failure/store.rs"]
+mod store;
--- a/src/agent/imp.rs
+++ b/src/agent/imp.rs
@@ -14,7 +14,7 @@
     settings, spread,
     store::{Etcd, Store},
     wire::Frame,
-    work::{self, Drain, Endpoint, Engine, Idle, Plain, Worker},
+    work::{self, Endpoint, Engine, Idle, Plain, Worker},
 };
 
 /// A running agent.
@@ -36,7 +36,7 @@
     /// connections after the last frame.
     pub async fn stop(self) {
         log::info!("agent is stopping");
-        self.worker.do_send(Drain(true));
+        self.worker.do_send(work::Stop);
         let gone = |_error| log::warn!("an actor stopped before the agent");
         self.hub.send(Farewell).await.unwrap_or_else(gone);
         self.worker.send(Idle).await.unwrap_or_else(gone);
--- a/src/work/message.rs
+++ b/src/work/message.rs
@@ -44,6 +44,11 @@
 #[rtype(result = "()")]
 pub struct Drain(pub bool);
 
+/// The agent is about to end: no new attempts, also after a [`Drain`] that ends.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Stop;
+
 /// Asks for the present state of the endpoint, as reported to entries.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "Report")]
--- a/src/work/tests.rs
+++ b/src/work/tests.rs
@@ -223,6 +223,17 @@
     insta::assert_debug_snapshot!(log);
 }
 
+/// Guards against a stopping agent that takes work again because the holder of its group finds no
+/// reason for the drain and resumes it.
+#[actix::test]
+async fn resume_does_not_undo_a_stop() {
+    let mut rig = rig();
+    rig.worker.do_send(Stop);
+    rig.worker.do_send(Drain(false));
+    rig.submit(submit(1, 1000));
+    insta::assert_snapshot!(rig.next().await, @"1 fail leaving, executed no");
+}
+
 /// Guards against an engine that generates on after its entry has withdrawn the attempt or died.
 #[actix::test]
 async fn withdrawn_attempts_are_dropped() {
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -7,7 +7,8 @@
 };
 
 use super::{
-    Announce, Begin, Credit, Drain, Endpoint, Gone, Greet, Idle, Ports, State, Status, Withdraw,
+    Announce, Begin, Credit, Drain, Endpoint, Gone, Greet, Idle, Ports, State, Status, Stop,
+    Withdraw,
     attempt::{PROBE_PERIOD, Task, last_frame},
 };
 use crate::{
@@ -50,6 +51,9 @@
     config: Config,
     attempts: HashMap<Attempt, Running>,
     leaving: bool,
+    /// Kept apart from `leaving`, because the holder of the group resumes an endpoint for whose
+    /// drain it finds no reason.
+    stopping: bool,
     state: State,
     idle: Vec<oneshot::Sender<()>>,
 }
@@ -70,6 +74,7 @@
         config,
         attempts: HashMap::new(),
         leaving: false,
+        stopping: false,
         state: State::default(),
         idle: Vec::new(),
     };
@@ -125,7 +130,7 @@
     }
 
     const fn is_leaving(&self) -> bool {
-        self.leaving || self.state.draining
+        self.leaving || self.stopping || self.state.draining
     }
 
     /// Why an attempt cannot be started, if it cannot. Nothing was sent to the endpoint.
@@ -256,6 +261,15 @@
     }
 }
 
+impl Handler<Stop> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, _msg: Stop, _ctx: &mut Self::Context) {
+        self.stopping = true;
+        self.send_report();
+    }
+}
+
 impl Handler<Announce> for Worker {
     type Result = ();
 
