Test the relay, and keep two promises of a flight

An agent that sends a part of an answer and then says that nothing ran made the relay call a non-repeatable operation a second time and report `executed: no` after a part of the answer. A part of the current attempt now counts as evidence that it ran.

A caller that left between the choice of an endpoint and the answer of the pool left its attempt on the endpoint until its first part found no receiver. The flight now withdraws the attempt. Before: endpoint abandoned, no cancel; after: one cancel. Cancelling from the pool was ruled out, because it cannot see that the flight is gone before it sends.

--- a/src/relay/flight.rs
+++ b/src/relay/flight.rs
@@ -2,14 +2,18 @@
 
 use tokio::{sync::mpsc, time};
 
-use super::{Assembly, Part, Relay, Request, Result, Step, Summary, meter::Meter};
+use super::{
+    Assembly, Part, Relay, Request, Result, Step, Summary,
+    guard::{Leave, Withdraw},
+    meter::Meter,
+    outcome,
+};
 use crate::{
     admission::{self, Permit},
     error::{Error, Executed, Kind},
     id::{self, Attempt, Endpoint},
-    invariant::{self, Point},
     link::{self, Event},
-    operator::{Tally, Verdict},
+    operator::Tally,
     routing::{self, Choice, Demand, Ending},
     unit::Bytes,
     wire::{self, Chunk, End, Fail, Work},
@@ -92,8 +96,11 @@
         }
         let part = self.advance().await;
         if !matches!(part, Ok(Part::Data(_))) {
-            self.log_end(&part);
-            self.count(&part);
+            let attempts = self.assembly.current().number();
+            outcome::log_end(&self.request, attempts, &part);
+            let verdict = outcome::verdict(&part, self.in_time);
+            let class = self.request.class.clone();
+            self.relay.ports.tally.do_send(Tally { class, verdict });
             self.stage = Stage::Over;
         }
         Some(part)
@@ -130,7 +137,7 @@
     }
 
     async fn admit(&self) -> Result<Permit> {
-        let leave = Leave(Some(self));
+        let leave = Leave::new(&self.relay, self.request.id);
         let offer = admission::Offer {
             request: self.request.id,
             caller: self.request.caller.clone(),
@@ -141,7 +148,7 @@
         };
         let answer = self.relay.ports.offer.send(offer).await;
         leave.disarm();
-        let permit = answer.map_err(stopping)??;
+        let permit = answer.map_err(outcome::stopping)??;
         self.meter.admitted(self.relay.clock.now());
         Ok(permit)
     }
@@ -156,15 +163,23 @@
             avoid: self.avoid.clone(),
         };
         let choose = self.relay.ports.choose.send(routing::Choose(demand)).await;
-        let choice = choose.map_err(stopping)??;
+        let choice = choose.map_err(outcome::stopping)??;
         let (sender, events) = mpsc::unbounded_channel();
         let endpoint = choice.endpoint().clone();
+        let withdraw = Withdraw::new(&self.relay, &endpoint, self.assembly.current());
         let submit = link::Submit {
             endpoint,
             submit: self.submit(),
             events: sender,
         };
-        let sent = self.relay.ports.submit.send(submit).await.map_err(stopping);
+        let sent = self
+            .relay
+            .ports
+            .submit
+            .send(submit)
+            .await
+            .map_err(outcome::stopping);
+        withdraw.disarm();
         match sent.and_then(std::convert::identity) {
             Ok(()) => Ok(Running {
                 choice,
@@ -230,6 +245,8 @@
     }
 
     async fn take_chunk(&mut self, chunk: Chunk) -> Result<Option<Part>> {
+        // What has answered has run, whatever a later failure of the attempt says.
+        self.maybe_run |= chunk.attempt == self.assembly.current();
         match self.assembly.chunk(&chunk) {
             Step::Drop => Ok(None),
             Step::Gap => self.fail_gap().await,
@@ -275,13 +292,8 @@
 
     /// Ends the attempt, and prepares the next one if the request may be tried again.
     async fn fail_attempt(&mut self, error: Error) -> Result<Option<Part>> {
-        let ending = match error.kind() {
-            Kind::Leaving | Kind::WrongIncarnation => Ending::Refused,
-            Kind::EndpointFailed | Kind::EndpointLost | Kind::Internal => Ending::Failed,
-            _ => Ending::Abandoned,
-        };
         self.maybe_run |= error.executed() != Executed::No;
-        self.abandon(ending);
+        self.abandon(outcome::ending(&error));
         self.settle(error).await?;
         Ok(None)
     }
@@ -293,15 +305,11 @@
             self.assembly.retry();
             return Ok(());
         }
-        Err(self.final_error(error))
+        Err(outcome::final_error(error, self.maybe_run, self.request.id))
     }
 
     /// Whether a further attempt can do no harm and may help.
     fn may_repeat(&self, error: &Error) -> bool {
-        let other_endpoint_may_help = matches!(
-            error.kind(),
-            Kind::Leaving | Kind::WrongIncarnation | Kind::EndpointFailed | Kind::EndpointLost
-        );
         let harmless = match &self.request.work {
             Work::Generate(_) => true,
             Work::Invoke(invoke) if invoke.once => {
@@ -309,7 +317,7 @@
             }
             Work::Invoke(_) => self.assembly.taken() == Bytes::ZERO,
         };
-        other_endpoint_may_help && harmless && !self.time_left().is_zero()
+        outcome::other_endpoint_may_help(error) && harmless && !self.time_left().is_zero()
     }
 
     /// A refusal costs the endpoints nothing, and each endpoint refuses a request at most once, so
@@ -326,19 +334,6 @@
                 .unwrap_or(false)
     }
 
-    fn final_error(&self, error: Error) -> Error {
-        let error = if self.maybe_run && error.executed() == Executed::No {
-            error.with_executed(Executed::Unknown)
-        } else {
-            error
-        };
-        let honest = error.executed() != Executed::No || !self.maybe_run;
-        invariant::check(Point::NotRun, honest, || {
-            format!("request {}", self.request.id)
-        });
-        error
-    }
-
     /// Grants credit for what the caller has read.
     fn grant(&mut self, length: usize) {
         let attempt = self.assembly.current();
@@ -383,37 +378,6 @@
             }
         }
     }
-
-    fn count(&self, part: &Result<Part>) {
-        let verdict = match part {
-            Ok(_) if self.in_time => Verdict::Served,
-            Ok(_) => Verdict::Late,
-            Err(error) if error.executed() == Executed::No => Verdict::Refused,
-            Err(_) => Verdict::Failed,
-        };
-        self.relay.ports.tally.do_send(Tally {
-            class: self.request.class.clone(),
-            verdict,
-        });
-    }
-
-    fn log_end(&self, part: &Result<Part>) {
-        let Request {
-            id,
-            caller,
-            class,
-            pool,
-            ..
-        } = &self.request;
-        let attempts = self.assembly.current().number();
-        match part {
-            Ok(_) => log::info!(request:% = id, caller:% = caller, class:% = class, pool:% = pool,
-                attempts = attempts; "request served"),
-            Err(error) => log::warn!(request:% = id, caller:% = caller, class:% = class,
-                pool:% = pool, attempts = attempts, kind:% = error.kind(),
-                executed:% = error.executed(); "request failed"),
-        }
-    }
 }
 
 impl Drop for Flight {
@@ -424,28 +388,3 @@
         }
     }
 }
-
-fn stopping(_error: actix::MailboxError) -> Error {
-    Error::new(Kind::Leaving, "the entry is stopping").with_executed(Executed::No)
-}
-
-/// Tells admission that nobody waits for its answer any more, unless the answer came.
-struct Leave<'a>(Option<&'a Flight>);
-
-impl Leave<'_> {
-    fn disarm(mut self) {
-        self.0 = None;
-    }
-}
-
-impl Drop for Leave<'_> {
-    fn drop(&mut self) {
-        if let Some(flight) = self.0 {
-            flight
-                .relay
-                .ports
-                .leave
-                .do_send(admission::Finish(flight.request.id));
-        }
-    }
-}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,8 +5,12 @@
 
 mod assembly;
 mod flight;
+mod guard;
 mod imp;
 mod meter;
+mod outcome;
+#[cfg(test)]
+pub(crate) mod tests;
 
 pub use assembly::{Assembly, Step};
 pub use flight::Flight;
--- /dev/null
+++ b/src/relay/tests/fake.rs
@@ -0,0 +1,364 @@
+//! Actors that stand behind the ports of a relay.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use actix::{Actor, Addr, Context, Handler, Message, ResponseFuture};
+use tokio::{sync::mpsc, time};
+
+use super::super::{Ports, Relay, Request, Target};
+use crate::{
+    admission, clock,
+    config::{self, Document},
+    error::{Error, Executed, Kind, Result},
+    id::{self, Endpoint, Revision},
+    link::{self, Event},
+    operator::Tally,
+    routing::{self, Choice, Cost, Pool, Prefix},
+    unit::{Bytes, Tokens},
+    wire::{self, Chunk, End, Fail, Generate, Invoke, Prompt, Sampling, Work},
+};
+
+/// Endpoints of the fake, in the order in which they are chosen.
+const ENDPOINTS: [&str; 3] = ["e1", "e2", "e3"];
+
+/// The document of the tests.
+pub(crate) fn document() -> Arc<Document> {
+    let text = include_str!("../../../examples/santiago.jsonc");
+    let sections = config::split(text).unwrap_or_else(|faults| panic!("{faults}"));
+    let document = config::assemble(Revision::new(7), &sections);
+    Arc::new(document.unwrap_or_else(|faults| panic!("{faults}")))
+}
+
+/// How the fake behaves.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Behaviour {
+    /// Retries that are allowed.
+    pub(crate) budget: u32,
+    /// Endpoints without a connection.
+    pub(crate) unlinked: Vec<&'static str>,
+    /// Time until an endpoint is chosen.
+    pub(crate) choosing: Duration,
+    /// Time until an attempt is sent.
+    pub(crate) sending: Duration,
+}
+
+/// Stands for the router, the pool of links and the operators' desk.
+pub(crate) struct World {
+    behaviour: Behaviour,
+    desk: Addr<admission::Desk>,
+    notes: Vec<String>,
+    submits: mpsc::UnboundedSender<link::Submit>,
+}
+
+/// A relay with fakes behind it.
+pub(crate) struct Rig {
+    pub(crate) relay: Relay,
+    pub(crate) desk: Addr<admission::Desk>,
+    pub(crate) submits: mpsc::UnboundedReceiver<link::Submit>,
+    world: Addr<World>,
+}
+
+/// A relay over fakes; `slots` requests run at the same time in each pool.
+pub(crate) fn rig(behaviour: Behaviour, slots: u32) -> Rig {
+    let clock = clock::System::shared();
+    let desk = admission::spawn(admission::Config::new(Arc::clone(&clock)));
+    desk.do_send(admission::Adopt(document()));
+    for pool in [model(), service()] {
+        desk.do_send(admission::Capacity { pool, slots });
+    }
+    let (submits, receiver) = mpsc::unbounded_channel();
+    let world = World {
+        behaviour,
+        desk: desk.clone(),
+        notes: Vec::new(),
+        submits,
+    }
+    .start();
+    let ports = Ports {
+        offer: desk.clone().recipient(),
+        leave: world.clone().recipient(),
+        choose: world.clone().recipient(),
+        may_retry: world.clone().recipient(),
+        submit: world.clone().recipient(),
+        credit: world.clone().recipient(),
+        cancel: world.clone().recipient(),
+        tally: world.clone().recipient(),
+    };
+    Rig {
+        relay: Relay::new(ports, clock),
+        desk,
+        submits: receiver,
+        world,
+    }
+}
+
+fn model() -> Pool {
+    Pool::Model("allergen".parse().expect("valid name"))
+}
+
+fn service() -> Pool {
+    Pool::Service("labels".parse().expect("valid name"))
+}
+
+impl Rig {
+    /// What the fakes were told since the last call.
+    pub(crate) async fn notes(&self) -> Vec<String> {
+        self.world.send(Notes).await.expect("a running fake")
+    }
+
+    /// Whether a slot is free now.
+    pub(crate) async fn has_slot(&self) -> bool {
+        let offer = admission::Offer {
+            request: id::Request::random(&mut rand::rng()),
+            caller: "kitchen".parse().expect("valid name"),
+            class: "verdict".parse().expect("valid name"),
+            pool: model(),
+            cost: Cost::default(),
+            deadline: clock::Clock::now(&clock::System) + Duration::from_millis(1),
+        };
+        self.desk.send(offer).await.expect("a running desk").is_ok()
+    }
+}
+
+/// A generation of a caller.
+pub(crate) fn generation() -> Request {
+    request(
+        model(),
+        Work::Generate(Generate {
+            model: "allergen".parse().expect("valid name"),
+            adapter: None,
+            prompt: Prompt::Text("does it hold nuts".to_owned()),
+            max_output: Tokens::new(8),
+            resume: Bytes::ZERO,
+            sampling: Sampling::default(),
+        }),
+    )
+}
+
+/// A call of an operation, at most once or repeatable.
+pub(crate) fn call(once: bool) -> Request {
+    request(
+        service(),
+        Work::Invoke(Invoke {
+            service: "labels".parse().expect("valid name"),
+            operation: "print".parse().expect("valid name"),
+            key: once.then(|| "tray-7".parse().expect("valid key")),
+            once,
+            content_type: "text/plain".to_owned(),
+            body: b"tray 7".to_vec(),
+        }),
+    )
+}
+
+fn request(pool: Pool, work: Work) -> Request {
+    let now = clock::Clock::now(&clock::System);
+    Request {
+        id: id::Request::random(&mut rand::rng()),
+        caller: "kitchen".parse().expect("valid name"),
+        class: "verdict".parse().expect("valid name"),
+        priority: 1,
+        pool,
+        cost: Cost::default(),
+        prefix: Prefix::default(),
+        work,
+        start_by: now + Duration::from_secs(2),
+        end_by: now + Duration::from_secs(10),
+        target: Target {
+            first: Duration::from_secs(1),
+            whole: Duration::from_secs(2),
+        },
+    }
+}
+
+/// What a fake agent sends.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// A part at an offset.
+    Data(u64, Vec<u8>),
+    /// A part of an earlier attempt.
+    Stale(u64, Vec<u8>),
+    /// The end, at a length.
+    End(u64),
+    /// A failure.
+    Fail(Kind, Executed),
+    /// The connection is lost.
+    Lost,
+}
+
+/// A part of text at an offset.
+pub(crate) fn data(offset: u64, text: &str) -> Act {
+    Act::Data(offset, text.as_bytes().to_vec())
+}
+
+/// Sends the events of an attempt.
+pub(crate) fn act(submit: &link::Submit, act: Act) {
+    let attempt = submit.submit.attempt;
+    let chunk = |attempt, offset, data| {
+        let offset = Bytes::new(offset);
+        Event::Chunk(Chunk {
+            attempt,
+            offset,
+            data,
+        })
+    };
+    let event = match act {
+        Act::Data(offset, data) => chunk(attempt, offset, data),
+        Act::Stale(offset, data) => {
+            let earlier = attempt.number().saturating_sub(1);
+            chunk(id::Attempt::new(attempt.request(), earlier), offset, data)
+        }
+        Act::End(length) => Event::End(End {
+            attempt,
+            length: Bytes::new(length),
+            reason: match submit.submit.work {
+                Work::Generate(_) => "stop".to_owned(),
+                Work::Invoke(_) => "text/plain".to_owned(),
+            },
+            status: 200,
+            input: Tokens::new(4),
+            output: Tokens::new(2),
+        }),
+        Act::Fail(kind, executed) => Event::Fail(Fail {
+            attempt,
+            kind,
+            executed,
+            detail: "as scripted".to_owned(),
+        }),
+        Act::Lost => Event::Lost,
+    };
+    // The flight may have ended.
+    let _over = submit.events.send(event);
+}
+
+impl Actor for World {
+    type Context = Context<Self>;
+}
+
+impl World {
+    fn note(&mut self, text: String) {
+        self.notes.push(text);
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "Vec<String>")]
+struct Notes;
+
+impl Handler<Notes> for World {
+    type Result = Vec<String>;
+
+    fn handle(&mut self, _msg: Notes, _ctx: &mut Self::Context) -> Self::Result {
+        std::mem::take(&mut self.notes)
+    }
+}
+
+impl Handler<admission::Finish> for World {
+    type Result = ();
+
+    fn handle(&mut self, msg: admission::Finish, _ctx: &mut Self::Context) {
+        self.note("left the queue".to_owned());
+        self.desk.do_send(msg);
+    }
+}
+
+impl Handler<routing::Choose> for World {
+    type Result = ResponseFuture<Result<Choice>>;
+
+    fn handle(
+        &mut self,
+        routing::Choose(demand): routing::Choose,
+        ctx: &mut Self::Context,
+    ) -> Self::Result {
+        let router = actix::AsyncContext::address(ctx).recipient();
+        let pause = self.behaviour.choosing;
+        Box::pin(async move {
+            if !pause.is_zero() {
+                time::sleep(pause).await;
+            }
+            let mut endpoints = ENDPOINTS.map(|name| name.parse::<Endpoint>().expect("valid name"));
+            endpoints.sort();
+            let free = endpoints
+                .into_iter()
+                .find(|endpoint| !demand.avoid.contains(endpoint));
+            let none = || Error::new(Kind::NoEndpoint, "no endpoint can take the request");
+            Ok(Choice::new(free.ok_or_else(none)?, demand.cost, router))
+        })
+    }
+}
+
+impl Handler<routing::Finish> for World {
+    type Result = ();
+
+    fn handle(&mut self, msg: routing::Finish, _ctx: &mut Self::Context) {
+        self.note(format!("{} {:?}", msg.endpoint, msg.ending));
+    }
+}
+
+impl Handler<routing::MayRetry> for World {
+    type Result = bool;
+
+    fn handle(&mut self, _msg: routing::MayRetry, _ctx: &mut Self::Context) -> bool {
+        let allowed = self.behaviour.budget > 0;
+        self.behaviour.budget = self.behaviour.budget.saturating_sub(1);
+        self.note(format!("retry allowed: {allowed}"));
+        allowed
+    }
+}
+
+impl Handler<link::Submit> for World {
+    type Result = ResponseFuture<Result<()>>;
+
+    fn handle(&mut self, msg: link::Submit, _ctx: &mut Self::Context) -> Self::Result {
+        let name = msg.endpoint.to_string();
+        if self.behaviour.unlinked.contains(&name.as_str()) {
+            let error = Error::new(Kind::Leaving, "the agent cannot be reached");
+            return Box::pin(async { Err(error.with_executed(Executed::No)) });
+        }
+        // The test may have ended.
+        let _over = self.submits.send(msg);
+        let pause = self.behaviour.sending;
+        Box::pin(async move {
+            if !pause.is_zero() {
+                time::sleep(pause).await;
+            }
+            Ok(())
+        })
+    }
+}
+
+impl Handler<link::Credit> for World {
+    type Result = ();
+
+    fn handle(&mut self, msg: link::Credit, _ctx: &mut Self::Context) {
+        self.note(format!("credit {} {}", msg.attempt.number(), msg.bytes));
+    }
+}
+
+impl Handler<link::Cancel> for World {
+    type Result = ();
+
+    fn handle(&mut self, msg: link::Cancel, _ctx: &mut Self::Context) {
+        self.note(format!("cancel {} {}", msg.endpoint, msg.attempt.number()));
+    }
+}
+
+impl Handler<Tally> for World {
+    type Result = ();
+
+    fn handle(&mut self, msg: Tally, _ctx: &mut Self::Context) {
+        self.note(format!("{:?}", msg.verdict));
+    }
+}
+
+/// Describes an attempt that was sent.
+pub(crate) fn describe(submit: &link::Submit) -> String {
+    let wire::Submit { attempt, work, .. } = &submit.submit;
+    let resume = match work {
+        Work::Generate(generate) => format!(" from {}", generate.resume),
+        Work::Invoke(_) => String::new(),
+    };
+    format!("{} gets {}{resume}", submit.endpoint, attempt.number())
+}
+
+/// Scripts of the attempts of a request, in order.
+pub(crate) type Script = VecDeque<Vec<Act>>;
--- /dev/null
+++ b/src/relay/tests/flight.rs
@@ -0,0 +1,294 @@
+use std::time::Duration;
+
+use tokio::{
+    sync::mpsc,
+    task::{JoinHandle, spawn_local},
+    time,
+};
+
+use super::fake::{
+    Act::{self, End, Fail, Lost, Stale},
+    Behaviour, Rig, Script, act, call, data, describe, generation, rig,
+};
+use super::*;
+use crate::{
+    error::{Executed, Kind},
+    link,
+};
+
+pub(super) fn run<F: Future>(future: F) -> F::Output {
+    let runtime = || {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime")
+    };
+    actix::System::with_tokio_rt(runtime).block_on(future)
+}
+
+/// Reads a flight to its end in a task of its own.
+fn read(mut flight: Flight) -> (JoinHandle<()>, mpsc::UnboundedReceiver<Result<Part>>) {
+    let (sender, parts) = mpsc::unbounded_channel();
+    let task = spawn_local(async move {
+        while let Some(part) = flight.next().await {
+            // The test may have ended.
+            let _over = sender.send(part);
+        }
+    });
+    (task, parts)
+}
+
+/// Runs a request against scripted attempts and returns what the caller and the fakes saw.
+pub(super) async fn play(rig: &mut Rig, request: Request, mut script: Script) -> Vec<String> {
+    let (_task, mut parts) = read(rig.relay.begin(request));
+    let mut log = Vec::new();
+    // Keeps the events of each attempt open, so that only the script ends them.
+    let mut attempts: Vec<link::Submit> = Vec::new();
+    loop {
+        tokio::select! {
+            biased;
+            Some(submit) = rig.submits.recv() => {
+                log.push(describe(&submit));
+                for event in script.pop_front().unwrap_or_default() {
+                    act(&submit, event);
+                }
+                attempts.push(submit);
+            }
+            part = parts.recv() => match part {
+                Some(Ok(Part::Data(data))) => log.push(String::from_utf8_lossy(&data).into_owned()),
+                Some(Ok(Part::End(summary))) => log.push(format!("whole at {}", summary.length)),
+                Some(Err(error)) => {
+                    log.push(format!("error {}, executed {}", error.kind(), error.executed()));
+                }
+                None => break,
+            }
+        }
+    }
+    log.extend(rig.notes().await);
+    log
+}
+
+fn refused() -> Vec<Act> {
+    vec![Fail(Kind::Leaving, Executed::No)]
+}
+
+fn served() -> Vec<Act> {
+    vec![data(0, "tra"), data(3, "ces"), End(6)]
+}
+
+/// Name, request, retry budget, and what the agent of each attempt sends.
+type Case = (&'static str, fn() -> Request, u32, Vec<Vec<Act>>);
+
+/// Guards against lost or repeated work after each kind of failure: a refusal is tried elsewhere
+/// without budget, a cut generation goes on at its exact offset, an operation that may have run is
+/// not sent again, and no error says `executed: no` after an attempt that may have run.
+#[test]
+fn attempts_follow_each_failure() {
+    let lost = || vec![data(0, "tra"), Lost];
+    let rest = || vec![data(3, "ces"), End(6)];
+    let not_run = |kind| vec![Fail(kind, Executed::No)];
+    let cases: Vec<Case> = vec![
+        ("refused", generation, 0, vec![refused(), served()]),
+        (
+            "refused everywhere",
+            generation,
+            0,
+            vec![refused(), refused(), refused()],
+        ),
+        ("cut", generation, 1, vec![lost(), rest()]),
+        ("cut without budget", generation, 0, vec![lost()]),
+        (
+            "cut, then refused",
+            generation,
+            1,
+            vec![lost(), refused(), refused()],
+        ),
+        (
+            "gap",
+            generation,
+            1,
+            vec![vec![data(0, "tra"), data(4, "es")], rest()],
+        ),
+        (
+            "short end",
+            generation,
+            1,
+            vec![vec![data(0, "tra"), End(6)], rest()],
+        ),
+        (
+            "late and duplicate parts",
+            generation,
+            1,
+            vec![
+                lost(),
+                vec![
+                    Stale(3, b"xyz".to_vec()),
+                    data(0, "tra"),
+                    data(3, "ces"),
+                    data(3, "ces"),
+                    End(6),
+                ],
+            ],
+        ),
+        ("silent", generation, 1, vec![vec![data(0, "tra")]]),
+        ("once, served", || call(true), 0, vec![served()]),
+        ("once, refused", || call(true), 0, vec![refused(), served()]),
+        ("once, lost", || call(true), 9, vec![vec![Lost], served()]),
+        (
+            "once, failed",
+            || call(true),
+            9,
+            vec![
+                vec![Fail(Kind::EndpointFailed, Executed::Unknown)],
+                served(),
+            ],
+        ),
+        (
+            "once, not connected to the endpoint",
+            || call(true),
+            9,
+            vec![not_run(Kind::EndpointFailed), served()],
+        ),
+        (
+            "once, without the store",
+            || call(true),
+            9,
+            vec![not_run(Kind::StoreUnavailable), served()],
+        ),
+        (
+            "repeatable, lost",
+            || call(false),
+            1,
+            vec![vec![Lost], served()],
+        ),
+        (
+            "repeatable, lost after a part",
+            || call(false),
+            1,
+            vec![lost(), served()],
+        ),
+    ];
+    let log = run(async {
+        let mut log = Vec::new();
+        for (name, request, budget, script) in cases {
+            let behaviour = Behaviour {
+                budget,
+                ..Behaviour::default()
+            };
+            let mut rig = rig(behaviour, 1);
+            log.push((name, play(&mut rig, request(), script.into()).await));
+            assert!(rig.has_slot().await, "{name} keeps its slot");
+        }
+        log
+    });
+    insta::assert_debug_snapshot!(log);
+}
+
+/// Guards against `executed: no` and a second try after an agent sent a part of an answer and then
+/// says that nothing ran.
+#[test]
+fn answered_operation_is_not_taken_for_refused() {
+    let contradiction = vec![data(0, "tra"), Fail(Kind::Leaving, Executed::No)];
+    let log = run(async {
+        let mut rig = rig(Behaviour::default(), 1);
+        play(&mut rig, call(true), vec![contradiction, served()].into()).await
+    });
+    insta::assert_debug_snapshot!(log);
+}
+
+/// Guards against a request that is given up although another endpoint is connected.
+#[test]
+fn endpoint_without_connection_is_passed_over() {
+    let log = run(async {
+        let behaviour = Behaviour {
+            unlinked: vec!["e1", "e2"],
+            ..Behaviour::default()
+        };
+        let mut rig = rig(behaviour, 1);
+        play(&mut rig, call(true), vec![served()].into()).await
+    });
+    insta::assert_debug_snapshot!(log);
+}
+
+/// Guards against credit for parts that the caller has not read, which would let a slow caller
+/// fill the memory of the entry.
+#[test]
+fn credit_follows_the_reader() {
+    const PART: u64 = 10 << 10;
+    let log = run(async {
+        let mut rig = rig(Behaviour::default(), 1);
+        let mut flight = rig.relay.begin(generation());
+        let submitted = async {
+            let submit = rig.submits.recv().await.expect("an attempt");
+            for number in 0..5 {
+                act(&submit, Act::Data(number * PART, vec![b'a'; 10 << 10]));
+            }
+            submit
+        };
+        let (first, submit) = tokio::join!(flight.next(), submitted);
+        let mut log = vec![format!("window {}", submit.submit.credit)];
+        assert!(matches!(first, Some(Ok(Part::Data(_)))), "a part");
+        for number in 2..=5 {
+            log.push(format!("after {}: {:?}", number - 1, rig.notes().await));
+            let part = flight.next().await;
+            assert!(matches!(part, Some(Ok(Part::Data(_)))), "a part");
+        }
+        log.push(format!("after 5: {:?}", rig.notes().await));
+        log
+    });
+    insta::assert_debug_snapshot!(log);
+}
+
+/// Guards against a caller that leaves and whose request stays in the queue, on its endpoint, in
+/// its slot, or in the engine.
+#[test]
+fn dropped_flight_leaves_nothing_behind() {
+    const PAUSE: Duration = Duration::from_millis(100);
+    let log = run(async {
+        let mut log = Vec::new();
+        let stages = [
+            ("choosing", PAUSE, Duration::ZERO),
+            ("sending", Duration::ZERO, PAUSE),
+            ("running", Duration::ZERO, Duration::ZERO),
+        ];
+        for (name, choosing, sending) in stages {
+            let rig = rig(
+                Behaviour {
+                    choosing,
+                    sending,
+                    ..Behaviour::default()
+                },
+                1,
+            );
+            let (task, _parts) = read(rig.relay.begin(generation()));
+            time::sleep(PAUSE / 2).await;
+            assert!(!rig.has_slot().await, "the slot is in use while {name}");
+            task.abort();
+            time::sleep(PAUSE).await;
+            log.push((name, rig.notes().await));
+            assert!(rig.has_slot().await, "the slot is free after {name}");
+        }
+        log
+    });
+    insta::assert_debug_snapshot!(log);
+}
+
+/// Guards against a slot for a caller that left the queue.
+#[test]
+fn flight_dropped_in_the_queue_takes_no_slot() {
+    run(async {
+        let mut rig = rig(Behaviour::default(), 1);
+        let (running, _parts) = read(rig.relay.begin(generation()));
+        let _submit = rig.submits.recv().await.expect("an attempt");
+        let (queued, _parts) = read(rig.relay.begin(generation()));
+        time::sleep(Duration::from_millis(10)).await;
+        queued.abort();
+        time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(rig.notes().await, ["left the queue"]);
+        running.abort();
+        time::sleep(Duration::from_millis(10)).await;
+        assert!(rig.has_slot().await, "the slot is free");
+        assert!(rig.submits.try_recv().is_err(), "nothing else was sent");
+    });
+}
