End a configuration watch when its entry stops, and correct the status of lost endpoints

A watch that was open kept a stopping entry running: with a stop delay of 1 s it still ran 5.3 s after SIGTERM. The stream now ends with the stop. The status of an endpoint whose agent is gone no longer shows attempts in progress.

--- a/mulberrymill-bench/src/fleet/document.rs
+++ b/mulberrymill-bench/src/fleet/document.rs
@@ -47,7 +47,6 @@
         "limits": {
             "body": "1MiB",
             "max_output": "8192 tokens",
-            "stop_delay": "1s",
             "longest": "10min",
         },
     });
--- a/mulberrymill-bench/tests/failure/store.rs
+++ b/mulberrymill-bench/tests/failure/store.rs
@@ -19,7 +19,7 @@
 /// Edits the limits through an entry, over a revision.
 async fn edit(rig: &Rig, entry: usize, base: &Value, longest: &str) -> (u16, Value) {
     let text = serde_json::json!({
-        "body": "1MiB", "max_output": "8192 tokens", "stop_delay": "1s", "longest": longest,
+        "body": "1MiB", "max_output": "8192 tokens", "longest": longest,
     });
     let path = format!("config/limits?base={base}&editor=ana");
     let answer = rig
--- a/src/agent/sink.rs
+++ b/src/agent/sink.rs
@@ -75,7 +75,7 @@
             Frame::Order(order) => self.orders.do_send(orders::Arrived(order, outbox)),
             Frame::Lookup(lookup) => self.look_up(lookup, outbox),
             Frame::Bye => self.hub.do_send(SaidBye(session)),
-            _ => log::warn!(process:% = peer.hello.process; "entry sent an unexpected frame"),
+            _ => log::warn!(peer:% = peer.hello.process; "entry sent an unexpected frame"),
         }
     }
 
--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -42,6 +42,10 @@
 pub fn command() -> Command {
     Command::new("mulberrymill")
         .about("Serves language-model requests on a fixed fleet of engines")
+        .after_help(concat!(
+            "Commands that talk to an entry take the operators' bearer key from the environment ",
+            "variable MULBERRYMILL_OPERATOR_KEY."
+        ))
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
--- a/src/config/section.rs
+++ b/src/config/section.rs
@@ -232,9 +232,6 @@
     pub body: Bytes,
     /// Most tokens of one answer.
     pub max_output: Tokens,
-    /// Time that a stopping entry still accepts requests.
-    #[serde(with = "period")]
-    pub stop_delay: Duration,
     /// Longest time that a request may stay in the system.
     #[serde(with = "period")]
     pub longest: Duration,
@@ -245,7 +242,6 @@
         Self {
             body: Bytes::new(1 << 20),
             max_output: Tokens::new(4096),
-            stop_delay: Duration::from_secs(5),
             longest: Duration::from_mins(10),
         }
     }
--- a/src/config/spec.rs
+++ b/src/config/spec.rs
@@ -149,7 +149,7 @@
 }
 
 pub(super) fn limits(r: &mut Reader, value: &Value<'_>) -> Option<Limits> {
-    let fields = r.object(value, &["body", "max_output", "stop_delay", "longest"])?;
+    let fields = r.object(value, &["body", "max_output", "longest"])?;
     let body = r.field(&fields, "body", |r, v| {
         let body: Bytes = r.text(v)?;
         if body.get() > BODY_MAX {
@@ -159,12 +159,10 @@
         positive(r, v, body, body == Bytes::ZERO, "size")
     });
     let max_output = r.field(&fields, "max_output", tokens);
-    let stop_delay = r.field(&fields, "stop_delay", Reader::text::<Period>);
     let longest = r.field(&fields, "longest", target);
     Some(Limits {
         body: body?,
         max_output: max_output?,
-        stop_delay: stop_delay?.0,
         longest: longest?,
     })
 }
--- a/src/entry/sink.rs
+++ b/src/entry/sink.rs
@@ -67,11 +67,11 @@
                 });
             }
             Frame::Document(document) => self.holder.do_send(Offer(document)),
-            _ => log::warn!(process:% = peer.hello.process; "agent sent an unexpected frame"),
+            _ => log::warn!(peer:% = peer.hello.process; "agent sent an unexpected frame"),
         }
     }
 
     fn closed(&self, peer: &Peer) {
-        log::info!(process:% = peer.hello.process; "connection to the agent is closed");
+        log::info!(peer:% = peer.hello.process; "connection to the agent is closed");
     }
 }
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -256,21 +256,26 @@
     if let Err(error) = check_key(&context, &request) {
         return problem::respond(&error);
     }
+    let (view, stopping) = (context.view.revision.clone(), context.stopping.clone());
     HttpResponse::Ok()
         .insert_header((header::CONTENT_TYPE, "application/x-ndjson"))
-        .streaming(revisions(context.view.revision.clone()))
+        .streaming(revisions(view, stopping))
 }
 
+/// Ends when the entry stops: a watch has no end of its own, and would keep the entry running.
 fn revisions(
     mut view: watch::Receiver<Revision>,
+    stopping: watch::Receiver<bool>,
 ) -> impl Stream<Item = std::result::Result<web::Bytes, actix_web::Error>> {
     view.mark_changed();
-    stream::unfold(view, |mut view| async move {
-        view.changed().await.ok()?;
+    stream::unfold((view, stopping), |(mut view, mut stopping)| async move {
+        tokio::select! {
+            changed = view.changed() => changed.ok()?,
+            // Also ends the watch if the entry is gone.
+            _stopped = stopping.wait_for(|stopping| *stopping) => return None,
+        }
         let revision = *view.borrow_and_update();
-        Some((
-            Ok(web::Bytes::from(format!("{{\"revision\":{revision}}}\n"))),
-            view,
-        ))
+        let line = format!("{{\"revision\":{revision}}}\n");
+        Some((Ok(web::Bytes::from(line)), (view, stopping)))
     })
 }
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -180,7 +180,7 @@
     type Result = ();
 
     fn handle(&mut self, Opened(endpoint, peer, outbox): Opened, _ctx: &mut Self::Context) {
-        log::info!(endpoint:% = endpoint, process:% = peer.hello.process; "connected to the agent");
+        log::info!(endpoint:% = endpoint, peer:% = peer.hello.process; "connected to the agent");
         let session = peer.session;
         if let Some(route) = self.routes.get_mut(&endpoint) {
             route.lose();
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -50,10 +50,15 @@
         let endpoints = self.endpoints.iter();
         endpoints
             .map(|(endpoint, status)| {
-                let report = status.report.as_ref().map(|(report, _)| report);
+                let up = !status.is_down(now);
+                let report = status
+                    .report
+                    .as_ref()
+                    .map(|(report, _)| report)
+                    .filter(|_| up);
                 EndpointStatus {
                     endpoint: endpoint.clone(),
-                    up: !status.is_down(now),
+                    up,
                     leaving: status.is_leaving(),
                     role: status.role(),
                     in_progress: report.map_or(0, |report| report.load.in_progress),
