Test the HTTP interface, and keep contents and outcomes honest

Faults that the tests found, each seen to fail before: - An error for a value of another type quoted the value, which may be a prompt, and an unknown field was repeated at any length. The parser's text is no longer used; a field name is repeated up to 64 bytes. - An answer above 8 MiB that is collected ended in `executed: no` after it had been generated. It says `yes`. - A lookup of a key without a record said `executed: no`, although a request with the key may be on its way to its claim. It says `unknown`. - A service that answers with an invalid media type gave a 500 in plain text, and one with status 101 a broken exchange. The first is sent as application/octet-stream, the second is a 502 problem document.

The script of fake agents moves to a file of its own, and the fakes count offers so that a test need not wait for the queue by time.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -14,6 +14,8 @@
 mod receive;
 mod service;
 mod stream;
+#[cfg(test)]
+mod tests;
 
 pub use auth::{authenticate, hash_key};
 pub use estimate::{prefix, tokens};
--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -3,6 +3,7 @@
 use actix_web::web::{Bytes, BytesMut, Payload};
 use futures_util::StreamExt;
 use serde::de::DeserializeOwned;
+use serde_json::error::Category;
 use tokio::time;
 
 use super::Result;
@@ -14,6 +15,9 @@
 /// Longest time for a request body, so that a slow sender holds no task for long.
 const BODY_LIMIT: Duration = Duration::from_secs(30);
 
+/// Longest name of a field, in bytes, that an error repeats.
+const FIELD_MAX: usize = 64;
+
 /// Receives a body of at most `limit`.
 pub(super) async fn body(payload: Payload, limit: unit::Bytes) -> Result<Bytes> {
     time::timeout(BODY_LIMIT, collect(payload, limit))
@@ -38,17 +42,35 @@
     Ok(body.freeze())
 }
 
-/// Parses a JSON body. The error names the place but does not repeat the text.
+/// Parses a JSON body. The error names the place and the field but repeats no value.
 pub(super) fn json<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
     serde_json::from_slice(body).map_err(|error| {
         let what = match error.classify() {
-            serde_json::error::Category::Data => format!("the body is not as expected: {error}"),
-            _ => format!(
-                "the body is not JSON: line {} column {}",
-                error.line(),
-                error.column()
-            ),
+            Category::Data => format!("the body is not as expected: {}", fault(&error)),
+            _ => "the body is not JSON".to_owned(),
         };
-        Error::new(Kind::BadRequest, what)
+        let place = format!("line {} column {}", error.line(), error.column());
+        Error::new(Kind::BadRequest, format!("{what}: {place}"))
     })
 }
+
+/// What is wrong with a field. The parser's own text is not used, because for a value of another
+/// type it quotes the value, which may be a prompt.
+fn fault(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let fault = ["unknown", "missing", "duplicate"]
+        .into_iter()
+        .find(|fault| {
+            let rest = text.strip_prefix(fault);
+            rest.is_some_and(|rest| rest.starts_with(" field `"))
+        });
+    let name = text
+        .split('`')
+        .nth(1)
+        .filter(|name| name.len() <= FIELD_MAX);
+    match (fault, name) {
+        (Some(fault), Some(name)) => format!("{fault} field {name}"),
+        (Some(fault), None) => format!("{fault} field"),
+        (None, _) => "a value of another type".to_owned(),
+    }
+}
--- a/src/front/service.rs
+++ b/src/front/service.rs
@@ -1,6 +1,9 @@
 use actix_web::{
     HttpRequest, HttpResponse,
-    http::{StatusCode, header},
+    http::{
+        StatusCode,
+        header::{self, HeaderValue},
+    },
     web,
 };
 use serde::Serialize;
@@ -18,6 +21,8 @@
 
 /// Header of the idempotency key, in requests and answers.
 const KEY_HEADER: &str = "Idempotency-Key";
+/// Media type of a body that names none.
+const UNKNOWN_TYPE: &str = "application/octet-stream";
 
 /// Calls an operation of a service.
 pub(super) async fn invoke(
@@ -121,7 +126,7 @@
     let value = request.headers().get(header::CONTENT_TYPE);
     value
         .and_then(|value| value.to_str().ok())
-        .unwrap_or("application/octet-stream")
+        .unwrap_or(UNKNOWN_TYPE)
         .to_owned()
 }
 
@@ -133,7 +138,7 @@
             Some(Ok(Part::Data(data))) => body.extend_from_slice(&data),
             Some(Ok(Part::End(summary))) => {
                 let request = flight.id();
-                return respond(summary.status, summary.reason, body, request);
+                return respond(summary.status, &summary.reason, body, request);
             }
             Some(Err(error)) => return problem::respond(&error),
             None => return problem::respond(&Error::new(Kind::Internal, "there is no answer")),
@@ -141,8 +146,15 @@
     }
 }
 
-fn respond(status: u16, content_type: String, body: Vec<u8>, request: id::Request) -> HttpResponse {
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+/// A status below 200 would begin another protocol, and what is no media type cannot be sent.
+fn respond(status: u16, content_type: &str, body: Vec<u8>, request: id::Request) -> HttpResponse {
+    let status = StatusCode::from_u16(status).ok();
+    let Some(status) = status.filter(|status| (200..600).contains(&status.as_u16())) else {
+        let detail = "the status of the service is not valid";
+        return problem::respond(&Error::new(Kind::EndpointFailed, detail));
+    };
+    let content_type = HeaderValue::from_str(content_type)
+        .unwrap_or_else(|_error| HeaderValue::from_static(UNKNOWN_TYPE));
     HttpResponse::build(status)
         .insert_header((header::CONTENT_TYPE, content_type))
         .insert_header(("X-Request-Id", request.to_string()))
@@ -193,10 +205,11 @@
     };
     let outcome = ask_agents(context, &document, lookup).await?;
     match outcome.recorded {
-        Recorded::Absent => Err(Error::new(
-            Kind::NotFound,
-            "nothing is recorded for the key",
-        )),
+        // A request with the key may still be on its way to its claim.
+        Recorded::Absent => Err(
+            Error::new(Kind::NotFound, "nothing is recorded for the key")
+                .with_executed(Executed::Unknown),
+        ),
         Recorded::Unavailable => Err(Error::new(
             Kind::StoreUnavailable,
             "the record cannot be read now",
--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -8,7 +8,7 @@
     problem::{self, Problem},
 };
 use crate::{
-    error::{Error, Kind},
+    error::{Error, Executed, Kind},
     id,
     relay::{Flight, Part, Summary},
 };
@@ -83,10 +83,9 @@
                 }
             }
             if text.len() > COLLECT_MAX {
-                return Err(Error::new(
-                    Kind::TooLarge,
-                    "the answer is too large; stream it",
-                ));
+                // The kind says `no` for requests that are too large, but this one was generated.
+                let error = Error::new(Kind::TooLarge, "the answer is too large; stream it");
+                return Err(error.with_executed(Executed::Yes));
             }
             let lost = || Error::new(Kind::Internal, "the answer has no end");
             part = self.flight.next().await.ok_or_else(lost)??;
--- /dev/null
+++ b/src/front/tests.rs
@@ -0,0 +1,5 @@
+mod answers;
+mod callers;
+mod parsing;
+mod refusals;
+mod site;
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -1,6 +1,7 @@
 pub(crate) mod fake;
 mod flight;
 mod random;
+pub(crate) mod script;
 
 use proptest::prelude::*;
 
--- a/src/relay/tests/fake.rs
+++ b/src/relay/tests/fake.rs
@@ -1,6 +1,6 @@
 //! Actors that stand behind the ports of a relay.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use actix::{Actor, Addr, Context, Handler, Message, ResponseFuture};
 use tokio::{sync::mpsc, time};
@@ -11,11 +11,11 @@
     config::{self, Document},
     error::{Error, Executed, Kind, Result},
     id::{self, Endpoint, Revision},
-    link::{self, Event},
+    link,
     operator::Tally,
     routing::{self, Choice, Cost, Pool, Prefix},
     unit::{Bytes, Tokens},
-    wire::{self, Chunk, End, Fail, Generate, Invoke, Prompt, Sampling, Work},
+    wire::{Generate, Invoke, Prompt, Sampling, Work},
 };
 
 /// Endpoints of the fake, in the order in which they are chosen.
@@ -47,6 +47,7 @@
     behaviour: Behaviour,
     desk: Addr<admission::Desk>,
     notes: Vec<String>,
+    offers: u32,
     submits: mpsc::UnboundedSender<link::Submit>,
 }
 
@@ -71,11 +72,12 @@
         behaviour,
         desk: desk.clone(),
         notes: Vec::new(),
+        offers: 0,
         submits,
     }
     .start();
     let ports = Ports {
-        offer: desk.clone().recipient(),
+        offer: world.clone().recipient(),
         leave: world.clone().recipient(),
         choose: world.clone().recipient(),
         may_retry: world.clone().recipient(),
@@ -106,6 +108,11 @@
         self.world.send(Notes).await.expect("a running fake")
     }
 
+    /// Requests that asked for admission so far.
+    pub(crate) async fn offers(&self) -> u32 {
+        self.world.send(Offers).await.expect("a running fake")
+    }
+
     /// Whether a slot is free now.
     pub(crate) async fn has_slot(&self) -> bool {
         let offer = admission::Offer {
@@ -170,66 +177,6 @@
     }
 }
 
-/// What a fake agent sends.
-#[derive(Clone, Debug)]
-pub(crate) enum Act {
-    /// A part at an offset.
-    Data(u64, Vec<u8>),
-    /// A part of an earlier attempt.
-    Stale(u64, Vec<u8>),
-    /// The end, at a length.
-    End(u64),
-    /// A failure.
-    Fail(Kind, Executed),
-    /// The connection is lost.
-    Lost,
-}
-
-/// A part of text at an offset.
-pub(crate) fn data(offset: u64, text: &str) -> Act {
-    Act::Data(offset, text.as_bytes().to_vec())
-}
-
-/// Sends the events of an attempt.
-pub(crate) fn act(submit: &link::Submit, act: Act) {
-    let attempt = submit.submit.attempt;
-    let chunk = |attempt, offset, data| {
-        let offset = Bytes::new(offset);
-        Event::Chunk(Chunk {
-            attempt,
-            offset,
-            data,
-        })
-    };
-    let event = match act {
-        Act::Data(offset, data) => chunk(attempt, offset, data),
-        Act::Stale(offset, data) => {
-            let earlier = attempt.number().saturating_sub(1);
-            chunk(id::Attempt::new(attempt.request(), earlier), offset, data)
-        }
-        Act::End(length) => Event::End(End {
-            attempt,
-            length: Bytes::new(length),
-            reason: match submit.submit.work {
-                Work::Generate(_) => "stop".to_owned(),
-                Work::Invoke(_) => "text/plain".to_owned(),
-            },
-            status: 200,
-            input: Tokens::new(4),
-            output: Tokens::new(2),
-        }),
-        Act::Fail(kind, executed) => Event::Fail(Fail {
-            attempt,
-            kind,
-            executed,
-            detail: "as scripted".to_owned(),
-        }),
-        Act::Lost => Event::Lost,
-    };
-    // The flight may have ended.
-    let _over = submit.events.send(event);
-}
-
 impl Actor for World {
     type Context = Context<Self>;
 }
@@ -252,6 +199,28 @@
     }
 }
 
+#[derive(Message)]
+#[rtype(result = "u32")]
+struct Offers;
+
+impl Handler<Offers> for World {
+    type Result = u32;
+
+    fn handle(&mut self, _msg: Offers, _ctx: &mut Self::Context) -> Self::Result {
+        self.offers
+    }
+}
+
+impl Handler<admission::Offer> for World {
+    type Result = ResponseFuture<Result<admission::Permit>>;
+
+    fn handle(&mut self, msg: admission::Offer, _ctx: &mut Self::Context) -> Self::Result {
+        self.offers += 1;
+        let answer = self.desk.send(msg);
+        Box::pin(async { answer.await.expect("a running desk") })
+    }
+}
+
 impl Handler<admission::Finish> for World {
     type Result = ();
 
@@ -349,16 +318,3 @@
         self.note(format!("{:?}", msg.verdict));
     }
 }
-
-/// Describes an attempt that was sent.
-pub(crate) fn describe(submit: &link::Submit) -> String {
-    let wire::Submit { attempt, work, .. } = &submit.submit;
-    let resume = match work {
-        Work::Generate(generate) => format!(" from {}", generate.resume),
-        Work::Invoke(_) => String::new(),
-    };
-    format!("{} gets {}{resume}", submit.endpoint, attempt.number())
-}
-
-/// Scripts of the attempts of a request, in order.
-pub(crate) type Script = VecDeque<Vec<Act>>;
--- a/src/relay/tests/flight.rs
+++ b/src/relay/tests/flight.rs
@@ -6,11 +6,14 @@
     time,
 };
 
-use super::fake::{
-    Act::{self, End, Fail, Lost, Stale},
-    Behaviour, Rig, Script, act, call, data, describe, generation, rig,
-};
 use super::*;
+use super::{
+    fake::{Behaviour, Rig, call, generation, rig},
+    script::{
+        Act::{self, End, Fail, Lost, Stale},
+        Script, act, data, describe,
+    },
+};
 use crate::{
     error::{Executed, Kind},
     link,
--- a/src/relay/tests/random.rs
+++ b/src/relay/tests/random.rs
@@ -1,8 +1,9 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::{
-    fake::{Act, Behaviour, Script, call, generation, rig},
+    fake::{Behaviour, call, generation, rig},
     flight::{play, run},
+    script::{Act, Script},
     *,
 };
 use crate::{
