Test the spread of documents, and fetch a rejected revision once

After a document failed the checks, each heartbeat of each peer that had it made the holder fetch it again, up to 1 MiB each second and link. The holder now remembers the highest revision that it rejected and fetches only above it. A document that is offered by another way is still checked, so that a valid copy of the same revision comes into force.

--- a/src/spread/imp.rs
+++ b/src/spread/imp.rs
@@ -24,6 +24,9 @@
 pub struct Holder {
     subscribers: Vec<Subscriber>,
     source: wire::Document,
+    /// Highest revision that failed the checks. Peers that have it offer it with every heartbeat,
+    /// and fetching a document of up to 1 MiB each time would be of no use.
+    rejected: Revision,
     revision: watch::Sender<Revision>,
     document: watch::Sender<Arc<config::Document>>,
 }
@@ -48,6 +51,7 @@
     let holder = Holder {
         subscribers: Vec::new(),
         source,
+        rejected: Revision::default(),
         revision,
         document,
     };
@@ -83,6 +87,7 @@
             Err(reason) => {
                 log::error!(revision:% = revision, reason:% = reason; "document was not adopted");
                 metrics::counter!("documents_rejected_total").increment(1);
+                self.rejected = self.rejected.max(revision);
                 return;
             }
         };
@@ -134,7 +139,7 @@
     type Result = ();
 
     fn handle(&mut self, msg: Observe, _ctx: &mut Self::Context) {
-        if msg.revision > self.in_force() {
+        if msg.revision > self.in_force().max(self.rejected) {
             msg.outbox.send(Frame::Fetch(Fetch {
                 have: self.in_force(),
             }));
--- /dev/null
+++ b/src/spread/tests.rs
@@ -0,0 +1,243 @@
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    rc::Rc,
+    sync::{Arc, Mutex},
+};
+
+use actix::Addr;
+use proptest::prelude::*;
+use tokio::sync::mpsc;
+
+use super::*;
+use crate::{
+    config,
+    id::Revision,
+    link::{Item, Outbox},
+    wire::{self, Frame},
+};
+
+/// A document that passes the checks, unless it is to be damaged.
+fn document(revision: u64, valid: bool) -> wire::Document {
+    let text = include_str!("../../examples/santiago.jsonc");
+    let sections = config::split(text).unwrap_or_else(|faults| panic!("{faults}"));
+    let sections = sections.into_iter().map(|(section, text)| {
+        let text = if valid {
+            text
+        } else {
+            text.replace("ms\"", "parsecs\"")
+        };
+        (section.to_string(), text)
+    });
+    wire::Document {
+        revision: Revision::new(revision),
+        sections: sections.collect(),
+    }
+}
+
+/// Revisions that a subscriber was told.
+type Heard = Arc<Mutex<Vec<u64>>>;
+
+/// A holder with a subscriber.
+fn holder() -> (Addr<Holder>, View, Heard) {
+    let (holder, view) = spawn();
+    let heard = Heard::default();
+    subscribe(&holder, &heard);
+    (holder, view, heard)
+}
+
+fn subscribe(holder: &Addr<Holder>, heard: &Heard) {
+    let heard = Arc::clone(heard);
+    holder.do_send(Subscribe(Box::new(move |document| {
+        heard
+            .lock()
+            .expect("no panic while it is held")
+            .push(document.revision.get());
+    })));
+}
+
+fn heard(heard: &Heard) -> Vec<u64> {
+    heard.lock().expect("no panic while it is held").clone()
+}
+
+async fn offer(holder: &Addr<Holder>, document: wire::Document) -> u64 {
+    let revision = holder.send(Offer(document)).await;
+    revision.expect("a running holder").get()
+}
+
+async fn observe(holder: &Addr<Holder>, revision: u64) -> Vec<String> {
+    let (outbox, frames) = Outbox::channel();
+    let observe = Observe {
+        revision: Revision::new(revision),
+        outbox,
+    };
+    holder.send(observe).await.expect("a running holder");
+    describe(frames)
+}
+
+async fn provide(holder: &Addr<Holder>, have: u64) -> Vec<String> {
+    let (outbox, frames) = Outbox::channel();
+    let provide = Provide {
+        have: Revision::new(have),
+        outbox,
+    };
+    holder.send(provide).await.expect("a running holder");
+    describe(frames)
+}
+
+fn describe(mut frames: mpsc::UnboundedReceiver<Item>) -> Vec<String> {
+    let mut log = Vec::new();
+    while let Ok(item) = frames.try_recv() {
+        log.push(match item {
+            Item::Frame(Frame::Document(document)) => format!("document {}", document.revision),
+            Item::Frame(Frame::Fetch(fetch)) => format!("fetch above {}", fetch.have),
+            other => format!("{other:?}"),
+        });
+    }
+    log
+}
+
+fn run<F: Future>(future: F) -> F::Output {
+    actix::System::new().block_on(future)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Guards against a process that goes back to a lower revision, or tells a revision twice, out
+    /// of order, or although it failed the checks.
+    #[test]
+    fn revisions_only_grow(offers in proptest::collection::vec((1u64..9, any::<bool>()), 0..12)) {
+        run(async {
+            let (holder, view, early) = holder();
+            let late = Heard::default();
+            let mut expected = Vec::new();
+            for (index, (revision, valid)) in offers.iter().copied().enumerate() {
+                if index == 3 {
+                    subscribe(&holder, &late);
+                }
+                let last = expected.last().copied().unwrap_or(0);
+                if valid && revision > last {
+                    expected.push(revision);
+                }
+                let in_force = offer(&holder, document(revision, valid)).await;
+                assert_eq!(in_force, expected.last().copied().unwrap_or(0));
+                assert_eq!(view.revision.borrow().get(), in_force);
+                assert_eq!(view.document.borrow().revision.get(), in_force);
+            }
+            assert_eq!(heard(&early), expected);
+            let late = heard(&late);
+            assert!(expected.ends_with(&late), "{late:?} of {expected:?}");
+        });
+    }
+}
+
+/// Guards against a process that stays behind, and against documents sent to one that has them.
+#[actix::test]
+async fn holders_fetch_and_provide_what_is_newer() {
+    let (holder, _view, _heard) = holder();
+    let mut log = vec![observe(&holder, 0).await, provide(&holder, 0).await];
+    log.push(observe(&holder, 5).await);
+    offer(&holder, document(5, true)).await;
+    for revision in [4, 5, 6] {
+        log.push(observe(&holder, revision).await);
+        log.push(provide(&holder, revision).await);
+    }
+    insta::assert_debug_snapshot!(log);
+}
+
+/// Guards against a document of up to 1 MiB that is fetched again with every heartbeat of every
+/// peer after it has failed the checks.
+#[actix::test]
+async fn rejected_document_is_not_fetched_again() {
+    let (holder, _view, heard_by) = holder();
+    offer(&holder, document(5, true)).await;
+    let mut log = vec![observe(&holder, 6).await];
+    offer(&holder, document(6, false)).await;
+    log.push(observe(&holder, 6).await);
+    log.push(observe(&holder, 7).await);
+    // Another peer has the same revision in a form that passes the checks.
+    offer(&holder, document(6, true)).await;
+    log.push(observe(&holder, 7).await);
+    insta::assert_debug_snapshot!(log);
+    assert_eq!(heard(&heard_by), [5, 6]);
+}
+
+/// Holders in a chain, each linked to the next one where the test says so.
+struct Chain {
+    holders: Vec<Addr<Holder>>,
+    revisions: Vec<View>,
+    links: BTreeSet<(usize, usize)>,
+    moved: Rc<RefCell<usize>>,
+}
+
+impl Chain {
+    fn new(length: usize) -> Self {
+        let (holders, revisions) = (0..length).map(|_| spawn()).unzip();
+        Self {
+            holders,
+            revisions,
+            links: BTreeSet::new(),
+            moved: Rc::default(),
+        }
+    }
+
+    fn link(&mut self, one: usize, other: usize) {
+        self.links.insert((one, other));
+        self.links.insert((other, one));
+    }
+
+    /// One heartbeat on each link: the peer's revision is observed, and what is fetched arrives.
+    async fn beat(&self) {
+        for &(from, to) in &self.links {
+            let revision = *self.revisions[from].revision.borrow();
+            let (asking, mut asked) = Outbox::channel();
+            let outbox = asking;
+            let observed = self.holders[to].send(Observe { revision, outbox }).await;
+            observed.expect("a running holder");
+            while let Ok(Item::Frame(Frame::Fetch(fetch))) = asked.try_recv() {
+                let (answering, mut answers) = Outbox::channel();
+                let (have, outbox) = (fetch.have, answering);
+                let provided = self.holders[from].send(Provide { have, outbox }).await;
+                provided.expect("a running holder");
+                while let Ok(Item::Frame(Frame::Document(document))) = answers.try_recv() {
+                    *self.moved.borrow_mut() += 1;
+                    offer(&self.holders[to], document).await;
+                }
+            }
+        }
+    }
+
+    fn in_force(&self) -> Vec<u64> {
+        let revisions = self.revisions.iter();
+        revisions.map(|view| view.revision.borrow().get()).collect()
+    }
+}
+
+/// Guards against an edit that does not reach a process that is linked only through others, or
+/// whose link comes up after the edit, and against documents that circle.
+#[actix::test]
+async fn edit_reaches_the_end_of_a_chain() {
+    const LENGTH: usize = 10;
+    let mut chain = Chain::new(LENGTH);
+    for at in (1..LENGTH).filter(|at| *at != 5) {
+        chain.link(at - 1, at);
+    }
+    offer(&chain.holders[2], document(3, true)).await;
+    offer(&chain.holders[8], document(2, true)).await;
+    for _ in 0..LENGTH {
+        chain.beat().await;
+    }
+    assert_eq!(chain.in_force(), [3, 3, 3, 3, 3, 2, 2, 2, 2, 2]);
+    chain.link(4, 5);
+    for _ in 0..LENGTH {
+        chain.beat().await;
+    }
+    assert_eq!(chain.in_force(), [3; LENGTH]);
+    offer(&chain.holders[9], document(4, true)).await;
+    for _ in 0..LENGTH {
+        chain.beat().await;
+    }
+    assert_eq!(chain.in_force(), [4; LENGTH]);
+    assert_eq!(*chain.moved.borrow(), 4 + 4 + 5 + 9, "one transfer each");
+}
