--- a/src/membership/imp.rs
+++ b/src/membership/imp.rs
@@ -81,6 +81,10 @@
             .send()
             .await
             .map_err(|error| failed(error.to_string()))?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(failed(format!("the status is {status}")));
+        }
         let list = response.json().limit(LIST_MAX).await;
         list.map_err(|error| failed(error.to_string()))
     }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,8 @@
 //! about itself decides.
 
 mod imp;
+#[cfg(test)]
+mod tests;
 
 pub use imp::{Entry, Hosts, List, Standing};
 
