Test the orders of a reconciler, and send them in time

Faults that the tests found, each seen to fail before: - A host list that takes 2 s to fail delayed a drain wish beyond 3 s, since one round read both. The host list is now read apart from the rounds. Reading both at the same time was ruled out: a wish just after the read still waits 4.5 s. - An order for which there was no connection counted as sent for 5 s. It is due again in the next round, with the same id. - An applied order was sent again under another id until the next report. The next plan waits for a report after the answer. - A new holder that could not read the wishes or the host list resumed drained endpoints. It resumes only what it has both for, and forgets both when it holds no group.

--- a/src/reconcile/actor.rs
+++ b/src/reconcile/actor.rs
@@ -64,7 +64,8 @@
 struct Sent {
     order: id::Order,
     change: Change,
-    at: Instant,
+    /// Time at which it was last sent; `None` if there was no connection.
+    at: Option<Instant>,
 }
 
 /// Starts the actor.
@@ -86,44 +87,33 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.notify(Round);
+        ctx.notify(Look);
     }
 }
 
 impl Reconciler {
     /// Reads what a round needs. Without a held group nothing is read, so that the calls to the
     /// store grow with the groups and not with the entries.
-    async fn read(authority: Addr<Holder>, desired: Desired, hosts: Option<Rc<dyn Hosts>>) -> Seen {
+    async fn read(authority: Addr<Holder>, desired: Desired) -> Seen {
         let held = authority.send(Held).await.unwrap_or_default();
         let held: BTreeSet<Group> = held.into_iter().map(|(group, _fence)| group).collect();
         if held.is_empty() {
             return Seen::default();
         }
-        // What cannot be read stays as it was last read.
         let wishes = desired.read().await.ok();
-        let leaving = match hosts {
-            Some(hosts) => hosts.list().await.ok().map(|list| {
-                let leaving = list
-                    .into_iter()
-                    .filter(|entry| entry.standing == Standing::Leaving);
-                leaving.map(|entry| entry.host).collect()
-            }),
-            None => None,
-        };
-        Seen {
-            held,
-            wishes,
-            leaving,
-        }
+        Seen { held, wishes }
     }
 
+    /// What cannot be read stays as it was last read, as long as a group is held.
     fn learn(&mut self, seen: Seen) {
         self.held = seen.held;
-        self.known.wishes = seen
-            .wishes
-            .unwrap_or_else(|| std::mem::take(&mut self.known.wishes));
-        self.known.leaving = seen
-            .leaving
-            .unwrap_or_else(|| std::mem::take(&mut self.known.leaving));
+        if self.held.is_empty() {
+            self.known.wishes = None;
+            self.known.leaving = None;
+        }
+        if seen.wishes.is_some() {
+            self.known.wishes = seen.wishes;
+        }
     }
 
     /// Sends the orders that are due.
@@ -134,15 +124,17 @@
             .retain(|endpoint, sent| changes.get(endpoint) == Some(&sent.change));
         for (endpoint, change) in changes {
             let sent = match self.sent.get(&endpoint) {
-                Some(sent) if now.saturating_duration_since(sent.at) < RESEND => continue,
+                Some(Sent { at: Some(at), .. }) if now.saturating_duration_since(*at) < RESEND => {
+                    continue;
+                }
                 Some(sent) => Sent {
-                    at: now,
+                    at: Some(now),
                     ..sent.clone()
                 },
                 None => Sent {
                     order: id::Order::random(&mut rand::rng()),
                     change,
-                    at: now,
+                    at: Some(now),
                 },
             };
             self.sent.insert(endpoint.clone(), sent.clone());
@@ -150,34 +142,73 @@
         }
     }
 
-    /// Sends an order if the group is still held at the moment of sending.
+    /// Sends an order if the group is still held at the moment of sending. An order that could not
+    /// be sent is due again in the next round.
     fn send(&self, endpoint: Endpoint, sent: Sent, ctx: &mut Context<Self>) {
         let Some(spec) = self.known.document.endpoints.get(&endpoint) else {
             return;
         };
-        let group = spec.group.clone();
-        let authority = self.config.authority.clone();
-        let clock = Arc::clone(&self.config.clock);
-        let link = self.config.link.clone();
-        let sending = async move {
-            let Ok(Some(permit)) = authority.send(Ask(group.clone())).await else {
-                return;
-            };
-            let Ok(fence) = permit.fence(clock.now()) else {
-                return;
-            };
-            let Sent { order, change, .. } = sent;
+        let order = sent.order;
+        let delivery = Delivery {
+            group: spec.group.clone(),
+            endpoint: endpoint.clone(),
+            sent,
+            authority: self.config.authority.clone(),
+            clock: Arc::clone(&self.config.clock),
+            link: self.config.link.clone(),
+        };
+        let sending = delivery.run().into_actor(self);
+        let sending = sending.map(move |delivered, reconciler, _ctx| {
+            let sent = reconciler.sent.get_mut(&endpoint);
+            if let Some(sent) = sent.filter(|sent| !delivered && sent.order == order) {
+                sent.at = None;
+            }
+        });
+        sending.spawn(ctx);
+    }
+}
+
+/// An order on its way to the connection.
+struct Delivery {
+    group: Group,
+    endpoint: Endpoint,
+    sent: Sent,
+    authority: Addr<Holder>,
+    clock: clock::Shared,
+    link: Recipient<link::Send>,
+}
+
+impl Delivery {
+    /// Returns whether the order was handed to a connection.
+    async fn run(self) -> bool {
+        let Self {
+            group,
+            endpoint,
+            sent: Sent { order, change, .. },
+            ..
+        } = self;
+        let Ok(Some(permit)) = self.authority.send(Ask(group.clone())).await else {
+            return false;
+        };
+        let Ok(fence) = permit.fence(self.clock.now()) else {
+            return false;
+        };
+        let frame = Frame::Order(Order {
+            order,
+            group,
+            fence,
+            change: change.clone(),
+        });
+        let send = link::Send {
+            endpoint: endpoint.clone(),
+            frame,
+        };
+        let delivered = self.link.send(send).await.unwrap_or(false);
+        if delivered {
             log::info!(endpoint:% = endpoint, order:% = order, fence:% = fence,
                 change:? = change; "order is sent");
-            let frame = Frame::Order(Order {
-                order,
-                group,
-                fence,
-                change,
-            });
-            link.do_send(link::Send { endpoint, frame });
-        };
-        sending.into_actor(self).spawn(ctx);
+        }
+        delivered
     }
 }
 
@@ -186,7 +217,6 @@
 struct Seen {
     held: BTreeSet<Group>,
     wishes: Option<BTreeMap<Endpoint, super::Wish>>,
-    leaving: Option<BTreeSet<id::Host>>,
 }
 
 #[derive(Message)]
@@ -198,7 +228,7 @@
 
     fn handle(&mut self, _msg: Round, ctx: &mut Self::Context) {
         let authority = self.config.authority.clone();
-        let reading = Self::read(authority, self.desired.clone(), self.config.hosts.clone());
+        let reading = Self::read(authority, self.desired.clone());
         reading
             .into_actor(self)
             .map(|seen, reconciler, ctx| {
@@ -210,6 +240,42 @@
     }
 }
 
+/// Reads the host list. It is no part of a round, so that a list that answers slowly delays no
+/// drain that an operator asked for.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Look;
+
+impl Handler<Look> for Reconciler {
+    type Result = ();
+
+    fn handle(&mut self, _msg: Look, ctx: &mut Self::Context) {
+        let hosts = self.config.hosts.clone();
+        let held = !self.held.is_empty();
+        let reading = async move {
+            match hosts {
+                Some(hosts) if held => hosts.list().await.ok(),
+                Some(_) => None,
+                // Without a host list no host leaves.
+                None => Some(Vec::new()),
+            }
+        };
+        reading
+            .into_actor(self)
+            .map(|list, reconciler, ctx| {
+                if let Some(list) = list {
+                    let leaving = list
+                        .into_iter()
+                        .filter(|entry| entry.standing == Standing::Leaving);
+                    reconciler.known.leaving = Some(leaving.map(|entry| entry.host).collect());
+                    reconciler.act(ctx);
+                }
+                ctx.notify_later(Look, ROUND);
+            })
+            .spawn(ctx);
+    }
+}
+
 /// A new document is in force.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
@@ -250,8 +316,16 @@
 
     fn handle(&mut self, Finished(done): Finished, _ctx: &mut Self::Context) {
         log::info!(order:% = done.order, verdict:? = done.verdict; "order is answered");
-        // The next round plans from the next report. A refused order needs a new id, because the
-        // agent answers the old one as before.
-        self.sent.retain(|_endpoint, sent| sent.order != done.order);
+        let sent = self.sent.iter().find(|(_, sent)| sent.order == done.order);
+        let Some((endpoint, sent)) = sent.map(|(endpoint, sent)| (endpoint.clone(), sent)) else {
+            return;
+        };
+        // A report that still asks for the change is older than the answer, or the order was
+        // refused. The next plan waits for the next report, which comes within a second. A refused
+        // order then gets a new id, because the agent answers the old one as before.
+        if plan(&self.known, &self.held).get(&endpoint) == Some(&sent.change) {
+            self.known.reports.remove(&endpoint);
+        }
+        self.sent.remove(&endpoint);
     }
 }
--- a/src/reconcile/imp.rs
+++ b/src/reconcile/imp.rs
@@ -12,10 +12,10 @@
 pub struct Known {
     /// The document in force.
     pub document: Document,
-    /// Wishes of operators.
-    pub wishes: BTreeMap<Endpoint, Wish>,
-    /// Hosts that are listed as leaving.
-    pub leaving: BTreeSet<Host>,
+    /// Wishes of operators; `None` before they were read.
+    pub wishes: Option<BTreeMap<Endpoint, Wish>>,
+    /// Hosts that are listed as leaving; `None` before the list was read.
+    pub leaving: Option<BTreeSet<Host>>,
     /// Last report of each endpoint whose agent can be reached.
     pub reports: BTreeMap<Endpoint, Report>,
 }
@@ -45,11 +45,15 @@
     spec: &EndpointSpec,
     report: &Report,
 ) -> Option<Change> {
-    let wish = known.wishes.get(endpoint).copied().unwrap_or_default();
-    let drain = wish.drain || known.leaving.contains(&spec.host);
+    let wishes = known.wishes.as_ref();
+    let wish = wishes.and_then(|wishes| wishes.get(endpoint));
+    let hosts = known.leaving.as_ref();
+    let host_leaves = hosts.is_some_and(|hosts| hosts.contains(&spec.host));
+    let drain = host_leaves || wish.is_some_and(|wish| wish.drain);
     match (drain, report.leaving) {
         (true, false) => Some(Change::Drain),
-        (false, true) => Some(Change::Resume),
+        // An endpoint is not resumed for want of knowledge why it was drained.
+        (false, true) => (wishes.is_some() && hosts.is_some()).then_some(Change::Resume),
         // A leaving endpoint is not prepared for work that it will not get.
         (true, true) => None,
         (false, false) => model_change(spec, report),
--- a/src/reconcile/mod.rs
+++ b/src/reconcile/mod.rs
@@ -6,6 +6,8 @@
 mod actor;
 mod desired;
 mod imp;
+#[cfg(test)]
+mod tests;
 
 pub use actor::{Adopt, Config, Finished, Noticed, Reconciler, spawn};
 pub use desired::{Desired, Wish};
--- /dev/null
+++ b/src/reconcile/tests.rs
@@ -0,0 +1,102 @@
+mod actor;
+
+use std::collections::BTreeSet;
+
+use super::*;
+use crate::{
+    id::{Endpoint, Group, Revision},
+    relay::tests::fake::document,
+    wire::{Load, Report, Role},
+};
+
+fn endpoint(name: &str) -> Endpoint {
+    name.parse().expect("valid name")
+}
+
+fn group(name: &str) -> Group {
+    name.parse().expect("valid name")
+}
+
+fn report(name: &str, leaving: bool, models: &[&str]) -> Report {
+    let models = models
+        .iter()
+        .map(|model| model.parse().expect("valid name"));
+    Report {
+        endpoint: endpoint(name),
+        revision: Revision::new(7),
+        leaving,
+        role: Role::Mixed,
+        models: models.collect(),
+        load: Load::default(),
+    }
+}
+
+/// What is known if the agents sent `reports`, with wishes to drain endpoints and leaving hosts.
+fn known(reports: &[Report], wishes: &[&str], leaving: &[&str]) -> Known {
+    let wish = |name: &&str| (endpoint(name), Wish { drain: true });
+    let hosts = leaving.iter().map(|host| host.parse().expect("valid name"));
+    Known {
+        document: (*document()).clone(),
+        wishes: Some(wishes.iter().map(wish).collect()),
+        leaving: Some(hosts.collect()),
+        reports: reports
+            .iter()
+            .map(|report| (report.endpoint.clone(), report.clone()))
+            .collect(),
+    }
+}
+
+/// Guards against orders that no one asked for, to endpoints of other holders or of unknown state,
+/// and against an engine that is left without a model.
+#[test]
+fn changes_follow_from_what_is_known() {
+    let engine = |leaving, models: &[&str]| [report("allergen-1", leaving, models)];
+    let right = ["allergen"];
+    let host = ["allergen-host-1"];
+    let wish = ["allergen-1"];
+    let cases = [
+        ("as it should be", known(&engine(false, &right), &[], &[])),
+        ("drain wish", known(&engine(false, &right), &wish, &[])),
+        ("drained", known(&engine(true, &right), &wish, &[])),
+        (
+            "drained without a model",
+            known(&engine(true, &[]), &wish, &[]),
+        ),
+        ("leaving host", known(&engine(false, &right), &[], &host)),
+        (
+            "on a leaving host",
+            known(&engine(true, &right), &[], &host),
+        ),
+        ("resumed", known(&engine(true, &right), &[], &[])),
+        (
+            "load before unload",
+            known(&engine(false, &["old"]), &[], &[]),
+        ),
+        (
+            "unload",
+            known(&engine(false, &["old", "allergen"]), &[], &[]),
+        ),
+        (
+            "drain before load",
+            known(&engine(false, &["old"]), &wish, &[]),
+        ),
+        ("not heard of", known(&[], &wish, &host)),
+        (
+            "not in the document",
+            known(
+                &[report("allergen-99", false, &right)],
+                &["allergen-99"],
+                &[],
+            ),
+        ),
+        (
+            "group that is not held",
+            known(&[report("labels-1", false, &[])], &["labels-1"], &[]),
+        ),
+    ];
+    let held = BTreeSet::from([group("allergen")]);
+    let plans = cases.map(|(name, known)| (name, plan(&known, &held)));
+    insta::assert_debug_snapshot!(plans);
+    let service = known(&[report("labels-1", false, &[])], &["labels-1"], &[]);
+    insta::assert_debug_snapshot!(plan(&service, &BTreeSet::from([group("labels")])));
+}
