Measure the cost of control per peer, group and edit

Links run through relays that count bytes.

Ruled out: stand-ins of agents that check the document, because hundreds of checks in one process would take turns and show as time of the edit.

--- /dev/null
+++ b/mulberrymill-bench/src/capacity/agent.rs
@@ -0,0 +1,188 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix::{Actor, Addr, Context, Handler, Message};
+use mulberrymill::{
+    clock,
+    id::{Endpoint, Incarnation, Revision},
+    link::{self, Broadcast, Hub, Identity, Joined, Left, Listener, Outbox, Peer, Sink},
+    wire::{self, Fetch, Frame, Load, Report, Role},
+};
+use rand::Rng;
+use tokio::{
+    sync::{mpsc, watch},
+    task::AbortHandle,
+    time,
+};
+
+use super::{Result, meter::Meter, relay::Relay, text};
+use crate::fleet::MODEL;
+
+/// Pause between two reports, as of a real agent.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// A stand-in for an agent: the real listener and reports, and no engine.
+#[derive(Debug)]
+pub(super) struct Agent {
+    name: String,
+    relay: Relay,
+    _listener: Listener,
+    reports: AbortHandle,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.reports.abort();
+    }
+}
+
+impl Agent {
+    /// Starts a stand-in. It tells `adopted` each revision that has arrived.
+    pub(super) async fn open(
+        index: usize,
+        meter: Addr<Meter>,
+        adopted: mpsc::UnboundedSender<Revision>,
+    ) -> Result<Self> {
+        let name = format!("peer-{index:04}");
+        let (revision, view) = watch::channel(Revision::default());
+        let hub = Hub::spawn();
+        let inbox = Inbox {
+            hub: hub.clone(),
+            follower: Follower::spawn(revision, adopted),
+            report: report(&name, view.clone())?,
+        };
+        let identity = Identity {
+            process: format!("agent-{name}").parse()?,
+            incarnation: Incarnation::random(&mut rand::rng()),
+            zone: text::zone(index).parse()?,
+            revision: view.clone(),
+        };
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let clock = clock::System::shared();
+        let listener = link::listen(loopback, identity, clock, Rc::new(inbox)).await?;
+        let relay = Relay::open(listener.address(), meter).await?;
+        let reports = tokio::task::spawn_local(reports(hub, report(&name, view)?)).abort_handle();
+        Ok(Self {
+            name,
+            relay,
+            _listener: listener,
+            reports,
+        })
+    }
+
+    /// Name of the endpoint, and where entries connect.
+    pub(super) fn place(&self) -> (String, SocketAddr) {
+        (self.name.clone(), self.relay.address())
+    }
+}
+
+/// Makes reports like those of an engine under some load.
+fn report(name: &str, revision: watch::Receiver<Revision>) -> Result<impl Fn() -> Report + use<>> {
+    let endpoint: Endpoint = name.parse()?;
+    let models = vec![MODEL.parse()?];
+    Ok(move || Report {
+        endpoint: endpoint.clone(),
+        revision: *revision.borrow(),
+        leaving: false,
+        role: Role::Mixed,
+        models: models.clone(),
+        load: Load {
+            in_progress: 100,
+            waiting: 3,
+            decoding: 30,
+            ..Load::default()
+        },
+    })
+}
+
+async fn reports(hub: Addr<Hub>, report: impl Fn() -> Report) {
+    // Real agents were started at different times.
+    time::sleep(REPORT_PERIOD.mul_f64(rand::rng().random())).await;
+    let mut ticks = time::interval(REPORT_PERIOD);
+    loop {
+        ticks.tick().await;
+        hub.do_send(Broadcast(Frame::Report(report())));
+    }
+}
+
+struct Inbox<F> {
+    hub: Addr<Hub>,
+    follower: Addr<Follower>,
+    report: F,
+}
+
+impl<F: Fn() -> Report> Sink for Inbox<F> {
+    fn opened(&self, peer: &Peer, outbox: &Outbox) {
+        self.hub.do_send(Joined(peer.session, outbox.clone()));
+        outbox.send(Frame::Report((self.report)()));
+        self.follower
+            .do_send(Heard(Frame::Beat(peer.hello.revision), outbox.clone()));
+    }
+
+    fn arrived(&self, _peer: &Peer, frame: Frame, outbox: &Outbox) {
+        self.follower.do_send(Heard(frame, outbox.clone()));
+    }
+
+    fn closed(&self, peer: &Peer) {
+        self.hub.do_send(Left(peer.session));
+    }
+}
+
+/// Follows the document as an agent does, but does not check it: hundreds of checks in this one
+/// process would take turns, while those of real agents run on their own hosts.
+struct Follower {
+    document: Option<wire::Document>,
+    revision: watch::Sender<Revision>,
+    adopted: mpsc::UnboundedSender<Revision>,
+}
+
+impl Follower {
+    fn spawn(
+        revision: watch::Sender<Revision>,
+        adopted: mpsc::UnboundedSender<Revision>,
+    ) -> Addr<Self> {
+        let follower = Self {
+            document: None,
+            revision,
+            adopted,
+        };
+        follower.start()
+    }
+
+    fn have(&self) -> Revision {
+        *self.revision.borrow()
+    }
+}
+
+impl Actor for Follower {
+    type Context = Context<Self>;
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Heard(Frame, Outbox);
+
+impl Handler<Heard> for Follower {
+    type Result = ();
+
+    fn handle(&mut self, Heard(frame, outbox): Heard, _ctx: &mut Self::Context) {
+        match frame {
+            Frame::Beat(revision) if revision > self.have() => {
+                outbox.send(Frame::Fetch(Fetch { have: self.have() }));
+            }
+            Frame::Document(document) if document.revision > self.have() => {
+                self.revision.send_replace(document.revision);
+                // The measurement may have ended.
+                let _over = self.adopted.send(document.revision);
+                self.document = Some(document);
+            }
+            Frame::Fetch(fetch) => {
+                if let Some(document) = &self.document
+                    && document.revision > fetch.have
+                {
+                    outbox.send(Frame::Document(document.clone()));
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/mulberrymill-bench/src/capacity/mod.rs
@@ -0,0 +1,25 @@
+//! Measures what control costs an entry and an agent, as slopes per peer, group and edit.
+//!
+//! The measured process is a real entry or agent of a [`fleet`](crate::fleet); its peers are tasks
+//! of this process that speak the real protocol over loopback sockets. Every link of a stand-in
+//! runs through a relay that counts its bytes.
+
+mod agent;
+mod edit;
+mod entry;
+mod fit;
+mod meter;
+mod operator;
+mod relay;
+mod rig;
+mod run;
+mod sample;
+#[cfg(test)]
+mod tests;
+mod text;
+
+pub use fit::Line;
+pub use run::{Results, measure};
+
+/// Result of a measurement.
+pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
--- a/mulberrymill-bench/src/cli/mod.rs
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A stand-in prints its addresses as one JSON line and runs until it is interrupted.
 
+mod capacity;
 mod demo;
 mod imp;
 mod load;
--- a/mulberrymill-bench/src/lib.rs
+++ b/mulberrymill-bench/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! Each slice is a stand-in or a tool: [`engine`], [`service`] and [`hosts`] serve HTTP on a free
 //! loopback port and take faults over `POST /fault`, also on a second port that stays up while they
-//! are down; [`load`] sends requests and checks the answers; [`cli`] runs them in the foreground.
+//! are down; [`load`] sends requests and checks the answers; [`capacity`] measures what control costs;
+//! [`cli`] runs them in the foreground.
 
+pub mod capacity;
 pub mod cli;
 pub mod engine;
 pub mod fleet;
