Measure the policies of admission and routing on virtual time

The queueing factor of the admission desk becomes public, so that the experiment uses the same value.

--- a/mulberrymill-bench/src/cli/imp.rs
+++ b/mulberrymill-bench/src/cli/imp.rs
@@ -3,7 +3,7 @@
 use clap::{ArgMatches, Command};
 use mulberrymill::invariant;
 
-use super::{demo, load, standin};
+use super::{demo, experiment, load, standin};
 
 /// Result of a subcommand.
 pub(super) type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -18,6 +18,7 @@
         .subcommands(standin::commands())
         .subcommands(load::commands())
         .subcommand(demo::command())
+        .subcommand(experiment::command())
 }
 
 /// Runs the command line. Exit codes: 0 done, 1 failed or unsound results, 2 wrong usage.
@@ -45,6 +46,7 @@
         Some(("hosts", args)) => standin::hosts(args).await,
         Some(("store", args)) => standin::store(args).await,
         Some(("demo", args)) => demo::run(args).await,
+        Some(("experiment", args)) => experiment::run(args),
         Some(("load", args)) => load::load(args).await,
         Some(("overhead", args)) => load::overhead(args).await,
         Some(("stream", args)) => load::stream(args).await,
--- a/mulberrymill-bench/src/cli/mod.rs
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -3,6 +3,7 @@
 //! A stand-in prints its addresses as one JSON line and runs until it is interrupted.
 
 mod demo;
+mod experiment;
 mod imp;
 mod load;
 mod mix;
--- a/mulberrymill-bench/src/lib.rs
+++ b/mulberrymill-bench/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! Each slice is a stand-in or a tool: [`engine`], [`service`] and [`hosts`] serve HTTP on a free
 //! loopback port and take faults over `POST /fault`, also on a second port that stays up while they
-//! are down; [`load`] sends requests and checks the answers; [`cli`] runs them in the foreground.
+//! are down; [`load`] sends requests and checks the answers; [`experiment`] measures the
+//! policies without sockets; [`cli`] runs them in the foreground.
 
 pub mod cli;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod hosts;
 pub mod load;
--- a/src/admission/actor.rs
+++ b/src/admission/actor.rs
@@ -13,7 +13,7 @@
 
 /// Requests sent to a pool per slot, so that an engine always finds the next request for its
 /// batch. To be replaced by a measured value.
-const QUEUEING: f64 = 1.25;
+pub const QUEUEING: f64 = 1.25;
 
 /// What an admission desk needs.
 #[derive(Debug)]
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use actor::{Config, Desk, Permit, spawn};
+pub use actor::{Config, Desk, Permit, QUEUEING, spawn};
 pub use imp::{Decision, Scheduler};
 pub use message::{Adopt, Capacity, Finish, Offer};
 pub use policy::{Fifo, Lane, Policy, Shares, StrictPriority};
