--- a/mulberrymill-bench/src/cli/mod.rs
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -4,6 +4,7 @@
 
 mod capacity;
 mod demo;
+mod experiment;
 mod imp;
 mod load;
 mod measure;
