--- a/mulberrymill-bench/src/capacity/agent.rs
+++ b/mulberrymill-bench/src/capacity/agent.rs
@@ -58,7 +58,8 @@
         };
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let clock = clock::System::shared();
-        let listener = link::listen(loopback, identity, clock, Rc::new(inbox)).await?;
+        let port = link::Port::bind(loopback).await?;
+        let listener = port.listen(identity, clock, Rc::new(inbox));
         let relay = Relay::open(listener.address(), meter).await?;
         let reports = tokio::task::spawn_local(reports(hub, report(&name, view)?)).abort_handle();
         Ok(Self {
@@ -80,6 +81,7 @@
     let endpoint: Endpoint = name.parse()?;
     let models = vec![MODEL.parse()?];
     Ok(move || Report {
+        entries: 1,
         endpoint: endpoint.clone(),
         revision: *revision.borrow(),
         leaving: false,
--- a/mulberrymill-bench/src/experiment/sim.rs
+++ b/mulberrymill-bench/src/experiment/sim.rs
@@ -256,6 +256,7 @@
             leaving: one.leaving,
             role: load.role,
             models: load.models,
+            entries: count(self.entries.len()),
             load: wire::Load {
                 in_progress: one.in_progress,
                 waiting: count(load.waiting),
--- a/src/reconcile/tests.rs
+++ b/src/reconcile/tests.rs
@@ -22,6 +22,7 @@
         .iter()
         .map(|model| model.parse().expect("valid name"));
     Report {
+        entries: 1,
         endpoint: endpoint(name),
         revision: Revision::new(7),
         leaving,
