--- a/mulberrymill-bench/src/capacity/rig.rs
+++ b/mulberrymill-bench/src/capacity/rig.rs
@@ -166,11 +166,9 @@
     /// Number of groups that an entry holds.
     pub(super) async fn held(&self, entry: usize) -> Result<usize> {
         let status = self.fleet.status(entry).await?;
-        let held = &status["authority"];
-        let list = held.as_array().map(Vec::len);
-        Ok(list
-            .or(held.as_object().map(serde_json::Map::len))
-            .unwrap_or_default())
+        let tenures = status["authority"].as_object();
+        let own = |tenure: &&Value| tenure["process"] == status["process"];
+        Ok(tenures.map_or(0, |all| all.values().filter(own).count()))
     }
 
     pub(super) async fn mark(&self) -> Result<Mark> {
--- a/mulberrymill-bench/tests/common/rig.rs
+++ b/mulberrymill-bench/tests/common/rig.rs
@@ -250,7 +250,9 @@
     /// Fencing number with which an entry holds a group.
     pub(crate) async fn fence(&self, entry: usize, group: &str) -> Option<u64> {
         let status = self.fleet.status(entry).await.ok()?;
-        status["authority"][group].as_u64()
+        let tenure = &status["authority"][group];
+        let held = tenure["process"] == status["process"];
+        tenure["fence"].as_u64().filter(|_fence| held)
     }
 
     /// Replaces the faults of the store.
