Give back the slot of a caller that stops reading a stream

The server does not poll the body of such a caller, so that the flight noticed neither its deadline nor anything else and kept its slot and its place on the endpoint until the connection ended. A task now reads the flight, at most two parts ahead of the caller, and drops it one second after the deadline; the caller finds an error event if it reads on. A timer in the body stream was ruled out, because the server does not poll the stream.

--- a/src/front/stream.rs
+++ b/src/front/stream.rs
@@ -1,6 +1,9 @@
+use std::time::Duration;
+
 use actix_web::{HttpResponse, http::header, web::Bytes};
 use futures_util::{Stream, stream};
 use serde::Serialize;
+use tokio::{sync::mpsc, time};
 
 use super::{
     Result,
@@ -15,60 +18,49 @@
 
 /// Largest answer that is collected for a caller that does not stream.
 const COLLECT_MAX: usize = 8 << 20;
+/// Time after the deadline of a request at which a caller that does not read is given up. The
+/// flight of a caller that reads reports the deadline before.
+const STALL_GRACE: Duration = Duration::from_secs(1);
 
 /// Answers a generation. The first part decides the HTTP status, so that a refusal is a status
 /// and not a broken stream.
-pub(super) async fn generate(flight: Flight, format: Format) -> HttpResponse {
-    let mut writer = Writer::new(flight, format);
-    let first = match writer.flight.next().await {
+pub(super) async fn generate(mut flight: Flight, format: Format) -> HttpResponse {
+    let writer = Writer {
+        format,
+        request: flight.id(),
+        decoder: Utf8::default(),
+    };
+    let first = match flight.next().await {
         Some(Ok(part)) => part,
         Some(Err(error)) => return problem::respond(&error),
         None => return problem::respond(&Error::new(Kind::Internal, "there is no answer")),
     };
     if writer.format.stream {
-        writer.stream(first)
+        writer.stream(flight, first)
     } else {
         writer
-            .collect(first)
+            .collect(flight, first)
             .await
             .unwrap_or_else(|error| problem::respond(&error))
     }
 }
 
 struct Writer {
-    flight: Flight,
     format: Format,
     request: id::Request,
     decoder: Utf8,
 }
 
-/// What a streamed response still has to write.
-enum Rest {
-    Part(Box<Writer>, Part),
-    Poll(Box<Writer>),
-    Done,
-}
-
 impl Writer {
-    fn new(flight: Flight, format: Format) -> Self {
-        let request = flight.id();
-        Self {
-            flight,
-            format,
-            request,
-            decoder: Utf8::default(),
-        }
-    }
-
-    fn stream(self, first: Part) -> HttpResponse {
+    fn stream(self, flight: Flight, first: Part) -> HttpResponse {
         HttpResponse::Ok()
             .insert_header((header::CONTENT_TYPE, "text/event-stream"))
             .insert_header((header::CACHE_CONTROL, "no-store"))
             .insert_header(("X-Request-Id", self.request.to_string()))
-            .streaming(events(Rest::Part(Box::new(self), first)))
+            .streaming(events(self, pump(flight, first)))
     }
 
-    async fn collect(mut self, first: Part) -> Result<HttpResponse> {
+    async fn collect(mut self, mut flight: Flight, first: Part) -> Result<HttpResponse> {
         let mut text = String::new();
         let mut part = first;
         loop {
@@ -88,7 +80,7 @@
                 return Err(error.with_executed(Executed::Yes));
             }
             let lost = || Error::new(Kind::Internal, "the answer has no end");
-            part = self.flight.next().await.ok_or_else(lost)??;
+            part = flight.next().await.ok_or_else(lost)??;
         }
     }
 
@@ -183,25 +175,53 @@
 
 const ASSISTANT: &str = "assistant";
 
-/// Writes the answer as server-sent events. After an error the stream ends with an event that holds
-/// the problem and without `[DONE]`, so that a caller can tell a cut from the end.
-fn events(rest: Rest) -> impl Stream<Item = std::result::Result<Bytes, actix_web::Error>> {
-    stream::unfold(rest, |rest| async move {
-        let (mut writer, part) = match rest {
-            Rest::Part(writer, part) => (writer, Ok(part)),
-            Rest::Poll(mut writer) => {
-                let part = writer.flight.next().await?;
-                (writer, part)
+/// Reads a flight in a task of its own, at most two parts ahead of the caller.
+///
+/// The server does not poll the body of a caller that stops reading. The task ends the flight of
+/// such a caller when its time is over, so that it does not keep its slot, and when the caller
+/// disconnects.
+fn pump(mut flight: Flight, first: Part) -> mpsc::Receiver<Result<Part>> {
+    let (sender, parts) = mpsc::channel(1);
+    actix_rt::spawn(async move {
+        let limit = flight.time_left() + STALL_GRACE;
+        let pumping = async {
+            let mut part = Ok(first);
+            while matches!(part, Ok(Part::Data(_))) {
+                sender.send(part).await.ok()?;
+                part = flight.next().await?;
             }
-            Rest::Done => return None,
+            Some(part)
         };
-        let written = part.and_then(|part| writer.event(part));
-        let (bytes, over) = match written {
+        let last = tokio::select! {
+            biased;
+            last = pumping => last,
+            () = sender.closed() => None,
+            () = time::sleep(limit) => None,
+        };
+        drop(flight);
+        if let Some(last) = last {
+            // The caller may have left; the answer itself is complete or has failed.
+            let _left = sender.send(last).await;
+        }
+    });
+    parts
+}
+
+/// Writes the answer as server-sent events. After an error the stream ends with an event that holds
+/// the problem and without `[DONE]`, so that a caller can tell a cut from the end.
+fn events(
+    writer: Writer,
+    parts: mpsc::Receiver<Result<Part>>,
+) -> impl Stream<Item = std::result::Result<Bytes, actix_web::Error>> {
+    stream::unfold(Some((writer, parts)), |rest| async move {
+        let (mut writer, mut parts) = rest?;
+        let late = || Error::new(Kind::Deadline, "the answer was not read in time");
+        let part = parts.recv().await.unwrap_or_else(|| Err(late()));
+        let (bytes, over) = match part.and_then(|part| writer.event(part)) {
             Ok(written) => written,
             Err(error) => (error_event(&error, writer.request), true),
         };
-        let rest = if over { Rest::Done } else { Rest::Poll(writer) };
-        Some((Ok(bytes), rest))
+        Some((Ok(bytes), (!over).then_some((writer, parts))))
     })
 }
 
--- a/src/front/tests/callers.rs
+++ b/src/front/tests/callers.rs
@@ -1,5 +1,5 @@
 use std::{
-    sync::{Mutex, Once},
+    sync::{Arc, Mutex, Once},
     time::Duration,
 };
 
@@ -13,9 +13,12 @@
 use super::site::{KITCHEN, Site, completion, request, site};
 use crate::{
     link,
-    relay::tests::script::{
-        Act::{Data, End, Lost},
-        act, data,
+    relay::tests::{
+        fake::document,
+        script::{
+            Act::{Data, End, Lost},
+            act, data,
+        },
     },
 };
 
@@ -101,6 +104,34 @@
     assert!(other.ends_with("data: [DONE]\n\n"), "{other}");
 }
 
+/// Guards against a caller that stops reading and keeps its slot after its time is over.
+#[actix::test]
+async fn caller_that_stops_reading_gives_its_slot_back() {
+    let mut site = site(1);
+    let mut document = (*document()).clone();
+    document.limits.longest = Duration::from_millis(50);
+    site.document.send_replace(Arc::new(document));
+    let mut stream = site.connect().await;
+    stream.write_all(&streamed("review")).await.expect("write");
+    let submit = attempt(&mut site).await;
+    // More than the sockets take, so that the server waits for the caller.
+    for number in 0..512 {
+        act(&submit, Data(number << 16, vec![b'a'; 1 << 16]));
+    }
+    while !site.rig.has_slot().await {
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    told(&site, "cancel e1 1").await;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8(answer).expect("UTF-8");
+    assert!(
+        answer.contains("the answer was not read in time"),
+        "no error event"
+    );
+    assert!(!answer.contains("[DONE]"), "a cut answer");
+}
+
 /// Collects the log of the process.
 struct Lines;
 
--- a/src/relay/flight.rs
+++ b/src/relay/flight.rs
@@ -90,6 +90,9 @@
     ///
     /// Fails once, if the request is refused or its answer cannot be completed. The answer is
     /// whole only after [`Part::End`].
+    ///
+    /// A call that is dropped before it is ready may end the flight without an error, so that it is
+    /// for callers that drop the flight then, too.
     pub async fn next(&mut self) -> Option<Result<Part>> {
         if matches!(self.stage, Stage::Over) {
             return None;
@@ -212,7 +215,9 @@
         }
     }
 
-    fn time_left(&self) -> Duration {
+    /// Time until the answer has to be complete.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
         self.request
             .end_by
             .saturating_duration_since(self.relay.clock.now())
