--- a/src/operator/imp.rs
+++ b/src/operator/imp.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, fmt, rc::Rc};
+use std::{collections::BTreeMap, fmt, rc::Rc, sync::Arc};
 
 use actix::{Actor, Addr, Context, Handler, ResponseFuture};
 
@@ -153,16 +153,14 @@
     type Result = ResponseFuture<Result<()>>;
 
     fn handle(&mut self, msg: Drain, _ctx: &mut Self::Context) -> Self::Result {
-        let known = self
-            .config
-            .view
-            .document
-            .borrow()
-            .endpoints
-            .contains_key(&msg.endpoint);
+        let document = Arc::clone(&self.config.view.document.borrow());
         let desired = self.desired.clone();
         Box::pin(async move {
-            if !known {
+            if document.revision == Revision::default() {
+                let detail = "no document has been received yet";
+                return Err(Error::new(Kind::NotReady, detail));
+            }
+            if !document.endpoints.contains_key(&msg.endpoint) {
                 return Err(Error::new(Kind::NotFound, "there is no such endpoint"));
             }
             desired.set(&msg.endpoint, Wish { drain: msg.drain }).await
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,6 +2,8 @@
 
 mod imp;
 mod message;
+#[cfg(test)]
+mod tests;
 
 pub use imp::{Checker, Config, Desk, spawn};
 pub use message::{
