--- a/src/front/auth.rs
+++ b/src/front/auth.rs
@@ -26,7 +26,10 @@
     headers
         .get(header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "))
+        .and_then(|value| value.split_once(' '))
+        // Names of schemes are not case-sensitive (RFC 9110, section 11.1).
+        .filter(|(scheme, _key)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_scheme, key)| key)
         .ok_or_else(|| Error::new(Kind::Unauthenticated, "send a bearer key"))
 }
 
--- a/src/front/tests/answers.rs
+++ b/src/front/tests/answers.rs
@@ -115,3 +115,25 @@
     let mut site = site(4);
     insta::assert_snapshot!(site.ask(&text(""), script).await);
 }
+
+/// Guards against a valid key that is refused because of the case of the word before it, which is
+/// free, and against another scheme that is taken for it.
+#[actix::test]
+async fn scheme_of_the_key_is_read_in_any_case() {
+    let site = site(4);
+    let cases = [
+        ("bearer", "200"),
+        ("BEARER", "200"),
+        ("Basic", "401"),
+        ("", "401"),
+    ];
+    for (scheme, status) in cases {
+        let head = "GET /v1/models HTTP/1.1\r\nHost: mill\r\nConnection: close\r\n";
+        let request = format!("{head}Authorization: {scheme} {KITCHEN}\r\n\r\n");
+        let answer = site.exchange(request.as_bytes()).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{scheme}: {answer}"
+        );
+    }
+}
