Let random arrivals of an answer reach its end

The offsets of the chunks were drawn without regard to what was taken, so that few runs came to the end of the answer. They now differ little from it.

--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -30,9 +30,11 @@
 
 #[derive(Clone, Debug)]
 enum Arrival {
+    /// A part whose offset differs by `skew` from what was taken, of the attempt `back` before the
+    /// current one.
     Chunk {
         back: u16,
-        from: usize,
+        skew: isize,
         length: usize,
     },
     End {
@@ -45,11 +47,13 @@
 const LENGTH: usize = 24;
 
 fn arrivals() -> impl Strategy<Value = Vec<Arrival>> {
+    let back = || prop_oneof![4 => Just(0u16), 1 => 1u16..3];
+    let skew = prop_oneof![4 => Just(0isize), 1 => -6isize..6];
+    let end = prop_oneof![3 => Just(LENGTH), 1 => 0..=LENGTH];
     let arrival = prop_oneof![
-        8 => (0u16..3, 0usize..LENGTH, 0usize..8)
-            .prop_map(|(back, from, length)| Arrival::Chunk { back, from, length }),
-        2 => (0u16..3, 0usize..=LENGTH).prop_map(|(back, length)| Arrival::End { back, length }),
-        1 => Just(Arrival::End { back: 0, length: LENGTH }),
+        8 => (back(), skew, 0usize..8)
+            .prop_map(|(back, skew, length)| Arrival::Chunk { back, skew, length }),
+        2 => (back(), end).prop_map(|(back, length)| Arrival::End { back, length }),
         1 => Just(Arrival::Lost),
     ];
     proptest::collection::vec(arrival, 0..80)
@@ -69,7 +73,8 @@
             let number = assembly.current().number();
             let sender = |back: u16| Attempt::new(request, number.saturating_sub(back).max(1));
             let step = match arrival {
-                Arrival::Chunk { back, from, length } => {
+                Arrival::Chunk { back, skew, length } => {
+                    let from = taken.len().saturating_add_signed(skew).min(LENGTH);
                     let data = answer[from..(from + length).min(LENGTH)].to_vec();
                     let offset = Bytes::new(from as u64);
                     let chunk = Chunk { attempt: sender(back), offset, data: data.clone() };
