Fail a failure test when a process logs a breach of an invariant

Production only counts breaches, so that a test of real processes did not see them. The log of a process now also takes its panics, and a restarted process continues the log of the one before.

--- a/mulberrymill-bench/src/fleet/process.rs
+++ b/mulberrymill-bench/src/fleet/process.rs
@@ -1,4 +1,5 @@
 use std::{
+    fs::File,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
@@ -31,21 +32,26 @@
     ///
     /// Fails if the binary is missing or ends before it listens.
     pub(super) async fn start(name: &str, role: &str, settings: &Path, log: &Path) -> Result<Self> {
+        // A restarted process continues the log of the one before it. Panics go there as well.
+        let file = File::options().create(true).append(true).open(log)?;
         let mut child = Command::new(binary()?)
             .arg(role)
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(file.try_clone()?)
             .kill_on_drop(true)
             .spawn()?;
         let stdout = child.stdout.take().ok_or("the process has no output")?;
         let mut lines = BufReader::new(stdout).lines();
-        let address = tokio::time::timeout(START_LIMIT, listening(&mut lines))
-            .await
-            .map_err(|_elapsed| format!("{name} does not listen"))??;
-        let log = std::fs::File::create(log)?;
-        tokio::task::spawn_local(keep(lines, log));
+        let started = tokio::time::timeout(START_LIMIT, listening(&mut lines)).await;
+        let address = started.unwrap_or_else(|elapsed| Err(elapsed.into()));
+        let address = address.map_err(|error| {
+            let log = std::fs::read_to_string(log).unwrap_or_default();
+            format!("{name} does not listen: {error}\n{log}")
+        })?;
+        tokio::task::spawn_local(keep(lines, file));
         Ok(Self {
             name: name.to_owned(),
             address,
@@ -145,7 +151,7 @@
 }
 
 /// Keeps the further log of a process in a file, so that its pipe never fills up.
-async fn keep(mut lines: Lines<BufReader<ChildStdout>>, mut log: std::fs::File) {
+async fn keep(mut lines: Lines<BufReader<ChildStdout>>, mut log: File) {
     use std::io::Write;
 
     while let Ok(Some(line)) = lines.next_line().await {
--- a/mulberrymill-bench/tests/common/rig.rs
+++ b/mulberrymill-bench/tests/common/rig.rs
@@ -83,23 +83,30 @@
     pub(crate) body: Value,
 }
 
-/// A running fleet. If the test fails, the ends of the process logs are printed.
+/// What a process logs when it finds a breach of an invariant, or panics.
+const BREACHES: [&str; 2] = ["invariant does not hold", "panicked at"];
+
+/// A running fleet. If the test fails, the ends of the process logs are printed. A test also fails
+/// if a process has found a breach of an invariant, which production only counts.
 pub(crate) struct Rig {
     pub(crate) fleet: Fleet,
 }
 
 impl Drop for Rig {
     fn drop(&mut self) {
-        if !std::thread::panicking() {
+        let logs = self.logs();
+        if std::thread::panicking() {
+            for (name, text) in logs {
+                let lines: Vec<&str> = text.lines().collect();
+                let last = lines.len().saturating_sub(LOG_LINES);
+                eprintln!("--- {name}\n{}", lines[last..].join("\n"));
+            }
             return;
         }
-        let files = std::fs::read_dir(self.fleet.folder()).into_iter().flatten();
-        let logs = files.flatten().map(|file| file.path());
-        for log in logs.filter(|path| path.extension().is_some_and(|name| name == "log")) {
-            let text = std::fs::read_to_string(&log).unwrap_or_default();
-            let lines: Vec<&str> = text.lines().collect();
-            let last = lines.len().saturating_sub(LOG_LINES);
-            eprintln!("--- {}\n{}", log.display(), lines[last..].join("\n"));
+        for (name, text) in logs {
+            let is_breach = |line: &&str| BREACHES.iter().any(|breach| line.contains(breach));
+            let breaches: Vec<&str> = text.lines().filter(is_breach).collect();
+            assert!(breaches.is_empty(), "{name}: {breaches:#?}");
         }
     }
 }
@@ -110,6 +117,18 @@
         Self { fleet }
     }
 
+    /// The log of each process by its name.
+    fn logs(&self) -> Vec<(String, String)> {
+        let files = std::fs::read_dir(self.fleet.folder()).into_iter().flatten();
+        let paths = files.flatten().map(|file| file.path());
+        let logs = paths.filter(|path| path.extension().is_some_and(|name| name == "log"));
+        let read = |path: std::path::PathBuf| {
+            let text = std::fs::read_to_string(&path).unwrap_or_default();
+            (path.display().to_string(), text)
+        };
+        logs.map(read).collect()
+    }
+
     /// Requests that an engine has accepted.
     pub(crate) async fn accepted(&self, engine: usize) -> u64 {
         let accepted = self.fleet.engines[engine].accepted().await;
--- a/mulberrymill-bench/tests/failure/freeze.rs
+++ b/mulberrymill-bench/tests/failure/freeze.rs
@@ -71,6 +71,8 @@
         let old = rig.fence(holder, "review").await.expect("it holds them");
         let streams = Load::start(rig.streams(65, 6));
         rig.until_spread(6).await;
+        let prints = Load::start(rig.prints(68, 60));
+        rig.until_executed(0, 5).await;
         rig.fleet.entries[holder].freeze().expect("it runs");
 
         let steady = Load::start(load::Config {
@@ -108,6 +110,8 @@
         }
         let streams = streams.end().await;
         assert!(streams.ends_clearly(), "{}", streams.outcomes());
+        // Those that waited for the frozen entry may see a closed connection, but none ran twice.
+        prints.end().await;
         let later = Load::start(rig.quick(67, 120)).end().await;
         insta::assert_snapshot!(later.outcomes(), @"120 whole");
         assert!(is_leaving(other).await && is_leaving(holder).await);
