--- a/mulberrymill-bench/src/cli/imp.rs
+++ b/mulberrymill-bench/src/cli/imp.rs
@@ -3,7 +3,7 @@
 use clap::{ArgMatches, Command};
 use mulberrymill::invariant;
 
-use super::{demo, load, measure, standin};
+use super::{capacity, demo, experiment, load, measure, standin};
 
 /// Result of a subcommand.
 pub(super) type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -19,6 +19,8 @@
         .subcommands(load::commands())
         .subcommand(demo::command())
         .subcommand(measure::command())
+        .subcommand(capacity::command())
+        .subcommand(experiment::command())
 }
 
 /// Runs the command line. Exit codes: 0 done, 1 failed or unsound results, 2 wrong usage.
@@ -47,6 +49,8 @@
         Some(("store", args)) => standin::store(args).await,
         Some(("measure", args)) => measure::run(args).await,
         Some(("demo", args)) => demo::run(args).await,
+        Some(("capacity", args)) => capacity::run(args).await,
+        Some(("experiment", args)) => experiment::run(args),
         Some(("load", args)) => load::load(args).await,
         Some(("overhead", args)) => load::overhead(args).await,
         Some(("stream", args)) => load::stream(args).await,
--- a/mulberrymill-bench/src/cli/mod.rs
+++ b/mulberrymill-bench/src/cli/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! A stand-in prints its addresses as one JSON line and runs until it is interrupted.
 
+mod capacity;
 mod demo;
+mod experiment;
 mod imp;
 mod load;
 mod measure;
--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -42,6 +42,10 @@
 pub fn command() -> Command {
     Command::new("mulberrymill")
         .about("Serves language-model requests on a fixed fleet of engines")
+        .after_help(concat!(
+            "Commands that talk to an entry take the operators' bearer key from the environment ",
+            "variable MULBERRYMILL_OPERATOR_KEY."
+        ))
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
@@ -85,6 +89,10 @@
     let section = || {
         Arg::new("section")
             .required(true)
+            .help(format!(
+                "One of {}",
+                Section::ALL.map(Section::as_str).join(", ")
+            ))
             .value_parser(value_parser!(Section))
     };
     let file = || Arg::new("file").required(true).help("File to read");
@@ -191,12 +199,24 @@
             ExitCode::from(INVALID)
         }
         Err(Failure::Failed(error)) => {
-            complain(&error);
+            complain(&with_causes(&error));
             ExitCode::FAILURE
         }
     }
 }
 
+/// The text of an error and of its causes.
+pub(super) fn with_causes(error: &Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
 #[expect(clippy::print_stderr, reason = "this is the command line")]
 fn complain(what: &impl Display) {
     eprintln!("{what}");
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -1,8 +1,12 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, io};
 
-use super::{imp::command, status::screen};
+use super::{
+    imp::{command, with_causes},
+    status::screen,
+};
 use crate::{
     authority::Tenure,
+    error::{Error, Kind},
     id::{Fence, Revision},
     operator::{Count, StatusReport},
     routing::EndpointStatus,
@@ -16,6 +20,15 @@
     insta::assert_snapshot!(command().render_long_help());
 }
 
+/// Guards against a help text that does not say which sections there are.
+#[test]
+fn help_lists_the_sections() {
+    let help = command().try_get_matches_from(["mulberrymill", "config", "put", "--help"]);
+    let help = help.expect_err("help is not a command").to_string();
+    let all = "One of models, classes, roles, callers, services, endpoints, limits";
+    assert!(help.contains(all), "{help}");
+}
+
 /// Guards against a status screen that is broken or leaves something out.
 #[test]
 fn status_fits_on_a_screen() {
@@ -49,3 +62,14 @@
     };
     insta::assert_snapshot!(screen(&report));
 }
+
+/// Guards against a failure that hides its cause, such as a port that is in use.
+#[test]
+fn causes_are_shown() {
+    let cause = io::Error::other("address in use");
+    let error = Error::new(Kind::Internal, "cannot listen on 127.0.0.1:7000").with_source(cause);
+    assert_eq!(
+        with_causes(&error),
+        "internal: cannot listen on 127.0.0.1:7000: address in use"
+    );
+}
