Read each link through a buffer of 8 KiB

The WebSocket library allocates a read buffer of 128 KiB for each connection by default, which was most of the memory of a link.

Ruled out: a smaller write buffer, since the setting only delays writes.

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -26,12 +26,18 @@
 /// frames of others in the buffer.
 const FLUSH_EVERY: usize = 64;
 
+/// Size of the buffer into which a connection reads, allocated for as long as it is open. The
+/// default of the library is 128 KiB, and a process may have hundreds of connections. It holds
+/// about 50 reports or chunks, so that a busy connection still needs few reads.
+const READ_BUFFER: usize = 8 << 10;
+
 type Socket = WebSocketStream<TcpStream>;
 
 /// Limits of the WebSocket layer, which refuses larger messages before it has read them.
 pub(super) fn limits() -> WebSocketConfig {
     let largest = usize::try_from(FRAME_MAX.get()).unwrap_or(usize::MAX);
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
         .max_message_size(Some(largest))
         .max_frame_size(Some(largest))
 }
