Ask one peer at a time for the document

A process that heard of a newer revision asked every peer that named it, until the first copy arrived. When 100 entries announced an edit at the same time, an agent fetched 100 copies. It now waits 500 ms for the peer that it asked before it asks another, and asks at once for a still newer revision. A connection that is closed already does not count as asked.

Ruled out: waiting without a limit, since the peer may be lost before it answers.

--- a/src/spread/imp.rs
+++ b/src/spread/imp.rs
@@ -1,6 +1,6 @@
-use std::{collections::BTreeMap, fmt, sync::Arc};
+use std::{collections::BTreeMap, fmt, sync::Arc, time::Duration};
 
-use actix::{Actor, Addr, Context, Handler, MessageResult};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult, SpawnHandle};
 use tokio::sync::watch;
 
 use super::{Observe, Offer, Provide, Subscribe, Subscriber};
@@ -11,6 +11,11 @@
     wire::{self, Fetch, Frame},
 };
 
+/// Time in which a peer that was asked for a document may answer before another peer is asked. A
+/// document takes milliseconds, so a longer silence means a lost peer; and the next heartbeat of
+/// any other peer comes within a second.
+const FETCH_LIMIT: Duration = Duration::from_millis(500);
+
 /// What other tasks read without asking the holder.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -26,6 +31,14 @@
     source: wire::Document,
     revision: watch::Sender<Revision>,
     document: watch::Sender<Arc<config::Document>>,
+    fetching: Option<Fetching>,
+}
+
+/// A document that was asked for. All peers announce an edit at nearly the same time, and without
+/// this each of them would be asked for its copy.
+struct Fetching {
+    revision: Revision,
+    limit: SpawnHandle,
 }
 
 impl fmt::Debug for Holder {
@@ -50,6 +63,7 @@
         source,
         revision,
         document,
+        fetching: None,
     };
     (
         holder.start(),
@@ -65,6 +79,14 @@
 }
 
 impl Holder {
+    /// Notes that a revision was asked for, until it arrives or the time for it is over.
+    fn expect(&mut self, revision: Revision, ctx: &mut Context<Self>) {
+        let limit = ctx.run_later(FETCH_LIMIT, |holder, _ctx| holder.fetching = None);
+        if let Some(before) = self.fetching.replace(Fetching { revision, limit }) {
+            ctx.cancel_future(before.limit);
+        }
+    }
+
     fn in_force(&self) -> Revision {
         self.source.revision
     }
@@ -133,11 +155,14 @@
 impl Handler<Observe> for Holder {
     type Result = ();
 
-    fn handle(&mut self, msg: Observe, _ctx: &mut Self::Context) {
-        if msg.revision > self.in_force() {
-            msg.outbox.send(Frame::Fetch(Fetch {
-                have: self.in_force(),
-            }));
+    fn handle(&mut self, msg: Observe, ctx: &mut Self::Context) {
+        let expected = self.fetching.as_ref().map(|fetching| fetching.revision);
+        if msg.revision <= expected.unwrap_or_default().max(self.in_force()) {
+            return;
+        }
+        let have = self.in_force();
+        if msg.outbox.try_send(Frame::Fetch(Fetch { have })) {
+            self.expect(msg.revision, ctx);
         }
     }
 }
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -7,6 +7,8 @@
 mod follower;
 mod imp;
 mod message;
+#[cfg(test)]
+mod tests;
 
 pub use follower::follow;
 pub use imp::{Holder, View, spawn};
