Report a new revision at once

An agent that had adopted an edit told it to its entries with the next report, half a second later on average and a second at most, for each agent on the way of the edit.

--- a/src/work/tests.rs
+++ b/src/work/tests.rs
@@ -254,6 +254,38 @@
     insta::assert_snapshot!(log);
 }
 
+/// Guards against an edit that waits up to a second for the next report at each agent on its way.
+#[test]
+fn new_revision_is_reported_at_once() {
+    let system = actix::System::with_tokio_rt(|| {
+        let mut runtime = tokio::runtime::Builder::new_current_thread();
+        runtime
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime")
+    });
+    let (revision, waited) = system.block_on(async {
+        let (revisions, revision) = watch::channel(Revision::new(3));
+        let (sender, mut reports) = mpsc::unbounded_channel();
+        let worker = spawn(Config {
+            name: "review-1".parse().expect("valid name"),
+            incarnation: RUN,
+            endpoint: Rc::new(Script::default()),
+            revision,
+            report: Box::new(move |report: Report| {
+                sender.send(report.revision).expect("a running test");
+            }),
+        });
+        // An answer shows that the worker has started.
+        worker.send(Status).await.expect("a running worker");
+        let start = tokio::time::Instant::now();
+        revisions.send_replace(Revision::new(4));
+        (reports.recv().await, start.elapsed())
+    });
+    assert_eq!((revision, waited), (Some(Revision::new(4)), Duration::ZERO));
+}
+
 proptest! {
     /// Guards against a decoder that panics on what an engine sends, or that depends on how the
     /// bytes are cut into packets.
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -1,6 +1,10 @@
 use std::{collections::HashMap, fmt, rc::Rc};
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use actix::{
+    Actor, ActorStreamExt, Addr, AsyncContext, Context, Handler, Message, MessageResult,
+    ResponseFuture, fut::wrap_stream,
+};
+use futures_util::stream;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::AbortHandle,
@@ -83,6 +87,14 @@
             worker.send_report();
             probe(ctx.address(), Rc::clone(&worker.config.endpoint));
         });
+        // An entry that lacks the document learns of it from the report, so that an edit spreads
+        // without waiting for the next report at each agent on its way.
+        let changes = stream::unfold(self.config.revision.clone(), |mut revision| async move {
+            revision.changed().await.ok()?;
+            Some(((), revision))
+        });
+        let reports = wrap_stream(changes).map(|(), worker: &mut Self, _ctx| worker.send_report());
+        ctx.spawn(reports.finish());
     }
 
     fn stopped(&mut self, _ctx: &mut Self::Context) {
