Choose the links of an entry by rendezvous hashing

The choice is plain code without users yet. A member that comes or goes changes at most one other choice.

Not used by the pool: a reconciler plans from reports and sends orders over the links of its own entry, so an entry that holds a group would leave the endpoints outside its subset without orders, drains among them. The pool first has to be told which groups are held, which is wired in the entry.

Ruled out: hashing without regard to zones, where all links of a pool may fall into one zone; and a quota per zone by size, which moves several links when a zone grows.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod settings;
 pub mod spread;
 pub mod store;
+pub mod subset;
 pub mod unit;
 pub mod wire;
 pub mod work;
--- /dev/null
+++ b/src/subset/imp.rs
@@ -0,0 +1,64 @@
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use sha2::{Digest, Sha256};
+
+use crate::id::{Endpoint, Process, Zone};
+
+/// Most endpoints of one pool to which an entry keeps links. Smaller pools are linked in full.
+pub const LINKS_MAX: usize = 24;
+
+/// An endpoint of a pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Its availability zone.
+    pub zone: Zone,
+}
+
+/// Chooses at most `most` endpoints of a pool, spread over the zones as evenly as their sizes
+/// permit. Within a zone, those with the highest scores are chosen (rendezvous hashing), so that a
+/// member that comes or goes changes at most one other choice.
+#[must_use]
+pub fn choose(entry: &Process, pool: &[Member], most: usize) -> BTreeSet<Endpoint> {
+    let mut zones: BTreeMap<&Zone, BTreeSet<(Reverse<u64>, &Endpoint)>> = BTreeMap::new();
+    for member in pool {
+        let rank = (Reverse(score(entry, &member.endpoint)), &member.endpoint);
+        zones.entry(&member.zone).or_default().insert(rank);
+    }
+    // Each entry has its own order of the zones, so that what does not divide evenly does not
+    // always go to the same zone.
+    let mut order: Vec<_> = zones.into_iter().collect();
+    order.sort_by_key(|(zone, _members)| (score(entry, zone), *zone));
+    let mut chosen = BTreeSet::new();
+    let mut zones: Vec<_> = order
+        .into_iter()
+        .map(|(_zone, members)| members.into_iter())
+        .collect();
+    while chosen.len() < most {
+        let before = chosen.len();
+        for members in &mut zones {
+            if chosen.len() < most
+                && let Some((_score, endpoint)) = members.next()
+            {
+                chosen.insert(endpoint.clone());
+            }
+        }
+        if chosen.len() == before {
+            break;
+        }
+    }
+    chosen
+}
+
+/// Score of a name for an entry. It has to be the same in every version of the program, so it
+/// does not use the hash of the standard library, which may change.
+fn score(entry: &Process, name: &impl std::fmt::Display) -> u64 {
+    let hash = Sha256::digest(format!("{entry}\n{name}"));
+    let (head, _rest) = hash.split_at(size_of::<u64>());
+    head.iter()
+        .fold(0, |score, byte| score << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/src/subset/mod.rs
@@ -0,0 +1,23 @@
+//! Chooses the endpoints of a pool to which an entry keeps links.
+//!
+//! A pool is the endpoints of one model or service. Each entry chooses by its own name, without
+//! any exchange, so that all entries together cover a pool evenly.
+//!
+//! ```
+//! use mulberrymill::subset::{LINKS_MAX, Member, choose};
+//!
+//! let member = |name: &str, zone: &str| Member {
+//!     endpoint: name.parse().unwrap(),
+//!     zone: zone.parse().unwrap(),
+//! };
+//! let pool = [member("review-1", "scl-a"), member("review-2", "scl-b")];
+//! let entry = "entry-1".parse().unwrap();
+//! assert_eq!(choose(&entry, &pool, LINKS_MAX).len(), 2);
+//! assert_eq!(choose(&entry, &pool, 1).len(), 1);
+//! ```
+
+mod imp;
+#[cfg(test)]
+mod tests;
+
+pub use imp::{LINKS_MAX, Member, choose};
