--- a/src/agent/imp.rs
+++ b/src/agent/imp.rs
@@ -87,7 +87,7 @@
         worker: worker.clone(),
     };
     let orders = open_orders(settings, &store, &clock, incarnation, lever);
-    subscribe(&holder, &worker, &orders);
+    subscribe(&holder, &orders);
     let identity = Identity {
         process: settings.process.clone(),
         incarnation,
@@ -159,11 +159,10 @@
     })
 }
 
-/// Tells the actors of each document that comes into force, and the entries of its revision.
-fn subscribe(holder: &Addr<spread::Holder>, worker: &Addr<Worker>, orders: &Addr<orders::Desk>) {
-    let (worker, orders) = (worker.clone(), orders.clone());
+/// Tells the gate of each document that comes into force.
+fn subscribe(holder: &Addr<spread::Holder>, orders: &Addr<orders::Desk>) {
+    let orders = orders.clone();
     holder.do_send(spread::Subscribe(Box::new(move |document| {
-        worker.do_send(work::Announce);
         orders.do_send(orders::Adopt(Arc::clone(document)));
     })));
 }
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -95,8 +95,7 @@
     }
 }
 
-const LIMITS: &str =
-    r#"{ "body": "1KiB", "max_output": "8 tokens", "stop_delay": "1s", "longest": "1min" }"#;
+const LIMITS: &str = r#"{ "body": "1KiB", "max_output": "8 tokens", "longest": "1min" }"#;
 
 /// Guards against an edit that is accepted but not in force, that is in force but was refused, or
 /// that waits for a store that goes down right after it was accepted.
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -1,3 +1,5 @@
+mod fetch;
+
 use std::{
     cell::RefCell,
     collections::BTreeSet,
@@ -158,7 +160,7 @@
     log.push(observe(&holder, 7).await);
     // Another peer has the same revision in a form that passes the checks.
     offer(&holder, document(6, true)).await;
-    log.push(observe(&holder, 7).await);
+    log.push(observe(&holder, 8).await);
     insta::assert_debug_snapshot!(log);
     assert_eq!(heard(&heard_by), [5, 6]);
 }
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -4,15 +4,18 @@
     rc::Rc,
 };
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use actix::{
+    Actor, ActorStreamExt, Addr, AsyncContext, Context, Handler, Message, MessageResult,
+    ResponseFuture, fut::wrap_stream,
+};
+use futures_util::stream;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::AbortHandle,
 };
 
 use super::{
-    Announce, Begin, Credit, Drain, Endpoint, Gone, Greet, Idle, Ports, State, Status, Stop,
-    Withdraw,
+    Begin, Credit, Drain, Endpoint, Gone, Greet, Idle, Ports, State, Status, Stop, Withdraw,
     attempt::{PROBE_PERIOD, Task, last_frame},
 };
 use crate::{
@@ -97,6 +100,14 @@
             worker.send_report();
             probe(ctx.address(), Rc::clone(&worker.config.endpoint));
         });
+        // An entry that lacks the document learns of it from the report, so that an edit spreads
+        // without waiting for the next report at each agent on its way.
+        let changes = stream::unfold(self.config.revision.clone(), |mut revision| async move {
+            revision.changed().await.ok()?;
+            Some(((), revision))
+        });
+        let reports = wrap_stream(changes).map(|(), worker: &mut Self, _ctx| worker.send_report());
+        ctx.spawn(reports.finish());
     }
 
     fn stopped(&mut self, _ctx: &mut Self::Context) {
@@ -279,14 +290,6 @@
     }
 }
 
-impl Handler<Announce> for Worker {
-    type Result = ();
-
-    fn handle(&mut self, _msg: Announce, _ctx: &mut Self::Context) {
-        self.send_report();
-    }
-}
-
 impl Handler<Greet> for Worker {
     type Result = ();
 
