Add policies that adapt to the time in the engines

Cause: four entries each admitted for the whole pool, requests started at the end of their target, lent slots returned too late, and all entries followed the same old reports. Adaptive leaves a part of the target and of the idle shares free and lowers the ceiling of the class that uses most of its share when an answer takes too long; Separate shares the slots of a pool between entries and keeps long prompts on engines of their own.

--- a/mulberrymill-bench/src/experiment/picture.rs
+++ b/mulberrymill-bench/src/experiment/picture.rs
@@ -11,7 +11,7 @@
 /// Height of the largest bar.
 const FULL: f64 = 180.0;
 /// Fill of the bars, one for each set of policies.
-const FILLS: [&str; 3] = ["#b0b0b0", "#6a8caf", "#8e2c48"];
+const FILLS: [&str; 4] = ["#b0b0b0", "#6a8caf", "#c98a9a", "#8e2c48"];
 
 /// Draws a comparison as SVG: the goodput of each class as grouped bars, scaled to the
 /// largest of the class, and the worth as a
@@ -33,7 +33,7 @@
         let bars = comparison.policies.values();
         let rates: Vec<f64> = bars.map(|one| rate(one, name)).collect();
         let most = rates.iter().copied().fold(f64::MIN_POSITIVE, f64::max);
-        let width = (group - 40.0) / 3.0;
+        let width = (group - 30.0) / 4.0;
         for (index, (rate, fill)) in (0_u64..).zip(rates.iter().zip(FILLS)) {
             let (x, height) = (left + width * as_f64(index), FULL * rate / most);
             let y = BASE - height;
@@ -53,12 +53,12 @@
     }
     let policies = comparison.policies.iter().zip(FILLS);
     for (index, ((name, one), fill)) in (0_u64..).zip(policies) {
-        let x = LEFT + 215.0 * as_f64(index);
+        let x = LEFT + 165.0 * as_f64(index);
         let _infallible = writeln!(
             svg,
             "<rect x=\"{x}\" y=\"270\" width=\"10\" height=\"10\" fill=\"{fill}\"/>\
              <text x=\"{}\" y=\"279\">{name}</text>\
-             <text x=\"{}\" y=\"300\">worth {} ({:.0}% of the bound)</text>",
+             <text x=\"{}\" y=\"300\">worth {} ({:.0}%)</text>",
             x + 14.0,
             x + 14.0,
             one.worth,
--- a/mulberrymill-bench/src/experiment/sim.rs
+++ b/mulberrymill-bench/src/experiment/sim.rs
@@ -5,7 +5,7 @@
 };
 
 use mulberrymill::{
-    admission::{QUEUEING, Scheduler},
+    admission::Scheduler,
     clock::{Clock as _, Manual},
     config::EndpointKind,
     id::{Endpoint, Revision},
@@ -107,7 +107,7 @@
         }
         let zones: Vec<_> = document.endpoints.values().map(|spec| &spec.zone).collect();
         let entry = |number: usize| {
-            let mut scheduler = Scheduler::new(policies.admission(), QUEUEING);
+            let mut scheduler = Scheduler::new(policies.admission(), policies.queueing());
             scheduler.adopt(Arc::clone(&document));
             let zone = zones[number % zones.len()].clone();
             let seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
--- a/mulberrymill-bench/src/experiment/table.rs
+++ b/mulberrymill-bench/src/experiment/table.rs
@@ -11,6 +11,8 @@
 const ENTRIES: usize = 4;
 /// Numbers of entries that are compared on the same load.
 const FEW_MANY: [usize; 2] = [1, 8];
+/// Policies that the targets are for.
+const OWN: [Policies; 2] = [Policies::Default, Policies::Proposed];
 
 /// The figures of one scenario.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,8 +28,8 @@
     pub policies: BTreeMap<Policies, Figures>,
     /// Upper bound on the worth.
     pub bound: Limit,
-    /// Goodput of the default policies with 1 and 8 entries.
-    pub entries: [f64; 2],
+    /// Goodput with 1 and 8 entries, of the default and of the proposed policies.
+    pub entries: [[f64; 2]; 2],
     /// Targets with what was measured.
     pub targets: Vec<Target>,
 }
@@ -73,16 +75,18 @@
         seed,
         policies: policies.into(),
         bound: bound(&plan),
-        entries: FEW_MANY.map(|count| run(&plan, Policies::Default, count, seed).goodput),
+        entries: OWN.map(|own| FEW_MANY.map(|count| run(&plan, own, count, seed).goodput)),
         targets: Vec::new(),
     };
-    comparison.targets = targets(&plan, &comparison);
+    let all = (0..OWN.len()).flat_map(|index| targets(&plan, &comparison, index));
+    comparison.targets = all.collect();
     comparison
 }
 
-fn targets(plan: &Plan, comparison: &Comparison) -> Vec<Target> {
+fn targets(plan: &Plan, comparison: &Comparison, index: usize) -> Vec<Target> {
     use Scenario::{Fault, FloodLow, FloodUrgent, Shift, Stale};
-    let own = &comparison.policies[&Policies::Default];
+    let policies = OWN[index];
+    let own = &comparison.policies[&policies];
     let urgent = plan
         .deployment
         .class(crate::load::Kind::Verdict)
@@ -124,9 +128,12 @@
             factor,
         ));
     }
-    let [one, eight] = comparison.entries;
+    let [one, eight] = comparison.entries[index];
     let part = eight / one.max(f64::MIN_POSITIVE);
     targets.push(Target::new("goodput of 8 entries against 1", 0.95, part));
+    for target in &mut targets {
+        target.name = format!("{policies}: {}", target.name);
+    }
     targets
 }
 
--- a/src/admission/imp.rs
+++ b/src/admission/imp.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Capacity, Lane, Offer, Policy, caller::Account};
+use super::{Capacity, Lane, Offer, Policy, caller::Account, ceiling::Ceiling};
 use crate::{
     config::{ClassSpec, Document},
     error::{Error, Kind, Result},
@@ -14,6 +14,12 @@
 
 /// Weight of the newest observation in the mean service time.
 const NEWEST: f64 = 0.1;
+/// Part of the target of the first token that a request may wait here. The rest is for the engine:
+/// a request that starts at its target is late with certainty.
+const WAIT: f64 = 0.4;
+/// Parts of the targets of the first token and between tokens that a request may take in an
+/// engine.
+const ENGINE: (f64, f64) = (0.8, 0.6);
 /// Shortest and longest wait that a refused caller is told.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
@@ -50,6 +56,7 @@
     waiting: VecDeque<Request>,
     running: u32,
     service: Duration,
+    ceiling: Ceiling,
 }
 
 #[derive(Debug)]
@@ -59,9 +66,31 @@
     pool: Pool,
     arrived: Instant,
     latest: Instant,
+    /// Time in which the request must give its slot back, if its targets are to be met.
+    budget: Duration,
     started: Option<Instant>,
 }
 
+impl Queues {
+    /// Lowers the ceiling of the class that uses most of its guaranteed share.
+    fn lower(&mut self, document: &Document, pause: Duration, now: Instant) {
+        let limit = f64::from(self.limit);
+        let guaranteed = |class: &Class| {
+            let spec = document.classes.get(class);
+            spec.map_or(0.0, |spec| spec.share.get() * limit)
+        };
+        let use_of = |(class, queue): &(&Class, &mut Queue)| {
+            f64::from(queue.running) / guaranteed(class).max(f64::MIN_POSITIVE)
+        };
+        let queues = self.classes.iter_mut();
+        let most = queues.max_by(|a, b| use_of(a).total_cmp(&use_of(b)));
+        if let Some((class, queue)) = most {
+            let guaranteed = guaranteed(class);
+            queue.ceiling.lower(queue.running, guaranteed, pause, now);
+        }
+    }
+}
+
 impl Scheduler {
     /// A scheduler without capacity. `queueing` multiplies the slots of a pool: engines batch, so
     /// a request that waits inside an engine starts sooner than one that waits here. A factor below
@@ -147,6 +176,7 @@
                 pool: offer.pool.clone(),
                 arrived: now,
                 latest,
+                budget: budget(class, offer),
                 started: None,
             },
         );
@@ -156,7 +186,8 @@
     /// Longest wait: an engine must send the first token in time, a service the whole answer.
     fn start_target(&self, class: &ClassSpec, offer: &Offer) -> Duration {
         if matches!(offer.pool, Pool::Model(_)) {
-            return class.first_token;
+            let part = if self.policy.adapts() { WAIT } else { 1.0 };
+            return class.first_token.mul_f64(part);
         }
         let queues = self.pools.get(&offer.pool);
         let queue = queues.and_then(|queues| queues.classes.get(&offer.class));
@@ -172,7 +203,16 @@
         let index = lanes.iter().position(|(class, _)| *class == offer.class);
         let lanes: Vec<Lane> = lanes.into_iter().map(|(_, lane)| lane).collect();
         let wait = match index {
-            Some(index) if limit > 0 => self.policy.wait(&lanes, index, limit),
+            Some(index) if limit > 0 => {
+                let lane = &lanes[index];
+                let queues = self.pools.get(&offer.pool);
+                let queue = queues.and_then(|queues| queues.classes.get(&offer.class));
+                let under = queue.map_or(Duration::ZERO, |queue| {
+                    let ceiling = &queue.ceiling;
+                    ceiling.wait(lane.queued, lane.running, lane.service)
+                });
+                self.policy.wait(&lanes, index, limit).max(under)
+            }
             _ => Duration::MAX,
         };
         let left = latest.saturating_duration_since(now);
@@ -227,6 +267,14 @@
         } else {
             queue.service.mul_f64(1.0 - NEWEST) + period.mul_f64(NEWEST)
         };
+        if !self.policy.adapts() {
+            return;
+        }
+        if queue.service <= entry.budget {
+            queue.ceiling.raise(queue.running);
+        } else if let Some(document) = &self.document {
+            pool.lower(document, entry.budget, now);
+        }
     }
 
     /// Refuses what has expired and starts what may start.
@@ -261,7 +309,13 @@
         if running >= queues.limit {
             return None;
         }
-        let (classes, lanes): (Vec<Class>, Vec<Lane>) = lanes.into_iter().unzip();
+        let (classes, mut lanes): (Vec<Class>, Vec<Lane>) = lanes.into_iter().unzip();
+        for (class, lane) in classes.iter().zip(&mut lanes) {
+            let queue = queues.classes.get(class);
+            if queue.is_some_and(|queue| !queue.ceiling.has_room(lane.running)) {
+                lane.queued = 0;
+            }
+        }
         let index = self.policy.next(&lanes, queues.limit)?;
         let queue = queues.classes.get_mut(classes.get(index)?)?;
         let request = queue.waiting.pop_front()?;
@@ -290,6 +344,17 @@
     }
 }
 
+fn budget(class: &ClassSpec, offer: &Offer) -> Duration {
+    if matches!(offer.pool, Pool::Service(_)) {
+        return class.whole;
+    }
+    let (first, between) = ENGINE;
+    let gaps = offer.cost.output.get().saturating_sub(1);
+    let gaps = u32::try_from(gaps).unwrap_or(u32::MAX);
+    let tokens = class.between_tokens.mul_f64(between).saturating_mul(gaps);
+    class.first_token.mul_f64(first).saturating_add(tokens)
+}
+
 fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,6 +5,7 @@
 
 mod actor;
 mod caller;
+mod ceiling;
 mod imp;
 mod message;
 mod policy;
@@ -14,4 +15,4 @@
 pub use actor::{Config, Desk, Permit, QUEUEING, spawn};
 pub use imp::{Decision, Scheduler};
 pub use message::{Adopt, Capacity, Finish, Offer};
-pub use policy::{Fifo, Lane, Policy, Shares, StrictPriority};
+pub use policy::{Adaptive, Fifo, Lane, Policy, Shares, StrictPriority};
--- a/src/admission/policy.rs
+++ b/src/admission/policy.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// Part of the idle shares of more urgent classes that [`Adaptive`] does not lend. Measured in
+/// `docs/policy.md`.
+const KEPT: f64 = 0.75;
+
 /// Decides which class starts next in a pool.
 pub trait Policy: fmt::Debug + Send {
     /// Index of the lane whose first request takes a free slot. `limit` is the number of slots.
@@ -45,6 +49,12 @@
 
     /// Expected wait of one more request at the end of the lane with an index.
     fn wait(&self, lanes: &[Lane], index: usize, limit: u32) -> Duration;
+
+    /// Whether classes are limited by the time that their requests take in an endpoint, and a
+    /// part of the target of the first token is left for the engine.
+    fn adapts(&self) -> bool {
+        false
+    }
 }
 
 /// Time until `ahead` requests and one more have started on `slots` slots.
@@ -148,3 +158,39 @@
         drain(f64::from(own.queued), own.service, slots)
     }
 }
+
+/// As [`Shares`], but limits classes by the time that their requests take in the engines, and does
+/// not lend all idle slots.
+///
+/// A lent slot returns only at the end of its request, so a class above its share leaves a part of
+/// the idle shares of more urgent classes free. This policy is not work-conserving in slots.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Adaptive;
+
+impl Policy for Adaptive {
+    fn adapts(&self) -> bool {
+        true
+    }
+
+    fn next(&self, lanes: &[Lane], limit: u32) -> Option<usize> {
+        let below = |lane: &Lane| f64::from(lane.running) < lane.guaranteed(limit);
+        let running: f64 = lanes.iter().map(|lane| f64::from(lane.running)).sum();
+        let free = f64::from(limit) - running;
+        let idle = |lane: &Lane| (lane.guaranteed(limit) - f64::from(lane.running)).max(0.0);
+        let kept = |own: &Lane| {
+            let urgent = lanes.iter().filter(|lane| lane.rank < own.rank);
+            urgent.map(idle).sum::<f64>() * KEPT
+        };
+        let may_start = |lane: &Lane| below(lane) || free - kept(lane) >= 1.0;
+        let able = waiting(lanes).filter(|(_, lane)| may_start(lane));
+        let first = able.min_by(|(_, a), (_, b)| {
+            let urgency = (!below(a), a.rank).cmp(&(!below(b), b.rank));
+            urgency.then(b.density().total_cmp(&a.density()))
+        });
+        first.map(|(index, _)| index)
+    }
+
+    fn wait(&self, lanes: &[Lane], index: usize, limit: u32) -> Duration {
+        Shares.wait(lanes, index, limit)
+    }
+}
--- a/src/routing/imp.rs
+++ b/src/routing/imp.rs
@@ -5,7 +5,7 @@
 
 use rand::{SeedableRng as _, rngs::StdRng};
 
-use super::{Cost, Demand, Ending, Policy, Pool, Status, View};
+use super::{Cost, Demand, Ending, Policy, Pool, Status, View, portion::Portion};
 use crate::{
     admission::Capacity,
     config::Document,
@@ -25,6 +25,7 @@
     view: View,
     ejector: Ejector,
     slots: BTreeMap<Pool, u32>,
+    portions: BTreeMap<Pool, Portion>,
 }
 
 impl Table {
@@ -46,6 +47,7 @@
             },
             ejector: Ejector::new(),
             slots: BTreeMap::new(),
+            portions: BTreeMap::new(),
         }
     }
 
@@ -98,6 +100,7 @@
             status.portion = self.ejector.portion(endpoint, now);
         }
         self.view.now = Some(now);
+        self.view.mix.record(demand);
         let chosen = self.policy.choose(demand, &self.view, &mut self.rng);
         let status = chosen
             .as_ref()
@@ -151,15 +154,27 @@
                 slots.entry(pool.clone()).or_default();
             }
         }
+        let mut used: BTreeMap<Pool, (u32, u32)> = BTreeMap::new();
         for (endpoint, status) in &self.view.endpoints {
             let ejected = self.ejector.is_ejected(endpoint, now);
             if ejected || status.is_down(now) || status.is_leaving() {
                 continue;
             }
             for pool in status.pools() {
+                let (own, all) = used.entry(pool.clone()).or_default();
+                *own += status.in_flight;
+                *all += status.in_progress();
                 *slots.entry(pool).or_default() += status.spec.slots;
             }
         }
+        if self.policy.shares_slots() {
+            self.portions.retain(|pool, _| slots.contains_key(pool));
+            for (pool, slots) in &mut slots {
+                let (own, all) = used.get(pool).copied().unwrap_or_default();
+                let portion = self.portions.entry(pool.clone()).or_default();
+                *slots = portion.limit(*slots, own, all, now);
+            }
+        }
         let change = |(pool, slots): (&Pool, &u32)| {
             (self.slots.get(pool) != Some(slots)).then(|| Capacity {
                 pool: pool.clone(),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,6 +7,8 @@
 mod imp;
 mod message;
 mod policy;
+mod portion;
+mod separate;
 #[cfg(test)]
 mod tests;
 mod view;
@@ -18,4 +20,5 @@
     Pool, Prefix, Survey,
 };
 pub use policy::{Balanced, LeastInFlight, Policy, RoundRobin, Weights};
+pub use separate::Separate;
 pub use view::{Status, View};
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -16,6 +16,12 @@
     /// The endpoint for a request, or nothing if no endpoint fits. A choice must
     /// be one of [`View::candidates`].
     fn choose(&self, demand: &Demand, view: &View, rng: &mut dyn RngCore) -> Option<Endpoint>;
+
+    /// Whether this entry leaves slots to the other entries, by what the endpoints report. If not,
+    /// it uses all slots of a pool.
+    fn shares_slots(&self) -> bool {
+        false
+    }
 }
 
 /// Takes the endpoints in turn. A baseline.
@@ -148,7 +154,7 @@
 
 /// The items that pass a test, or all of them if none does: an endpoint that fits badly is better
 /// than none.
-fn prefer<'a>(
+pub(super) fn prefer<'a>(
     items: &[(&'a Endpoint, &'a Status)],
     mut test: impl FnMut(&Status) -> bool,
 ) -> Vec<(&'a Endpoint, &'a Status)> {
@@ -166,7 +172,7 @@
 
 /// Engines for prompts take requests with more prompt than output, engines for generation the
 /// others.
-fn fits_role(demand: &Demand, role: Role) -> bool {
+pub(super) fn fits_role(demand: &Demand, role: Role) -> bool {
     let long_prompt = demand.cost.input > demand.cost.output;
     match (&demand.pool, role) {
         (Pool::Service(_), _) | (_, Role::Mixed) => true,
@@ -179,6 +185,6 @@
     clippy::cast_precision_loss,
     reason = "token counts stay far below 2^52"
 )]
-fn as_f64(number: u64) -> f64 {
+pub(super) fn as_f64(number: u64) -> f64 {
     number as f64
 }
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -22,6 +22,7 @@
 pub struct View {
     pub(super) zone: Option<Zone>,
     pub(super) now: Option<Instant>,
+    pub(super) mix: Mix,
     pub(super) endpoints: BTreeMap<Endpoint, Status>,
 }
 
@@ -134,6 +135,12 @@
         Tokens::new(demand.cost.input.get() * matching / all.max(1))
     }
 
+    /// Attempts of all entries there, as last reported.
+    pub(super) fn in_progress(&self) -> u32 {
+        let report = self.report.as_ref();
+        report.map_or(0, |(report, _)| report.load.in_progress)
+    }
+
     pub(super) fn begin(&mut self, demand: &Demand) {
         self.in_flight += 1;
         self.own.input += demand.cost.input;
@@ -149,6 +156,11 @@
 }
 
 impl View {
+    /// Part of the recent work of this entry that belongs to long prompts.
+    pub(super) fn long_work(&self) -> f64 {
+        self.mix.long / self.mix.all.max(f64::MIN_POSITIVE)
+    }
+
     /// The zone of this entry.
     #[must_use]
     pub fn zone(&self) -> Option<&Zone> {
@@ -176,6 +188,40 @@
     }
 }
 
+/// Prompt tokens from which a prompt is long: it fills the prompt tokens of at least one step of an
+/// engine, and every request that generates there waits for them.
+const LONG: Tokens = Tokens::new(512);
+/// Weight of the newest request in the mix.
+const NEWEST: f64 = 0.001;
+/// Engine time of an output token in prompt tokens, in a full batch of the engine stand-in.
+const OUTPUT: f64 = 7.0;
+
+/// Whether a prompt is long.
+pub(super) fn is_long(demand: &Demand) -> bool {
+    demand.cost.input >= LONG
+}
+
+/// Recent work of this entry, in prompt tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Mix {
+    long: f64,
+    all: f64,
+}
+
+impl Mix {
+    pub(super) fn record(&mut self, demand: &Demand) {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "token counts stay far below 2^52"
+        )]
+        let [input, output] = [demand.cost.input, demand.cost.output].map(|one| one.get() as f64);
+        let work = input + output * OUTPUT;
+        let long = if is_long(demand) { work } else { 0.0 };
+        self.long += (long - self.long) * NEWEST;
+        self.all += (work - self.all) * NEWEST;
+    }
+}
+
 /// Hashes of the blocks that were sent last.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Memory {
