--- a/src/routing/imp.rs
+++ b/src/routing/imp.rs
@@ -5,7 +5,7 @@
 
 use rand::{SeedableRng as _, rngs::StdRng};
 
-use super::{Cost, Demand, Ending, Policy, Pool, Status, View};
+use super::{Cost, Demand, Ending, Policy, Pool, Status, View, portion::Portion};
 use crate::{
     admission::Capacity,
     config::Document,
@@ -25,6 +25,7 @@
     view: View,
     ejector: Ejector,
     slots: BTreeMap<Pool, u32>,
+    portions: BTreeMap<Pool, Portion>,
 }
 
 impl Table {
@@ -46,6 +47,7 @@
             },
             ejector: Ejector::new(),
             slots: BTreeMap::new(),
+            portions: BTreeMap::new(),
         }
     }
 
@@ -100,6 +102,7 @@
             status.portion = self.ejector.portion(endpoint, now);
         }
         self.view.now = Some(now);
+        self.view.mix.record(demand);
         let chosen = self.policy.choose(demand, &self.view, &mut self.rng);
         let status = chosen
             .as_ref()
@@ -149,24 +152,31 @@
         // A pool that is gone is announced once more, without slots.
         let gone = self.slots.iter().filter(|(_, old)| **old > 0);
         let gone = gone.map(|(pool, _)| pool.clone());
-        let mut shares: BTreeMap<Pool, f64> = self
-            .pools()
-            .into_iter()
-            .chain(gone)
-            .map(|pool| (pool, 0.0))
-            .collect();
+        let pools = self.pools().into_iter().chain(gone);
+        let mut usages: BTreeMap<Pool, Usage> =
+            pools.map(|pool| (pool, Usage::default())).collect();
         for (endpoint, status) in &self.view.endpoints {
             let ejected = self.ejector.is_ejected(endpoint, now);
             if ejected || status.is_down(now) || status.is_leaving() {
                 continue;
             }
             for pool in status.pools() {
-                *shares.entry(pool).or_default() += status.share();
+                usages.entry(pool).or_default().add(status);
             }
         }
-        let slots: BTreeMap<Pool, u32> = shares
+        self.portions.retain(|pool, _| usages.contains_key(pool));
+        let adapts = self.policy.shares_slots();
+        let slots: BTreeMap<Pool, u32> = usages
             .into_iter()
-            .map(|(pool, share)| (pool, whole(share)))
+            .map(|(pool, usage)| {
+                let slots = if adapts {
+                    let portion = self.portions.entry(pool.clone()).or_default();
+                    portion.limit(usage.slots, usage.own, usage.all, now)
+                } else {
+                    whole(usage.share)
+                };
+                (pool, slots)
+            })
             .collect();
         let change = |(pool, slots): (&Pool, &u32)| {
             (self.slots.get(pool) != Some(slots)).then(|| Capacity {
@@ -202,6 +212,28 @@
     }
 }
 
+/// How the slots of a pool are used.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    /// Slots of all its endpoints.
+    slots: u32,
+    /// The part of them that falls to this entry if all entries get the same.
+    share: f64,
+    /// Requests of this entry.
+    own: u32,
+    /// Requests of all entries, as last reported.
+    all: u32,
+}
+
+impl Usage {
+    fn add(&mut self, status: &Status) {
+        self.slots += status.spec.slots;
+        self.share += status.share();
+        self.own += status.in_flight;
+        self.all += status.in_progress();
+    }
+}
+
 /// Rounds up, so that an entry always keeps a slot of a pool that it shares with many others.
 #[expect(
     clippy::cast_possible_truncation,
