--- a/src/authority/tests.rs
+++ b/src/authority/tests.rs
@@ -11,6 +11,7 @@
     clock::{Clock, Manual, System},
     id::{Fence, Group, Incarnation},
     store::{Faults, Lease, Memory},
+    testing::on_virtual_time,
 };
 
 /// Longest time until a free group has a holder: lease, look and wait, with some to spare.
@@ -57,17 +58,6 @@
     }
 }
 
-fn run<F: Future>(future: F) -> F::Output {
-    let runtime = || {
-        tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(future)
-}
-
 fn groups(number: u64) -> Groups {
     let name = |index| format!("g{index}").parse().expect("valid name");
     Groups((0..number).map(name).collect())
@@ -166,7 +156,7 @@
 /// Guards against two holders of a group, and against one that takes all groups.
 #[test]
 fn two_holders_share_the_groups() {
-    run(async {
+    on_virtual_time(async {
         let store = Memory::new(System::shared());
         let holders = [holder(&store.client(), 1), holder(&store.client(), 2)];
         for holder in &holders {
@@ -192,7 +182,7 @@
 /// Guards against a holder that goes on after a pause that was longer than its lease.
 #[test]
 fn frozen_holder_stops_when_it_thaws() {
-    run(async {
+    on_virtual_time(async {
         let store = Memory::new(System::shared());
         let mut judge = Judge::default();
         let ear = Ear::default().start();
@@ -229,7 +219,7 @@
 /// fencing number that does not grow over an outage.
 #[test]
 fn outage_ends_authority() {
-    run(async {
+    on_virtual_time(async {
         let store = Memory::new(System::shared());
         let holders = [holder(&store, 1)];
         holders[0].address.do_send(groups(2));
@@ -259,7 +249,7 @@
 /// or not.
 #[test]
 fn lost_answers_are_recognized() {
-    run(async {
+    on_virtual_time(async {
         let store = Memory::new(System::shared());
         let holders = [holder(&store, 1)];
         let mut judge = Judge::default();
@@ -288,7 +278,7 @@
 /// Guards against a key that is adopted again while the transaction that deletes it is in flight.
 #[test]
 fn released_key_is_not_adopted_again() {
-    run(async {
+    on_virtual_time(async {
         let store = Memory::new(System::shared());
         let first = holder(&store, 1);
         let mut judge = Judge::default();
@@ -314,7 +304,7 @@
 #[test]
 fn released_groups_wait_for_permits() {
     for whole in [false, true] {
-        run(async move {
+        on_virtual_time(async move {
             let store = Memory::new(System::shared());
             let first = holder(&store, 1);
             let second = holder(&store.client(), 2);
@@ -345,7 +335,7 @@
 /// end of a term says nothing about the time that its lease has left.
 #[test]
 fn taking_a_key_does_not_renew_the_lease() {
-    run(async {
+    on_virtual_time(async {
         let store = Memory::new(System::shared());
         let first = holder(&store, 1);
         let second = holder(&store.client(), 2);
--- a/src/authority/tests/random.rs
+++ b/src/authority/tests/random.rs
@@ -1,7 +1,7 @@
 use rand::Rng;
 
 use super::*;
-use crate::seeds::seeds;
+use crate::testing::seeds;
 
 /// Seeds of the randomized runs.
 const SEEDS: std::ops::Range<u64> = 0..40;
@@ -26,7 +26,7 @@
 #[test]
 fn authority_is_single_under_random_faults() {
     for seed in seeds(SEEDS) {
-        run(async move {
+        on_virtual_time(async move {
             let context = format!("seed {seed}");
             let mut rng = StdRng::seed_from_u64(seed);
             let store = Memory::new(System::shared());
--- a/src/edit/tests.rs
+++ b/src/edit/tests.rs
@@ -11,8 +11,8 @@
     config::Section,
     error::{Error, Executed, Kind},
     id::{self, Revision},
-    seeds::seeds,
     store::{Change, Faults, Memory, Store},
+    testing::seeds,
 };
 
 /// Seeds of the randomized runs.
--- a/src/id/imp.rs
+++ b/src/id/imp.rs
@@ -1,9 +1,10 @@
 use std::{fmt, str::FromStr};
 
 use rand::Rng;
-use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use serde::{Deserialize, Serialize};
 
 use super::Result;
+use crate::text::serde_as_text;
 
 /// Longest operator-written name, in characters.
 const NAME_MAX: usize = 64;
@@ -36,30 +37,6 @@
     (1..=KEY_MAX).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
 }
 
-/// Serializes through `Display` and deserializes through `FromStr`, so that a name read from a
-/// message or a document passes the same check as one written in code.
-macro_rules! serde_as_text {
-    ($name:ident) => {
-        impl Serialize for $name {
-            fn serialize<S: Serializer>(
-                &self,
-                serializer: S,
-            ) -> std::result::Result<S::Ok, S::Error> {
-                serializer.collect_str(self)
-            }
-        }
-
-        impl<'de> Deserialize<'de> for $name {
-            fn deserialize<D: Deserializer<'de>>(
-                deserializer: D,
-            ) -> std::result::Result<Self, D::Error> {
-                let text = String::deserialize(deserializer)?;
-                text.parse().map_err(de::Error::custom)
-            }
-        }
-    };
-}
-
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident, $what:literal, $check:path, $rule:literal) => {
         $(#[$doc])*
--- a/src/ledger/tests/random.rs
+++ b/src/ledger/tests/random.rs
@@ -3,7 +3,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::*;
-use crate::seeds::seeds;
+use crate::testing::seeds;
 
 /// What callers were told and what the service did.
 #[derive(Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,4 +94,5 @@
 pub mod work;
 
 #[cfg(test)]
-mod seeds;
+mod testing;
+mod text;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -7,6 +7,7 @@
 };
 
 use super::*;
+use crate::testing::on_virtual_time;
 
 /// Answers one request with fixed bytes, or with nothing and an open connection.
 async fn serve(answer: Option<String>) -> SocketAddr {
@@ -41,17 +42,6 @@
     {"host":"host-2","zone":"zone-b","state":"leaving"}
 ]"#;
 
-fn run<F: Future>(future: F) -> F::Output {
-    let runtime = || {
-        tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(future)
-}
-
 /// Guards against a damaged answer that is taken for a list: hosts that are missing from a list
 /// count as staying, so that an endpoint would take work on a host that is taken away.
 #[actix::test]
@@ -85,7 +75,7 @@
 /// Guards against a reader that waits forever for a list that does not come.
 #[test]
 fn silent_list_is_given_up() {
-    let list = run(async { read(serve(None).await).await });
+    let list = on_virtual_time(async { read(serve(None).await).await });
     let error = list.expect_err("no list");
     assert_eq!(
         error.to_string(),
--- a/src/reconcile/tests/actor.rs
+++ b/src/reconcile/tests/actor.rs
@@ -18,6 +18,7 @@
     link,
     membership::{Entry, Hosts, Standing},
     store::{Faults, Memory},
+    testing::on_virtual_time,
     wire::{Change, Done, Frame, Order, Verdict},
 };
 
@@ -176,17 +177,6 @@
     }
 }
 
-fn run<F: Future>(future: F) -> F::Output {
-    let runtime = || {
-        tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(future)
-}
-
 fn change(order: Option<&Order>) -> Option<&Change> {
     order.map(|order| &order.change)
 }
@@ -195,7 +185,7 @@
 /// announced, and against an order that is given up, or answered as before, after a failure.
 #[test]
 fn orders_are_sent_until_they_apply() {
-    run(async {
+    on_virtual_time(async {
         let mut rig = holding().await;
         assert_eq!(rig.order(BOUND).await, None);
         rig.intent(true).await;
@@ -228,7 +218,7 @@
 /// Guards against a drain that waits for a host list that answers slowly or not at all.
 #[test]
 fn slow_host_list_delays_no_drain() {
-    run(async {
+    on_virtual_time(async {
         let mut rig = holding().await;
         rig.hosts.down.set(true);
         rig.hosts.delay.set(Duration::from_secs(2));
@@ -247,7 +237,7 @@
 /// Guards against an order that was never sent, because the link was down, and that counts as sent.
 #[test]
 fn order_without_link_is_sent_when_the_link_returns() {
-    run(async {
+    on_virtual_time(async {
         let mut rig = holding().await;
         rig.linked.set(false);
         rig.intent(true).await;
@@ -262,7 +252,7 @@
 /// answer to the first one.
 #[test]
 fn applied_order_is_not_repeated_before_the_next_report() {
-    run(async {
+    on_virtual_time(async {
         let mut rig = holding().await;
         rig.intent(true).await;
         let order = rig.order(BOUND).await.expect("an order in time");
@@ -281,7 +271,7 @@
 /// why the endpoint was drained.
 #[test]
 fn nothing_is_resumed_before_all_reasons_are_known() {
-    run(async {
+    on_virtual_time(async {
         let memory = Memory::new(System::shared());
         let mut rig = rig(&memory, 1);
         rig.hosts
@@ -302,7 +292,7 @@
 /// holder whose authority has lapsed.
 #[test]
 fn outage_keeps_wishes_and_ends_authority() {
-    run(async {
+    on_virtual_time(async {
         let mut rig = holding().await;
         rig.intent(true).await;
         let order = rig.order(BOUND).await.expect("an order in time");
@@ -329,7 +319,7 @@
 /// Guards against an intent that is lost with the entry that received it.
 #[test]
 fn wish_outlives_the_entry() {
-    run(async {
+    on_virtual_time(async {
         let memory = Memory::new(System::shared());
         let first = rig(&memory, 1);
         first.take_over().await;
--- a/src/relay/tests/exchange.rs
+++ b/src/relay/tests/exchange.rs
@@ -17,19 +17,9 @@
 use crate::{
     error::{Executed, Kind},
     link,
+    testing::on_virtual_time,
 };
 
-pub(super) fn run<F: Future>(future: F) -> F::Output {
-    let runtime = || {
-        tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(future)
-}
-
 /// Reads an exchange to its end in a task of its own.
 fn read(mut exchange: Exchange) -> (JoinHandle<()>, mpsc::UnboundedReceiver<Result<Part>>) {
     let (sender, parts) = mpsc::unbounded_channel();
@@ -172,7 +162,7 @@
             vec![lost(), served()],
         ),
     ];
-    let log = run(async {
+    let log = on_virtual_time(async {
         let mut log = Vec::new();
         for (name, request, budget, script) in cases {
             let behaviour = Behaviour {
@@ -193,7 +183,7 @@
 #[test]
 fn answered_operation_is_not_taken_for_refused() {
     let contradiction = vec![data(0, "tra"), Fail(Kind::Leaving, Executed::No)];
-    let log = run(async {
+    let log = on_virtual_time(async {
         let mut rig = rig(Behaviour::default(), 1);
         play(&mut rig, call(true), vec![contradiction, served()].into()).await
     });
@@ -203,7 +193,7 @@
 /// Guards against a request that is given up although another endpoint is connected.
 #[test]
 fn endpoint_without_connection_is_passed_over() {
-    let log = run(async {
+    let log = on_virtual_time(async {
         let behaviour = Behaviour {
             unlinked: vec!["e1", "e2"],
             ..Behaviour::default()
@@ -219,7 +209,7 @@
 #[test]
 fn credit_follows_the_reader() {
     const PART: u64 = 10 << 10;
-    let log = run(async {
+    let log = on_virtual_time(async {
         let mut rig = rig(Behaviour::default(), 1);
         let mut exchange = rig.relay.begin(generation());
         let submitted = async {
@@ -248,7 +238,7 @@
 #[test]
 fn dropped_exchange_leaves_nothing_behind() {
     const PAUSE: Duration = Duration::from_millis(100);
-    let log = run(async {
+    let log = on_virtual_time(async {
         let mut log = Vec::new();
         let stages = [
             ("choosing", PAUSE, Duration::ZERO),
@@ -280,7 +270,7 @@
 /// Guards against a slot for a caller that left the queue.
 #[test]
 fn flight_dropped_in_the_queue_takes_no_slot() {
-    run(async {
+    on_virtual_time(async {
         let mut rig = rig(Behaviour::default(), 1);
         let (running, _parts) = read(rig.relay.begin(generation()));
         let _submit = rig.submits.recv().await.expect("an attempt");
--- a/src/relay/tests/random.rs
+++ b/src/relay/tests/random.rs
@@ -1,14 +1,14 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::{
-    exchange::{play, run},
+    exchange::play,
     fake::{Behaviour, call, generation, rig},
     script::{Act, Script},
     *,
 };
 use crate::{
     error::{Executed, Kind},
-    seeds::seeds,
+    testing::{on_virtual_time, seeds},
     wire::Work,
 };
 
@@ -90,7 +90,7 @@
         };
         let once = matches!(&request.work, Work::Invoke(invoke) if invoke.once);
         let budget = rng.random_range(0..3);
-        let log = run(async {
+        let log = on_virtual_time(async {
             let behaviour = Behaviour {
                 budget,
                 ..Behaviour::default()
--- a/src/spread/tests/fetch.rs
+++ b/src/spread/tests/fetch.rs
@@ -8,22 +8,12 @@
     config,
     id::Revision,
     link::{Item, Outbox},
+    testing::on_virtual_time,
     wire::{self, Fetch, Frame},
 };
 
 const EXAMPLE: &str = include_str!("../../../examples/santiago.jsonc");
 
-fn run<F: Future>(future: F) -> F::Output {
-    let runtime = || {
-        tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(future)
-}
-
 fn document(revision: u64) -> wire::Document {
     let sections = config::split(EXAMPLE).expect("a valid document");
     let named = sections
@@ -67,7 +57,7 @@
 /// asked does not answer.
 #[test]
 fn one_peer_is_asked_until_its_time_is_over() {
-    let log = run(async {
+    let log = on_virtual_time(async {
         let (holder, _view) = spawn();
         let (mut first, mut second) = (Neighbour::new(), Neighbour::new());
         let mut log = vec![
@@ -88,7 +78,7 @@
 /// Guards against a closed connection that counts as the peer that was asked.
 #[test]
 fn closed_connections_are_not_waited_for() {
-    let asked = run(async {
+    let asked = on_virtual_time(async {
         let (holder, _view) = spawn();
         let (outbox, queue) = Outbox::channel();
         drop(queue);
--- a/src/unit/imp.rs
+++ b/src/unit/imp.rs
@@ -1,8 +1,9 @@
 use std::{fmt, iter::Sum, ops, str::FromStr};
 
-use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use serde::{Deserialize, Serialize};
 
 use super::Result;
+use crate::text::serde_as_text;
 
 /// A text that is not a quantity of the expected unit.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,28 +19,6 @@
 
 impl std::error::Error for Error {}
 
-macro_rules! serde_as_text {
-    ($name:ident) => {
-        impl Serialize for $name {
-            fn serialize<S: Serializer>(
-                &self,
-                serializer: S,
-            ) -> std::result::Result<S::Ok, S::Error> {
-                serializer.collect_str(self)
-            }
-        }
-
-        impl<'de> Deserialize<'de> for $name {
-            fn deserialize<D: Deserializer<'de>>(
-                deserializer: D,
-            ) -> std::result::Result<Self, D::Error> {
-                let text = String::deserialize(deserializer)?;
-                text.parse().map_err(de::Error::custom)
-            }
-        }
-    };
-}
-
 macro_rules! count {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
