--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -32,6 +32,8 @@
     stage: Stage,
     assembly: Assembly,
     avoid: Vec<Endpoint>,
+    /// Endpoint of the last attempt, for logs.
+    last: Option<Endpoint>,
     /// Whether an attempt may have run, so that a later failure is not reported as `executed: no`.
     maybe_run: bool,
     in_time: bool,
@@ -72,6 +74,7 @@
             stage: Stage::Waiting,
             assembly,
             avoid: Vec::new(),
+            last: None,
             maybe_run: false,
             in_time: false,
             meter,
@@ -100,7 +103,7 @@
         let part = self.advance().await;
         if !matches!(part, Ok(Part::Data(_))) {
             let attempts = self.assembly.current().number();
-            outcome::log_end(&self.request, attempts, &part);
+            outcome::log_end(&self.request, self.last.as_ref(), attempts, &part);
             let verdict = outcome::verdict(&part, self.in_time);
             let class = self.request.class.clone();
             self.relay.ports.tally.do_send(Tally { class, verdict });
@@ -167,6 +170,7 @@
         };
         let choose = self.relay.ports.choose.send(routing::Choose(demand)).await;
         let choice = choose.map_err(outcome::stopping)??;
+        self.last = Some(choice.endpoint().clone());
         let (sender, events) = mpsc::unbounded_channel();
         let endpoint = choice.endpoint().clone();
         let withdraw = Withdraw::new(&self.relay, &endpoint, self.assembly.current());
@@ -306,7 +310,7 @@
     /// Passes the error on unless the request may be tried again.
     async fn settle(&mut self, error: Error) -> Result<()> {
         if self.may_repeat(&error) && self.has_budget(&error).await {
-            log::info!(request:% = self.request.id, kind:% = error.kind(); "request is tried again");
+            outcome::log_retry(&self.request, self.last.as_ref(), &error);
             self.assembly.retry();
             return Ok(());
         }
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -1,7 +1,7 @@
 use super::{Part, Request, Result};
 use crate::{
     error::{Error, Executed, Kind},
-    id,
+    id::{self, Endpoint},
     invariant::{self, Point},
     operator::Verdict,
     routing::Ending,
@@ -34,8 +34,19 @@
     }
 }
 
-/// Logs the end of a request.
-pub(super) fn log_end(request: &Request, attempts: u16, part: &Result<Part>) {
+/// Logs that a request is tried again after its attempt at `endpoint` failed.
+pub(super) fn log_retry(request: &Request, endpoint: Option<&Endpoint>, error: &Error) {
+    log::info!(request:% = request.id, caller:% = request.caller, class:% = request.class,
+        endpoint:% = name(endpoint), kind:% = error.kind(); "request is tried again");
+}
+
+/// Logs the end of a request; `endpoint` is the one of its last attempt.
+pub(super) fn log_end(
+    request: &Request,
+    endpoint: Option<&Endpoint>,
+    attempts: u16,
+    part: &Result<Part>,
+) {
     let Request {
         id,
         caller,
@@ -43,15 +54,21 @@
         pool,
         ..
     } = request;
+    let endpoint = name(endpoint);
     match part {
         Ok(_) => log::info!(request:% = id, caller:% = caller, class:% = class, pool:% = pool,
-            attempts = attempts; "request served"),
+            endpoint:% = endpoint, attempts = attempts; "request served"),
         Err(error) => log::warn!(request:% = id, caller:% = caller, class:% = class,
-            pool:% = pool, attempts = attempts, kind:% = error.kind(),
+            pool:% = pool, endpoint:% = endpoint, attempts = attempts, kind:% = error.kind(),
             executed:% = error.executed(); "request failed"),
     }
 }
 
+/// A request that was refused before its first attempt has no endpoint.
+fn name(endpoint: Option<&Endpoint>) -> &str {
+    endpoint.map_or("-", Endpoint::as_str)
+}
+
 /// The error of a request whose actors have stopped.
 pub(super) fn stopping(_error: actix::MailboxError) -> Error {
     Error::new(Kind::Leaving, "the entry is stopping").with_executed(Executed::No)
