--- a/src/front/imp.rs
+++ b/src/front/imp.rs
@@ -7,7 +7,7 @@
 
 use actix::Recipient;
 use actix_web::{
-    App, HttpRequest, HttpResponse, HttpServer,
+    App, HttpRequest, HttpResponse, HttpServer, Resource,
     dev::ServerHandle,
     web::{self, ServiceConfig},
 };
@@ -141,44 +141,26 @@
 }
 
 fn routes(app: &mut ServiceConfig) {
-    let only = |path: &str, methods: [Option<actix_web::Route>; 2]| {
-        let resource = web::resource(path).default_service(web::to(other_method));
-        methods
-            .into_iter()
-            .flatten()
-            .fold(resource, actix_web::Resource::route)
-    };
-    app.service(only(
-        "/v1/completions",
-        [Some(web::post().to(openai::completions)), None],
-    ))
-    .service(only(
-        "/v1/chat/completions",
-        [Some(web::post().to(openai::chat)), None],
-    ))
-    .service(only(
-        "/v1/models",
-        [Some(web::get().to(openai::models)), None],
-    ))
-    .service(only(
-        "/v1/services/{service}/{operation}",
-        [Some(web::post().to(service::invoke)), None],
-    ))
-    .service(only(
-        "/v1/services/{service}/{operation}/{key}",
-        [Some(web::get().to(service::recorded)), None],
-    ))
-    .service(only(
-        "/healthz",
-        [Some(web::get().to(health::healthz)), None],
-    ))
-    .service(only("/readyz", [Some(web::get().to(health::readyz)), None]))
-    .service(only(
-        "/metrics",
-        [Some(web::get().to(health::metrics)), None],
-    ))
-    .configure(operator::routes)
-    .default_service(web::to(unknown_route));
+    app.service(resource("/v1/completions").route(web::post().to(openai::completions)))
+        .service(resource("/v1/chat/completions").route(web::post().to(openai::chat)))
+        .service(resource("/v1/models").route(web::get().to(openai::models)))
+        .service(
+            resource("/v1/services/{service}/{operation}").route(web::post().to(service::invoke)),
+        )
+        .service(
+            resource("/v1/services/{service}/{operation}/{key}")
+                .route(web::get().to(service::recorded)),
+        )
+        .service(resource("/healthz").route(web::get().to(health::healthz)))
+        .service(resource("/readyz").route(web::get().to(health::readyz)))
+        .service(resource("/metrics").route(web::get().to(health::metrics)))
+        .configure(operator::routes)
+        .default_service(web::to(unknown_route));
+}
+
+/// A path that answers other methods than its routes with a problem document.
+pub(super) fn resource(path: &str) -> Resource {
+    web::resource(path).default_service(web::to(other_method))
 }
 
 async fn unknown_route(request: HttpRequest) -> HttpResponse {
@@ -186,7 +168,7 @@
     problem::respond(&Error::new(Kind::NotFound, detail))
 }
 
-pub(super) async fn other_method(request: HttpRequest) -> HttpResponse {
+async fn other_method(request: HttpRequest) -> HttpResponse {
     let detail = format!(
         "{} cannot be used with {}",
         request.path(),
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -2,7 +2,7 @@
 
 use actix::Recipient;
 use actix_web::{
-    HttpRequest, HttpResponse, Resource,
+    HttpRequest, HttpResponse,
     http::header,
     web::{self, ServiceConfig},
 };
@@ -12,7 +12,7 @@
 
 use super::{
     Result, auth,
-    imp::{Context, other_method},
+    imp::{Context, resource},
     problem, receive,
 };
 use crate::{
@@ -50,8 +50,6 @@
 }
 
 pub(super) fn routes(app: &mut ServiceConfig) {
-    let resource =
-        |path: &str| -> Resource { web::resource(path).default_service(web::to(other_method)) };
     app.service(
         resource("/operator/v1/config")
             .route(web::get().to(read))
