Do not order a stopping agent to resume

Cause: the holder of a group could not tell an endpoint that an order drains from one that leaves by itself, and sent a new order to resume to a stopping agent every 500 ms, each with two writes to the store. Reports now say whether an order is the reason. Before: the plan for such an endpoint was Resume; after: none (case 'leaving for a reason of its own').

--- a/mulberrymill-bench/src/capacity/agent.rs
+++ b/mulberrymill-bench/src/capacity/agent.rs
@@ -85,6 +85,7 @@
         endpoint: endpoint.clone(),
         revision: *revision.borrow(),
         leaving: false,
+        drained: false,
         role: Role::Mixed,
         models: models.clone(),
         load: Load {
--- a/mulberrymill-bench/src/experiment/sim.rs
+++ b/mulberrymill-bench/src/experiment/sim.rs
@@ -254,6 +254,7 @@
             endpoint: one.endpoint.clone(),
             revision: Revision::default(),
             leaving: one.leaving,
+            drained: one.leaving,
             role: load.role,
             models: load.models,
             entries: count(self.entries.len()),
--- a/src/reconcile/imp.rs
+++ b/src/reconcile/imp.rs
@@ -52,8 +52,12 @@
     let drain = host_leaves || intent.is_some_and(|intent| intent.drain);
     match (drain, report.leaving) {
         (true, false) => Some(Change::Drain),
-        // An endpoint is not resumed for want of knowledge why it was drained.
-        (false, true) => (intents.is_some() && hosts.is_some()).then_some(Change::Resume),
+        // An endpoint is not resumed for want of knowledge why it was drained, and one that leaves
+        // for a reason of its own would be ordered in vain in every round.
+        (false, true) => {
+            let known = intents.is_some() && hosts.is_some();
+            (known && report.drained).then_some(Change::Resume)
+        }
         // A leaving endpoint is not prepared for work that it will not get.
         (true, true) => None,
         (false, false) => model_change(spec, report),
--- a/src/reconcile/tests.rs
+++ b/src/reconcile/tests.rs
@@ -26,6 +26,7 @@
         endpoint: endpoint(name),
         revision: Revision::new(7),
         leaving,
+        drained: leaving,
         role: Role::Mixed,
         models: models.collect(),
         load: Load::default(),
@@ -69,6 +70,17 @@
             known(&engine(true, &right), &[], &host),
         ),
         ("resumed", known(&engine(true, &right), &[], &[])),
+        (
+            "leaving for a reason of its own",
+            known(
+                &[Report {
+                    drained: false,
+                    ..report("allergen-1", true, &right)
+                }],
+                &[],
+                &[],
+            ),
+        ),
         (
             "load before unload",
             known(&engine(false, &["old"]), &[], &[]),
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -59,6 +59,7 @@
         endpoint: name(endpoint),
         revision: Revision::new(1),
         leaving: false,
+        drained: false,
         role: Role::Mixed,
         models: spec(0).models,
         load: Load {
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -243,6 +243,9 @@
     pub revision: Revision,
     /// No new work, please.
     pub leaving: bool,
+    /// Whether an order is the reason, which another order can undo. A stopping agent or an engine
+    /// that drains itself cannot be resumed.
+    pub drained: bool,
     /// Role of an engine.
     pub role: Role,
     /// Models that are loaded.
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -135,6 +135,7 @@
             endpoint: self.config.name.clone(),
             revision: *self.config.revision.borrow(),
             leaving: self.is_leaving(),
+            drained: self.leaving,
             role: self.state.role,
             models: self.state.models.clone(),
             entries: u32::try_from(self.sessions.len()).unwrap_or(u32::MAX),
