Use the shared runner and the submit step in all tests that rebuilt them

Four tests built the virtual-time runtime again, and one link test repeated the submit step of its rig.

--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -14,6 +14,7 @@
     error::{Executed, Kind},
     id::Request,
     routing::{Cost, Pool},
+    testing::on_virtual_time,
     unit::{Rate, Share, Worth},
 };
 
@@ -255,15 +256,7 @@
 /// Guards against a slot that leaks when nobody receives the answer or a permit is dropped.
 #[test]
 fn dropped_permits_free_their_slots() {
-    let runtime = || {
-        let mut builder = tokio::runtime::Builder::new_current_thread();
-        builder
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(async {
+    on_virtual_time(async {
         let clock = System::shared();
         let controller = spawn(Config::new(Arc::clone(&clock)).queueing(1.0));
         controller
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -162,7 +162,8 @@
             })
             .await;
         assert!(sent.expect("a running pool").is_ok(), "submit failed");
-        self.seen.recv().await.expect("a frame");
+        let expected = format!("submit to {AGENT:016x}");
+        assert_eq!(self.seen.recv().await, Some(expected));
         (attempt, receiver)
     }
 }
@@ -241,20 +242,7 @@
 #[actix::test]
 async fn attempts_and_events_find_each_other() {
     let mut rig = rig().await;
-    let (events, mut receiver) = mpsc::unbounded_channel();
-    let submit = submit_frame();
-    let attempt = submit.attempt;
-    let sent = rig
-        .pool
-        .send(Submit {
-            endpoint: endpoint(),
-            submit,
-            events,
-        })
-        .await;
-    assert!(sent.expect("a running pool").is_ok(), "submit failed");
-    let expected = format!("submit to {AGENT:016x}");
-    assert_eq!(rig.seen.recv().await, Some(expected));
+    let (attempt, mut receiver) = rig.submit().await;
     rig.agent_sends(Frame::Chunk(chunk(attempt.next())));
     rig.agent_sends(Frame::Chunk(chunk(attempt)));
     rig.agent_sends(Frame::End(end(attempt)));
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -14,6 +14,7 @@
     error::Kind,
     id::{Endpoint, Revision},
     retry::Window,
+    testing::on_virtual_time,
     unit::Tokens,
     wire::{Load, Report, Role},
 };
@@ -257,12 +258,7 @@
 /// router that does not say when they return.
 #[test]
 fn admission_hears_of_slots() {
-    let runtime = || {
-        let mut builder = tokio::runtime::Builder::new_current_thread();
-        let builder = builder.enable_all().start_paused(true);
-        builder.build().expect("runtime")
-    };
-    actix::System::with_tokio_rt(runtime).block_on(async {
+    on_virtual_time(async {
         let clock = System::shared();
         let listener = Listener::default().start();
         let config = Config::new(clock).capacity(listener.clone().recipient());
--- a/src/work/tests.rs
+++ b/src/work/tests.rs
@@ -9,6 +9,7 @@
 use crate::{
     id::{Attempt, Fence, Incarnation, Revision},
     link::{Item, Outbox, Session},
+    testing::on_virtual_time,
     unit::{Bytes, Tokens},
     wire::{Change, Frame, Generate, Prompt, Report, Sampling, Submit, Work},
 };
@@ -254,15 +255,7 @@
 /// Guards against an attempt that holds an engine for longer than its caller waits.
 #[test]
 fn attempts_end_at_their_deadline() {
-    let system = actix::System::with_tokio_rt(|| {
-        let mut runtime = tokio::runtime::Builder::new_current_thread();
-        runtime
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    });
-    let log = system.block_on(async {
+    let log = on_virtual_time(async {
         let mut rig = rig();
         let _silent = rig.begin(1, 1000);
         rig.next().await
@@ -273,15 +266,7 @@
 /// Guards against an edit that waits up to a second for the next report at each agent on its way.
 #[test]
 fn new_revision_is_reported_at_once() {
-    let system = actix::System::with_tokio_rt(|| {
-        let mut runtime = tokio::runtime::Builder::new_current_thread();
-        runtime
-            .enable_all()
-            .start_paused(true)
-            .build()
-            .expect("a runtime")
-    });
-    let (revision, waited) = system.block_on(async {
+    let (revision, waited) = on_virtual_time(async {
         let (revisions, revision) = watch::channel(Revision::new(3));
         let (sender, mut reports) = mpsc::unbounded_channel();
         let worker = spawn(Config {
