--- a/mulberrymill-bench/src/store/imp.rs
+++ b/mulberrymill-bench/src/store/imp.rs
@@ -13,7 +13,7 @@
 use mulberrymill::{
     clock,
     error::{Error, Executed, Kind},
-    store::{Counts, Faults, Memory, Store},
+    store::{Counts, Faults, Memory, Reader, Store},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
--- a/mulberrymill-bench/tests/store.rs
+++ b/mulberrymill-bench/tests/store.rs
@@ -7,7 +7,7 @@
     clock,
     error::{Executed, Result},
     id::Revision,
-    store::{Compare, Etcd, Events, Lease, Memory, Path, Store, Txn, Write},
+    store::{Compare, Etcd, Events, Lease, Memory, Path, Reader, Store, Txn, Write},
 };
 use mulberrymill_bench::store::{self, Config, Fault, Handle};
 use proptest::{
--- a/src/authority/tests.rs
+++ b/src/authority/tests.rs
@@ -240,7 +240,7 @@
         seen.push(judge.watch(&holders, TAKEOVER, "after").await);
         holders[0].address.send(Release).await.expect("running");
         seen.push(judge.watch(&holders, TAKEOVER, "released").await);
-        let keys = crate::store::Store::range(&store, "/".parse().expect("a key")).await;
+        let keys = crate::store::Reader::range(&store, "/".parse().expect("a key")).await;
         insta::assert_debug_snapshot!((seen, keys.map(|range| range.items.len()).ok()));
     });
 }
--- a/src/edit/tests.rs
+++ b/src/edit/tests.rs
@@ -11,7 +11,7 @@
     config::Section,
     error::{Error, Executed, Kind},
     id::{self, Revision},
-    store::{Change, Faults, Memory, Store},
+    store::{Change, Faults, Memory, Reader},
     testing::seeds,
 };
 
--- a/src/gate/tests.rs
+++ b/src/gate/tests.rs
@@ -14,7 +14,7 @@
     clock::{self, Manual, System},
     error::{Error, Kind},
     id::{Fence, Incarnation},
-    store::{Faults, Memory, Path, Store, Txn, Write},
+    store::{Faults, Memory, Path, Reader, Store, Txn, Write},
     wire::{Change, Done, Order, Role, Verdict},
 };
 
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -11,7 +11,7 @@
     clock::System,
     error::{Error, Executed, Kind},
     id::{Attempt, Incarnation, Request, Revision},
-    store::{self, Commit, Events, Faults, Lease, Memory, Path, Range, Store, Txn},
+    store::{self, Commit, Events, Faults, Lease, Memory, Path, Range, Reader, Store, Txn},
     wire::Recorded,
 };
 
@@ -63,7 +63,7 @@
     }
 }
 
-impl Store for Link {
+impl Reader for Link {
     fn get(&self, path: Path) -> store::Future<'_, Range> {
         self.pass(self.memory.get(path))
     }
@@ -72,6 +72,12 @@
         self.pass(self.memory.range(prefix))
     }
 
+    fn watch(&self, prefix: Path, from: Revision) -> store::Future<'_, Events> {
+        self.pass(self.memory.watch(prefix, from))
+    }
+}
+
+impl Store for Link {
     fn commit(&self, txn: Txn) -> store::Future<'_, Commit> {
         let late = self.late.get();
         if late.is_zero() {
@@ -97,10 +103,6 @@
     fn revoke(&self, lease: Lease) -> store::Future<'_, ()> {
         self.pass(self.memory.revoke(lease))
     }
-
-    fn watch(&self, prefix: Path, from: Revision) -> store::Future<'_, Events> {
-        self.pass(self.memory.watch(prefix, from))
-    }
 }
 
 /// One run of an agent.
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use super::{
-    CALL_LIMIT, Commit, Event, Events, Future, Lease, Path, Range, Result, Store, Txn,
+    CALL_LIMIT, Commit, Event, Events, Future, Lease, Path, Range, Reader, Result, Store, Txn,
     gateway::{self, ANSWER_MAX, malformed},
 };
 use crate::{
@@ -154,7 +154,7 @@
     }
 }
 
-impl Store for Etcd {
+impl Reader for Etcd {
     fn get(&self, path: Path) -> Future<'_, Range> {
         let request = gateway::get_request(&path);
         async move {
@@ -173,6 +173,20 @@
         .boxed_local()
     }
 
+    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
+        async move {
+            time::timeout(CALL_LIMIT, self.open_watch(prefix, from))
+                .await
+                .unwrap_or_else(|_elapsed| {
+                    self.prefer_next();
+                    Err(malformed("the store did not answer in time"))
+                })
+        }
+        .boxed_local()
+    }
+}
+
+impl Store for Etcd {
     fn commit(&self, txn: Txn) -> Future<'_, Commit> {
         async move {
             txn.check()?;
@@ -220,18 +234,6 @@
         }
         .boxed_local()
     }
-
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
-        async move {
-            time::timeout(CALL_LIMIT, self.open_watch(prefix, from))
-                .await
-                .unwrap_or_else(|_elapsed| {
-                    self.prefer_next();
-                    Err(malformed("the store did not answer in time"))
-                })
-        }
-        .boxed_local()
-    }
 }
 
 /// Splits the body of a watch into lines.
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -230,17 +230,25 @@
 /// Batches of changes, in the order of their revisions. After an error the stream ends.
 pub type Events = LocalBoxStream<'static, Result<Vec<Event>>>;
 
-/// The platform's key-value store.
+/// The reading half of the platform's key-value store.
 ///
-/// Every method fails with `Kind::StoreUnavailable`. Its `executed` tells whether a write may have
-/// taken effect: `no` if the call certainly did not reach the store, else `unknown`.
-pub trait Store: fmt::Debug {
+/// Every method fails with `Kind::StoreUnavailable`.
+pub trait Reader: fmt::Debug {
     /// Reads one key.
     fn get(&self, path: Path) -> Future<'_, Range>;
 
     /// Reads all keys that start with `prefix`.
     fn range(&self, prefix: Path) -> Future<'_, Range>;
 
+    /// Watches all keys that start with `prefix`, from a revision on.
+    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events>;
+}
+
+/// The platform's key-value store.
+///
+/// Every method fails with `Kind::StoreUnavailable`. Its `executed` tells whether a write may have
+/// taken effect: `no` if the call certainly did not reach the store, else `unknown`.
+pub trait Store: Reader {
     /// Runs a transaction.
     fn commit(&self, txn: Txn) -> Future<'_, Commit>;
 
@@ -253,7 +261,4 @@
 
     /// Ends a lease and removes its keys.
     fn revoke(&self, lease: Lease) -> Future<'_, ()>;
-
-    /// Watches all keys that start with `prefix`, from a revision on.
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events>;
 }
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -9,7 +9,8 @@
 use tokio::{sync::Notify, time};
 
 use super::{
-    CALL_LIMIT, Commit, Events, Future, Lease, Path, Range, Result, Store, Txn, keyspace::Keyspace,
+    CALL_LIMIT, Commit, Events, Future, Lease, Path, Range, Reader, Result, Store, Txn,
+    keyspace::Keyspace,
 };
 use crate::{
     clock,
@@ -174,7 +175,7 @@
     }
 }
 
-impl Store for Memory {
+impl Reader for Memory {
     fn get(&self, path: Path) -> Future<'_, Range> {
         self.call(false, move |keyspace| Ok(keyspace.get(&path)))
     }
@@ -183,6 +184,29 @@
         self.call(false, move |keyspace| Ok(keyspace.range(&prefix)))
     }
 
+    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
+        async move {
+            self.reach()?;
+            let next = if from == Revision::default() {
+                Revision::new(self.revision().get() + 1)
+            } else {
+                from
+            };
+            let watch = Watch::new(self.clone(), prefix, next);
+            let events = stream::unfold(Some(watch), |watch| async move {
+                let mut watch = watch?;
+                match watch.next().await {
+                    Ok(events) => Some((Ok(events), Some(watch))),
+                    Err(error) => Some((Err(error), None)),
+                }
+            });
+            Ok(events.boxed_local())
+        }
+        .boxed_local()
+    }
+}
+
+impl Store for Memory {
     fn commit(&self, txn: Txn) -> Future<'_, Commit> {
         if let Err(error) = txn.check() {
             return async { Err(error) }.boxed_local();
@@ -208,27 +232,6 @@
             Ok(())
         })
     }
-
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
-        async move {
-            self.reach()?;
-            let next = if from == Revision::default() {
-                Revision::new(self.revision().get() + 1)
-            } else {
-                from
-            };
-            let watch = Watch::new(self.clone(), prefix, next);
-            let events = stream::unfold(Some(watch), |watch| async move {
-                let mut watch = watch?;
-                match watch.next().await {
-                    Ok(events) => Some((Ok(events), Some(watch))),
-                    Err(error) => Some((Err(error), None)),
-                }
-            });
-            Ok(events.boxed_local())
-        }
-        .boxed_local()
-    }
 }
 
 /// A pending watch. It counts against the limits of the store until it is dropped.
