--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -59,6 +59,16 @@
                 .about("Serve one endpoint on its host")
                 .arg(settings()),
         )
+        .subcommand(
+            Command::new("gateway")
+                .about("Serve callers on the platform's edge hosts, without agents")
+                .arg(
+                    Arg::new("settings")
+                        .long("settings")
+                        .value_name("FILE")
+                        .help("Settings of the process [default: where the platform puts them]"),
+                ),
+        )
         .subcommand(config_command())
         .subcommand(
             Command::new("status")
@@ -187,6 +197,7 @@
     let outcome = match matches.subcommand() {
         Some(("entry", matches)) => serve::entry(&argument::<String>(matches, "settings")),
         Some(("agent", matches)) => serve::agent(&argument::<String>(matches, "settings")),
+        Some(("gateway", matches)) => serve::gateway(matches.get_one::<String>("settings")),
         Some(("config", matches)) => config::run(matches),
         Some(("status", matches)) => status::show(matches),
         Some(("drain", matches)) => status::drain(matches),
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -4,8 +4,9 @@
 use crate::{
     agent, entry,
     error::{Error, Kind},
+    gateway,
     id::Process,
-    log, settings,
+    log, platform, settings,
 };
 
 pub(super) fn entry(file: &str) -> Result<()> {
@@ -35,6 +36,36 @@
     })
 }
 
+pub(super) fn gateway(file: Option<&String>) -> Result<()> {
+    let file = match file {
+        Some(file) => file.clone(),
+        None => platform::settings_file()?,
+    };
+    let settings = settings::Gateway::open(&file).map_err(|faults| invalid(&faults))?;
+    open_log(settings.log, &settings.process)?;
+    block_on(async {
+        let mut stop = Stop::listen()?;
+        let gateway = gateway::open(&settings, platform::open(settings.store)?)?;
+        ::log::info!(address:% = gateway.address(), readiness:% = gateway.readiness(),
+            settings:? = settings; "gateway is listening");
+        while stop.next().await == Request::Reload {
+            check_settings(&file, &settings);
+        }
+        gateway.stop().await;
+        Ok(())
+    })
+}
+
+/// Reports a changed settings file. All settings take effect at the next start.
+fn check_settings(file: &str, current: &settings::Gateway) {
+    match settings::Gateway::open(file) {
+        Ok(settings) => ::log::info!(changed = settings != *current, file = file;
+            "settings were read again; changes take effect at the next start"),
+        Err(faults) => ::log::error!(file = file, faults:% = faults;
+            "settings have faults; the current ones stay in force"),
+    }
+}
+
 /// Runs a future on an actor system.
 pub(super) fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
     actix::System::new().block_on(async {
@@ -59,10 +90,20 @@
     })
 }
 
-/// The signals that ask for a graceful stop.
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    /// A graceful stop.
+    Stop,
+    /// To read the settings again.
+    Reload,
+}
+
+/// The signals that a process reacts to.
 struct Stop {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Stop {
@@ -76,9 +117,19 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate()).map_err(failed)?,
             interrupt: signal(SignalKind::interrupt()).map_err(failed)?,
+            hangup: signal(SignalKind::hangup()).map_err(failed)?,
         })
     }
 
+    /// The next request of the one who runs the process.
+    async fn next(&mut self) -> Request {
+        tokio::select! {
+            _ = self.terminate.recv() => Request::Stop,
+            _ = self.interrupt.recv() => Request::Stop,
+            _ = self.hangup.recv() => Request::Reload,
+        }
+    }
+
     async fn wait(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
--- /dev/null
+++ b/src/dispatch/actor.rs
@@ -0,0 +1,92 @@
+use actix::{Actor, Addr, Context, Handler, MessageResult};
+
+use super::{Board, Choice, Choose, Finish, MayRepeat, Members, Progress};
+use crate::{clock::Shared, error::Result, id::Zone};
+
+/// What a dispatcher needs.
+#[derive(Clone, Debug)]
+pub struct Config {
+    clock: Shared,
+    zone: Zone,
+    seed: u64,
+}
+
+impl Config {
+    /// A dispatcher in a zone, with seed 0.
+    #[must_use]
+    pub const fn new(clock: Shared, zone: Zone) -> Self {
+        Self {
+            clock,
+            zone,
+            seed: 0,
+        }
+    }
+
+    /// Sets the seed of the random choices. Processes need different seeds.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+/// The actor that chooses endpoints.
+#[derive(Debug)]
+pub struct Dispatcher {
+    clock: Shared,
+    board: Board,
+}
+
+/// Starts a dispatcher in the current arbiter.
+#[must_use]
+pub fn spawn(config: Config) -> Addr<Dispatcher> {
+    Dispatcher {
+        board: Board::new(config.zone, config.seed),
+        clock: config.clock,
+    }
+    .start()
+}
+
+impl Actor for Dispatcher {
+    type Context = Context<Self>;
+}
+
+impl Handler<Choose> for Dispatcher {
+    type Result = Result<Choice>;
+
+    fn handle(&mut self, Choose(demand): Choose, _: &mut Context<Self>) -> Self::Result {
+        self.board.choose(&demand, self.clock.now())
+    }
+}
+
+impl Handler<Progress> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, progress: Progress, _: &mut Context<Self>) {
+        self.board.progress(&progress, self.clock.now());
+    }
+}
+
+impl Handler<Finish> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, finish: Finish, _: &mut Context<Self>) {
+        self.board.finish(&finish, self.clock.now());
+    }
+}
+
+impl Handler<MayRepeat> for Dispatcher {
+    type Result = MessageResult<MayRepeat>;
+
+    fn handle(&mut self, MayRepeat(service): MayRepeat, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.board.may_repeat(&service, self.clock.now()))
+    }
+}
+
+impl Handler<Members> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, Members(instances): Members, _: &mut Context<Self>) {
+        self.board.replace(instances, self.clock.now());
+    }
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,17 @@
+//! Which endpoint a request goes to.
+//!
+//! [`Board`] holds what is known of each endpoint: the work that this process sent there, the load
+//! that the endpoint reported with its last answer, failures, and which shared prompt parts it is
+//! the home of. [`Dispatcher`] is the actor that owns the board.
+
+mod actor;
+mod imp;
+mod message;
+#[cfg(test)]
+mod tests;
+
+pub use actor::{Config, Dispatcher, spawn};
+pub use imp::Board;
+pub use message::{
+    Choice, Choose, Demand, Ending, Finish, Load, MayRepeat, Members, Need, Progress,
+};
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! The entry process: starts the actors of an entry and connects them.
 
 mod imp;
-mod recorder;
+pub(crate) mod recorder;
 mod sink;
 
 pub use imp::{Entry, open};
--- a/src/entry/recorder.rs
+++ b/src/entry/recorder.rs
@@ -12,10 +12,10 @@
 ];
 
 /// Pause between two clean-ups of the recorder, which else keeps every sample until it is read.
-pub(super) const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+pub(crate) const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
 
 /// Installs the metrics recorder of the process, once.
-pub(super) fn install() -> Result<PrometheusHandle> {
+pub(crate) fn install() -> Result<PrometheusHandle> {
     static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
     if let Some(handle) = HANDLE.get() {
         return Ok(handle.clone());
--- a/src/error/imp.rs
+++ b/src/error/imp.rs
@@ -88,6 +88,8 @@
     NotFound => "not-found", 404, "Not found", No, None;
     /// The path exists with other methods.
     MethodNotAllowed => "method-not-allowed", 405, "The method is not allowed here", No, None;
+    /// The head of the request is larger than allowed.
+    HeadTooLarge => "head-too-large", 431, "The request head is too large", No, None;
     /// The request was not received in time.
     RequestTimeout => "request-timeout", 408, "The request was not received in time", No, None;
     /// The idempotency key was used with another body.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -10,8 +10,8 @@
 mod imp;
 mod openai;
 mod operator;
-mod problem;
-mod receive;
+pub(crate) mod problem;
+pub(crate) mod receive;
 mod service;
 mod stream;
 #[cfg(test)]
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -57,7 +57,7 @@
 }
 
 /// Turns an error into a response.
-pub(super) fn respond(error: &Error) -> HttpResponse {
+pub(crate) fn respond(error: &Error) -> HttpResponse {
     metrics::counter!("errors_total", "kind" => error.kind().answer().slug).increment(1);
     Problem::new(error, None).respond()
 }
--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -19,7 +19,7 @@
 const FIELD_MAX: usize = 64;
 
 /// Receives a body of at most `limit`.
-pub(super) async fn body(payload: Payload, limit: unit::Bytes) -> Result<Bytes> {
+pub(crate) async fn body(payload: Payload, limit: unit::Bytes) -> Result<Bytes> {
     time::timeout(BODY_LIMIT, collect(payload, limit))
         .await
         .map_err(|_elapsed| Error::new(Kind::RequestTimeout, "the body came too slowly"))?
--- a/src/id/imp.rs
+++ b/src/id/imp.rs
@@ -82,6 +82,10 @@
     };
 }
 
+text_id!(
+    /// A caller's id for one of its attempts, unique across callers.
+    Call, "call id", is_key, "use 1 to 128 visible ASCII characters without a slash"
+);
 name_id!(
     /// A customer that sends requests.
     Caller, "caller name"
@@ -118,6 +122,10 @@
     /// A plain service beside the engines.
     Service, "service name"
 );
+name_id!(
+    /// A group of requests with the same terms.
+    Route, "route name"
+);
 name_id!(
     /// An operation of a plain service.
     Operation, "operation name"
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -18,8 +18,8 @@
 mod tests;
 
 pub use imp::{
-    Attempt, Caller, Class, Edit, Editor, Endpoint, Error, Fence, Group, Host, Incarnation, Key,
-    Model, Operation, Order, Process, Request, Revision, Service, Zone,
+    Attempt, Call, Caller, Class, Edit, Editor, Endpoint, Error, Fence, Group, Host, Incarnation,
+    Key, Model, Operation, Order, Process, Request, Revision, Route, Service, Zone,
 };
 
 /// Result of parsing an identifier.
--- /dev/null
+++ b/src/ingress/serve.rs
@@ -0,0 +1,121 @@
+use std::sync::Arc;
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    body::SizedStream,
+    http::{
+        StatusCode,
+        header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER},
+    },
+    web,
+};
+
+use super::{
+    Result,
+    imp::{Config, Context},
+};
+use crate::{
+    error::{Error, Kind},
+    forward::{self, Answer},
+    front::{problem, receive},
+    route::Plan,
+    unit::Bytes,
+};
+
+/// Bytes of a header line besides its name and value: a colon, a space and the line break.
+const HEADER_EXTRA: usize = 4;
+
+/// Serves a request of a caller.
+pub(super) async fn request(
+    request: HttpRequest,
+    payload: web::Payload,
+    context: web::Data<Context>,
+) -> HttpResponse {
+    let stopping = *context.config.stopping.borrow();
+    let mut response = match forward(&request, payload, &context).await {
+        Ok(answer) => respond(answer),
+        Err(error) => refuse(&request, &error),
+    };
+    if stopping {
+        // The caller's next request goes to a process that stays.
+        response
+            .head_mut()
+            .set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    response
+}
+
+async fn forward(
+    request: &HttpRequest,
+    payload: web::Payload,
+    context: &Context,
+) -> Result<Answer> {
+    let plan: Option<Arc<Plan>> = context.config.plan.borrow().clone();
+    let Some(plan) = plan else {
+        return Err(Error::new(Kind::NotReady, "no plan is known yet"));
+    };
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let Some(route) = plan.find(host, request.path()).cloned() else {
+        log::info!(host = host, version:% = plan.version(); "request has no route");
+        return Err(Error::new(Kind::NotFound, "there is no such route"));
+    };
+    let limits = plan.limits();
+    check_head(request.headers(), limits.head)?;
+    let arrived = context.ports.clock.now();
+    let body = receive::body(payload, limits.body).await?;
+    let mut call = context.config.protocol.decode(request, body)?;
+    call.arrived = arrived;
+    forward::start(call, route, context.ports.clone()).await
+}
+
+fn check_head(headers: &HeaderMap, limit: Bytes) -> Result<()> {
+    let size: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA)
+        .sum();
+    if size as u64 > limit.get() {
+        let detail = format!("the head is larger than {limit}");
+        return Err(Error::new(Kind::HeadTooLarge, detail));
+    }
+    Ok(())
+}
+
+fn respond(answer: Answer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    for (name, value) in answer.headers {
+        response.append_header((name, value));
+    }
+    match answer.length {
+        Some(length) => response.body(SizedStream::new(length, answer.body)),
+        None => response.streaming(answer.body),
+    }
+}
+
+fn refuse(request: &HttpRequest, error: &Error) -> HttpResponse {
+    log::debug!(path = request.path(), error:% = error; "request is answered with an error");
+    let mut response = problem::respond(error);
+    if let Some(period) = error.retry_after() {
+        let seconds = format!("{:.3}", period.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Tells the load balancer whether to send callers here.
+pub(super) async fn readiness(config: web::Data<Config>) -> HttpResponse {
+    match config.readiness() {
+        Ok(()) => HttpResponse::Ok().body("ready\n"),
+        Err(error) => problem::respond(&error),
+    }
+}
+
+/// The metrics in the text format of Prometheus.
+pub(super) async fn metrics(config: web::Data<Config>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(config.metrics.render())
+}
--- /dev/null
+++ b/src/platform/ingress.rs
@@ -0,0 +1,113 @@
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_web::{
+    HttpRequest,
+    http::header::{CONTENT_LENGTH, HeaderMap},
+    web::Bytes,
+};
+
+use super::{Engine, Result, names};
+use crate::{
+    error::{Error, Kind},
+    forward::{Call, Generation, Upstream},
+    ingress,
+    unit::Tokens,
+};
+
+/// Requests of callers, as the platform's clients write them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Protocol;
+
+impl ingress::Protocol for Protocol {
+    fn readiness_path(&self) -> &'static str {
+        names::READY
+    }
+
+    fn decode(&self, request: &HttpRequest, body: Bytes) -> Result<Call> {
+        let received = request.headers();
+        let patience = number::<u64>(received, names::DEADLINE_MS)?;
+        let resume_after = text(received, names::LAST_EVENT_ID).map(str::parse);
+        let target = request.uri().path_and_query();
+        Ok(Call {
+            id: text(received, names::REQUEST_ID).and_then(|id| id.parse().ok()),
+            method: request.method().clone(),
+            target: target.map_or_else(|| "/".to_owned(), ToString::to_string),
+            headers: end_to_end(received),
+            body,
+            arrived: Instant::now(),
+            patience: patience.map(Duration::from_millis),
+            generation: generation(received)?,
+            resume_after: resume_after.transpose()?,
+        })
+    }
+
+    fn upstream(&self) -> Rc<dyn Upstream> {
+        Rc::new(Engine::new())
+    }
+}
+
+fn generation(headers: &HeaderMap) -> Result<Option<Generation>> {
+    let Some(counts) = text(headers, names::TOKEN_COUNT) else {
+        return Ok(None);
+    };
+    let malformed = || Error::new(Kind::BadRequest, "malformed token count");
+    let (prompt, output) = counts.split_once(',').ok_or_else(malformed)?;
+    let parse = |text: &str| text.trim().parse().map_err(|_error| malformed());
+    let (prompt, output) = (parse(prompt)?, parse(output)?);
+    let prefix = text(headers, names::PREFIX).unwrap_or_default();
+    let parts: Vec<(&str, u64)> = prefix.split(',').filter_map(part).collect();
+    // The last part belongs to this request or its session.
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let affinity = shared.last().map(|(id, _)| {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        hasher.finish()
+    });
+    let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+    Ok(Some(Generation {
+        prompt: Tokens::new(prompt),
+        output: Tokens::new(output),
+        shared: Tokens::new(tokens.min(prompt)),
+        affinity,
+    }))
+}
+
+fn part(text: &str) -> Option<(&str, u64)> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some((id, tokens.parse().ok()?))
+}
+
+/// Headers for the endpoint. The length is written anew with the body.
+fn end_to_end(received: &HeaderMap) -> HeaderMap {
+    let connection = text(received, "connection").unwrap_or_default();
+    let named: Vec<String> = connection
+        .split(',')
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut headers = HeaderMap::new();
+    for (name, value) in received {
+        let dropped = names::SYSTEM.contains(&name.as_str())
+            || names::HOP_BY_HOP.contains(&name.as_str())
+            || name == CONTENT_LENGTH
+            || named.iter().any(|dropped| dropped == name.as_str());
+        if !dropped {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers
+}
+
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>> {
+    let number = text(headers, name).map(|text| text.trim().parse());
+    number
+        .transpose()
+        .map_err(|_error| Error::new(Kind::BadRequest, format!("{name} is not a number")))
+}
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,37 @@
+//! Which service a request goes to, and under which terms.
+//!
+//! A [`Plan`] is one version of the operator's configuration. A request is matched by its host and
+//! the longest prefix of its path.
+//!
+//! ```
+//! use std::{sync::Arc, time::Duration};
+//!
+//! use mulberrymill::route::{Kind, Limits, Plan, Route, Target, Version};
+//!
+//! let route = |name: &str, prefix: &str| Route {
+//!     name: name.parse().expect("a valid name"),
+//!     host: "kitchen.example".to_owned(),
+//!     prefix: prefix.to_owned(),
+//!     kind: Kind::Idempotent,
+//!     targets: vec![Target::whole("labels".parse().expect("a valid name"))],
+//!     timeout: Duration::from_secs(1),
+//!     aim: Duration::from_millis(150),
+//!     rank: 2,
+//!     attempts: 2,
+//!     event_gap: None,
+//! };
+//! let plan = Plan::new(
+//!     Version::new(1),
+//!     vec![route("all", "/"), route("labels", "/labels/")],
+//!     Limits::default(),
+//! );
+//! let found = plan.find("kitchen.example", "/labels/7").expect("a route");
+//! assert_eq!(found.name.as_str(), "labels");
+//! assert!(plan.find("other.example", "/labels/7").is_none());
+//! ```
+
+mod imp;
+#[cfg(test)]
+mod tests;
+
+pub use imp::{Kind, Limits, Plan, Route, Target, Version};
--- /dev/null
+++ b/src/route/tests.rs
@@ -0,0 +1,85 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::{SeedableRng as _, rngs::StdRng};
+
+use super::*;
+
+fn route(name: &str, prefix: &str, targets: Vec<Target>) -> Route {
+    Route {
+        name: name.parse().expect("a valid name"),
+        host: "kitchen.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        targets,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(150),
+        rank: 0,
+        attempts: 1,
+        event_gap: None,
+    }
+}
+
+fn target(service: &str, weight: u32) -> Target {
+    Target {
+        service: service.parse().expect("a valid name"),
+        weight,
+    }
+}
+
+fn plan() -> Plan {
+    let prefixes = ["/labels/", "/labels/print/", "/reviews/"];
+    let routes = prefixes.map(|prefix| route(&prefix.replace('/', "."), prefix, Vec::new()));
+    Plan::new(Version::new(3), routes.to_vec(), Limits::default())
+}
+
+/// Guards against a request that is served under the terms of another route.
+#[test]
+fn longest_prefix_of_the_host_is_found() {
+    let plan = plan();
+    let cases = [
+        ("kitchen.example", "/labels/7"),
+        ("kitchen.example", "/labels/print/7"),
+        ("kitchen.example", "/labels/print"),
+        ("Kitchen.Example:8080", "/reviews/"),
+        ("kitchen.example", "/reviews"),
+        ("kitchen.example", ""),
+        ("other.example", "/labels/7"),
+    ];
+    let found = cases.map(|(host, path)| {
+        let name = plan.find(host, path).map(|route| route.name.to_string());
+        format!(
+            "{host}{path}: {}",
+            name.unwrap_or_else(|| "none".to_owned())
+        )
+    });
+    insta::assert_json_snapshot!(found);
+}
+
+/// Guards against a split that ignores its weights, or serves a service with weight 0.
+#[test]
+fn requests_are_split_by_weight() {
+    let mut rng = StdRng::seed_from_u64(7);
+    let route = route(
+        "split",
+        "/",
+        vec![target("a", 9), target("none", 0), target("b", 1)],
+    );
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..1000 {
+        let service = route.draw(&mut rng).expect("a service").to_string();
+        *counts.entry(service).or_insert(0) += 1;
+    }
+    insta::assert_json_snapshot!(counts);
+}
+
+proptest! {
+    /// Guards against a path that cannot be looked up, such as one with bytes outside ASCII.
+    #[test]
+    fn any_path_can_be_looked_up(host in ".*", path in ".*") {
+        let plan = plan();
+        if let Some(route) = plan.find(&host, &path) {
+            prop_assert!(path.starts_with(&route.prefix));
+        }
+    }
+}
--- a/src/settings/imp.rs
+++ b/src/settings/imp.rs
@@ -180,7 +180,7 @@
     Some(addresses)
 }
 
-fn level(r: &mut Reader, value: &Value<'_>) -> Option<Level> {
+pub(super) fn level(r: &mut Reader, value: &Value<'_>) -> Option<Level> {
     let levels = [
         ("error", Level::Error),
         ("warn", Level::Warn),
@@ -191,7 +191,11 @@
     r.choice(value, &levels)
 }
 
-fn read<T>(name: &str, text: &str, read: fn(&mut Reader, &Value<'_>) -> Option<T>) -> Result<T> {
+pub(super) fn read<T>(
+    name: &str,
+    text: &str,
+    read: fn(&mut Reader, &Value<'_>) -> Option<T>,
+) -> Result<T> {
     let mut reader = Reader::new(Source::new(name, text));
     let root = reader.syntax(text);
     let settings = root.and_then(|root| read(&mut reader, &root));
@@ -201,7 +205,7 @@
     }
 }
 
-fn open<T>(path: &Path, parse: fn(&str, &str) -> Result<T>) -> Result<T> {
+pub(super) fn open<T>(path: &Path, parse: fn(&str, &str) -> Result<T>) -> Result<T> {
     let name = path.display().to_string();
     let mut text = String::new();
     // One byte more than is allowed shows that the file is too long without reading all of it.
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -227,7 +227,8 @@
 /// A pending call of the store. Not `Send`: each process talks to the store from one thread.
 pub type Future<'a, T> = LocalBoxFuture<'a, Result<T>>;
 
-/// Batches of changes, in the order of their revisions. After an error the stream ends.
+/// Batches of changes, in the order of their revisions. An empty batch shows that the store has
+/// answered. After an error the stream ends.
 pub type Events = LocalBoxStream<'static, Result<Vec<Event>>>;
 
 /// The reading half of the platform's key-value store.
