Read an answer without a length up to the end of its connection

Ruled out: an early close within a length or a chunk, which the new test shows as lost. Test: upstream::tests::only_complete_answers_are_complete.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -6,7 +6,7 @@
 };
 
 use actix_http::{
-    RequestHeadType, ResponseHead,
+    Method, RequestHeadType, ResponseHead,
     body::BodySize,
     h1::{ClientCodec, Message, MessageType},
 };
@@ -135,6 +135,7 @@
             fail(job.reply, error);
             return false;
         }
+        let head_only = job.head.method == Method::HEAD;
         let request = match self.encode(&mut job) {
             Ok(request) => request,
             Err(error) => {
@@ -170,12 +171,16 @@
                 }
             }
         };
-        let unsized_body = head.headers().get("content-length").is_none() && !head.chunked();
+        let unsized_body = is_unsized(&head, head_only);
         let (sender, parts) = mpsc::channel(PARTS_MAX);
         let body = Body::new(parts);
         if reply.send(Ok(Response { head, body })).is_err() {
             return false;
         }
+        if unsized_body {
+            relay_to_end(&mut self.buffer, &mut reader, &sender).await;
+            return false;
+        }
         if self.codec.message_type() == MessageType::None {
             let end = sender.send(Part::End).await;
             let reusable = end.is_ok() && written && self.codec.keep_alive();
@@ -188,11 +193,10 @@
             &mut reader,
             (write, &mut written),
             &sender,
-            unsized_body,
         )
         .await;
         let reusable = match outcome {
-            Ok(complete) => complete && written && !unsized_body && codec.keep_alive(),
+            Ok(complete) => complete && written && codec.keep_alive(),
             Err(error) => {
                 // The reader may have left in the same moment.
                 if sender.send(Part::Broken(error)).await.is_err() {
@@ -241,6 +245,43 @@
     Ok(head)
 }
 
+/// Whether the body has no length and so ends with the connection. The codec takes such an answer
+/// for one without a body.
+fn is_unsized(head: &ResponseHead, head_only: bool) -> bool {
+    let headers = head.headers();
+    let has_body = !head_only && !matches!(head.status.as_u16(), 100..=199 | 204 | 304);
+    has_body
+        && !headers.contains_key("content-length")
+        && !headers.contains_key("transfer-encoding")
+}
+
+/// Passes on a body that ends with the connection. One that is reset is not complete.
+async fn relay_to_end(
+    buffer: &mut BytesMut,
+    reader: &mut tokio::net::tcp::ReadHalf<'_>,
+    sender: &mpsc::Sender<Part>,
+) {
+    loop {
+        let chunk = buffer.split().freeze();
+        if !chunk.is_empty() && sender.send(Part::Chunk(chunk)).await.is_err() {
+            return;
+        }
+        let read = tokio::select! {
+            read = reader.read_buf(buffer) => read,
+            () = sender.closed() => return,
+        };
+        let part = match read {
+            Ok(0) => Part::End,
+            Ok(_) => continue,
+            Err(error) => Part::Broken(Error::new(Kind::Lost, error.to_string())),
+        };
+        if sender.send(part).await.is_err() {
+            log::debug!("body has ended after its reader had left");
+        }
+        return;
+    }
+}
+
 /// Passes a body on. Returns whether it is complete; if not, its reader has left.
 async fn relay<W: Future<Output = io::Result<()>>>(
     codec: &mut actix_http::h1::ClientPayloadCodec,
@@ -248,7 +289,6 @@
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     (mut write, written): (Pin<&mut W>, &mut bool),
     sender: &mpsc::Sender<Part>,
-    unsized_body: bool,
 ) -> Result<bool> {
     loop {
         let (chunk, ended) = decode_chunks(codec, buffer)?;
@@ -267,8 +307,6 @@
             () = sender.closed() => return Ok(false),
         };
         match read {
-            // A body without a length ends with the connection.
-            Ok(Some(0)) if unsized_body => return Ok(sender.send(Part::End).await.is_ok()),
             Ok(Some(0)) => return Err(Error::new(Kind::Lost, "closed within the body")),
             Ok(_) => {}
             Err(error) => return Err(Error::new(Kind::Lost, error.to_string())),
