--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,1 +1,212 @@
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use tokio::time;
+
+use super::*;
+use crate::{
+    clock::System,
+    error::{Error, Kind, Result},
+    id::Revision,
+    route::Plan,
+    store::{Change, Event, Faults, Item, Memory, Path, Store, Txn, Write},
+    testing::on_virtual_time,
+};
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Entries of the form `SERVICE STATE`.
+#[derive(Debug)]
+struct Words;
+
+impl Codec for Words {
+    fn instance(&self, path: &Path, value: &[u8]) -> Result<Instance> {
+        let invalid = || Error::new(Kind::BadRequest, "invalid entry");
+        let text = std::str::from_utf8(value).map_err(|_error| invalid())?;
+        let (service, state) = text.split_once(' ').ok_or_else(invalid)?;
+        let id = path.as_str().rsplit('/').next().unwrap_or_default();
+        Ok(Instance {
+            id: id.parse().map_err(|_error| invalid())?,
+            service: service.parse().map_err(|_error| invalid())?,
+            address: "127.0.0.1:9001".parse().expect("an address"),
+            zone: "a".parse().expect("a valid name"),
+            slots: 4,
+            draining: state == "draining",
+            stage: None,
+        })
+    }
+
+    fn plan(&self, _value: &[u8]) -> Result<Plan> {
+        Ok(Plan::default())
+    }
+}
+
+fn path(id: &str) -> Path {
+    format!("/endpoints/{id}").parse().expect("a valid path")
+}
+
+fn put(id: &str, value: &str, revision: u64) -> Event {
+    Event {
+        path: path(id),
+        change: Change::Put(value.as_bytes().to_vec()),
+        revision: Revision::new(revision),
+    }
+}
+
+fn delete(id: &str, revision: u64) -> Event {
+    Event {
+        path: path(id),
+        change: Change::Delete,
+        revision: Revision::new(revision),
+    }
+}
+
+fn item(id: &str, value: &str, revision: u64) -> Item {
+    Item {
+        path: path(id),
+        value: value.as_bytes().to_vec(),
+        created: Revision::new(1),
+        modified: Revision::new(revision),
+    }
+}
+
+/// A directory whose state is noted after each step.
+struct Trace {
+    directory: Directory,
+    start: Instant,
+    lines: Vec<String>,
+}
+
+impl Trace {
+    fn new() -> Self {
+        Self {
+            directory: Directory::new(Arc::new(Words), HEARTBEAT),
+            start: Instant::now(),
+            lines: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, at_ms: u64, what: &str, feed: Option<Feed>) {
+        let now = self.start + Duration::from_millis(at_ms);
+        if let Some(feed) = feed {
+            self.directory.apply(feed, now);
+        }
+        self.directory.expire(now);
+        let known: Vec<String> = self
+            .directory
+            .instances()
+            .map(|instance| {
+                let mark = if instance.draining { " (draining)" } else { "" };
+                format!("{} of {}{mark}", instance.id, instance.service)
+            })
+            .collect();
+        let line = format!("{at_ms} ms {what}: {}", known.join(", "));
+        self.lines.push(line);
+    }
+}
+
+fn three() -> Feed {
+    Feed::Snapshot(vec![
+        item("e1", "lm ready", 1),
+        item("e2", "lm ready", 2),
+        item("e3", "lm draining", 3),
+    ])
+}
+
+/// Guards against endpoints that are dropped because their entries lapsed while the store was away,
+/// and against those that are kept after they failed to register again.
+#[test]
+fn lapsed_entries_are_expected_back_for_a_while() {
+    let mut trace = Trace::new();
+    trace.step(0, "read", Some(three()));
+    trace.step(1_000, "lost", Some(Feed::Contact(Contact::Lost)));
+    let back = Feed::Snapshot(vec![item("e1", "lm ready", 9)]);
+    trace.step(6_000, "all but e1 are missing", Some(back));
+    trace.step(7_000, "e2 leaves the store again", Some(Feed::Changes(vec![delete("e2", 10)])));
+    trace.step(8_400, "before the end of the grace", None);
+    trace.step(8_600, "after the end of the grace", None);
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
+/// Guards against the grace being given without an outage: an endpoint that leaves must get no
+/// request two seconds later.
+#[test]
+fn removed_entries_are_gone_at_once() {
+    let mut trace = Trace::new();
+    trace.step(0, "read", Some(three()));
+    trace.step(500, "e1 is removed", Some(Feed::Changes(vec![delete("e1", 4)])));
+    trace.step(600, "watch is cut", Some(Feed::Contact(Contact::Lost)));
+    let back = Feed::Snapshot(vec![item("e3", "lm draining", 3)]);
+    trace.step(900, "e2 was removed meanwhile", Some(back));
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
+/// Guards against entries by another writer that hide an endpoint, and against old entries that
+/// replace newer ones.
+#[test]
+fn foreign_and_old_entries_are_skipped() {
+    let mut trace = Trace::new();
+    trace.step(0, "read", Some(three()));
+    let foreign = vec![put("e4", "nonsense", 4), put("two words", "lm ready", 5)];
+    trace.step(100, "foreign entries", Some(Feed::Changes(foreign)));
+    let old = vec![put("e1", "lm draining", 8), put("e1", "lm ready", 7)];
+    trace.step(200, "an old entry", Some(Feed::Changes(old)));
+    let broken = vec![put("e2", "nonsense", 9)];
+    trace.step(300, "a broken entry", Some(Feed::Changes(broken)));
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
+async fn write(store: &Memory, id: &str) {
+    let txn = Txn {
+        compares: Vec::new(),
+        writes: vec![Write::Put(path(id), b"lm ready".to_vec(), None)],
+    };
+    store.commit(txn).await.expect("the store is up");
+}
+
+/// Guards against a follower that misses what was written while the store was out of reach, and
+/// against one that reads the store once for each change.
+#[test]
+fn follower_reads_everything_again_after_an_outage() {
+    let lines = on_virtual_time(async {
+        let store = Memory::new(System::shared());
+        write(&store, "e1").await;
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let sink = Rc::clone(&seen);
+        let task = follow(
+            Rc::new(store.client()),
+            "/endpoints/".parse().expect("a valid path"),
+            System::shared(),
+            Box::new(move |feed| {
+                sink.borrow_mut().push(match feed {
+                    Feed::Snapshot(items) => format!("read {} entries", items.len()),
+                    Feed::Changes(events) => format!("{} changes", events.len()),
+                    Feed::Contact(contact) => format!("store {contact}"),
+                });
+            }),
+        );
+        time::sleep(Duration::from_secs(1)).await;
+        write(&store, "e2").await;
+        time::sleep(Duration::from_millis(100)).await;
+        for id in ["e3", "e4", "e5"] {
+            write(&store, id).await;
+        }
+        time::sleep(Duration::from_secs(1)).await;
+        let down = Faults {
+            down: true,
+            ..Faults::default()
+        };
+        store.set_faults(down);
+        time::sleep(Duration::from_secs(5)).await;
+        store.set_faults(Faults::default());
+        write(&store, "e6").await;
+        time::sleep(Duration::from_secs(2)).await;
+        task.abort();
+        seen.take()
+    });
+    insta::assert_debug_snapshot!(lines);
+}
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -54,13 +54,20 @@
 impl Member {
     /// Requests of other processes, by a report that is recent enough.
     fn others(&self, now: Instant) -> u32 {
-        let recent = self
-            .report
-            .filter(|report| now.saturating_duration_since(report.at) < REPORT_MAX_AGE);
-        recent.map_or(0, |report| {
+        self.recent(now).map_or(0, |report| {
             (report.load.running + report.load.waiting).saturating_sub(report.own)
         })
     }
+
+    /// Requests that wait, by a report that is recent enough.
+    fn waiting(&self, now: Instant) -> u32 {
+        self.recent(now).map_or(0, |report| report.load.waiting)
+    }
+
+    fn recent(&self, now: Instant) -> Option<Report> {
+        self.report
+            .filter(|report| now.saturating_duration_since(report.at) < REPORT_MAX_AGE)
+    }
 }
 
 /// What is known of the endpoints, as plain code.
@@ -137,7 +144,9 @@
             format!("{endpoint} was chosen although it is leaving")
         });
         member.own += 1;
-        member.prompt += demand.prompt.get();
+        if demand.need != Need::Decode {
+            member.prompt += demand.prompt.get();
+        }
         Ok(Choice {
             instance: Arc::clone(&member.instance),
             own: member.own,
@@ -282,7 +291,12 @@
     if at_home {
         prompt -= as_f64(demand.shared.get());
     }
-    let queued = as_f64(member.prompt) + others * FOREIGN_PROMPT;
+    // At a decode engine the running requests have been read.
+    let unread = match member.instance.stage {
+        Some(Stage::Decode) => f64::from(member.waiting(now)),
+        _ => others,
+    };
+    let queued = as_f64(member.prompt) + unread * FOREIGN_PROMPT;
     let (read, transfer) = match (member.instance.stage, demand.need) {
         (_, Need::Decode) => (0.0, 0.0),
         (Some(Stage::Prefill), _) => (prompt, TRANSFER_COST),
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -1,1 +1,223 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use super::*;
+use crate::{
+    directory::{Instance, Stage},
+    id::{Endpoint, Zone},
+    unit::Tokens,
+};
+
+fn zone(name: &str) -> Zone {
+    name.parse().expect("a valid name")
+}
+
+fn instance(id: &str, service: &str, stage: Option<Stage>) -> Arc<Instance> {
+    Arc::new(Instance {
+        id: id.parse().expect("a valid name"),
+        service: service.parse().expect("a valid name"),
+        address: "127.0.0.1:9001".parse().expect("an address"),
+        zone: zone(if id.ends_with("far") { "b" } else { "a" }),
+        slots: 4,
+        draining: false,
+        stage,
+    })
+}
+
+fn demand(service: &str, need: Need, prompt: u64, affinity: Option<u64>) -> Demand {
+    Demand {
+        service: service.parse().expect("a valid name"),
+        need,
+        prompt: Tokens::new(prompt),
+        shared: Tokens::new(prompt / 2),
+        affinity,
+        avoid: Vec::new(),
+        near: None,
+    }
+}
+
+fn finish(choice: &Choice, prompt: u64, ending: Ending) -> Finish {
+    Finish {
+        endpoint: choice.instance.id.clone(),
+        prompt: Tokens::new(prompt),
+        ending,
+    }
+}
+
+fn engines() -> Vec<Arc<Instance>> {
+    vec![
+        instance("p1", "lm", Some(Stage::Prefill)),
+        instance("p2", "lm", Some(Stage::Prefill)),
+        instance("d1", "lm", Some(Stage::Decode)),
+        instance("d2", "lm", Some(Stage::Decode)),
+    ]
+}
+
+fn services() -> Vec<Arc<Instance>> {
+    vec![
+        instance("s1", "print", None),
+        instance("s2", "print", None),
+        instance("s3-far", "print", None),
+    ]
+}
+
+fn board(instances: Vec<Arc<Instance>>) -> (Board, Instant) {
+    let now = Instant::now();
+    let mut board = Board::new(zone("a"), 1);
+    board.replace(instances, now);
+    (board, now)
+}
+
+/// Chooses for several requests that stay in progress, and names the endpoints.
+fn choices(board: &mut Board, demand: &Demand, count: usize, now: Instant) -> Vec<String> {
+    let choose = |_| match board.choose(demand, now) {
+        Ok(choice) => choice.instance.id.to_string(),
+        Err(error) => error.kind().to_string(),
+    };
+    (0..count).map(choose).collect()
+}
+
+/// Guards against work that piles up at one endpoint, or that leaves its zone without need.
+#[test]
+fn services_are_used_evenly_and_nearby_first() {
+    let (mut board, now) = board(services());
+    let demand = demand("print", Need::Start, 0, None);
+    let mut chosen = choices(&mut board, &demand, 6, now);
+    chosen[..2].sort();
+    chosen[2..3].sort();
+    chosen[3..5].sort();
+    insta::assert_debug_snapshot!(chosen);
+}
+
+/// Guards against engines that are never given prompts because tokens stay counted there that they
+/// do not read.
+#[test]
+fn decode_steps_leave_no_prompt_behind() {
+    let (mut board, now) = board(engines());
+    for _ in 0..50 {
+        let choice = board
+            .choose(&demand("lm", Need::Decode, 12_000, None), now)
+            .expect("a decode engine");
+        assert_eq!(choice.instance.stage, Some(Stage::Decode));
+        board.finish(&finish(&choice, 0, Ending::Served), now);
+    }
+    // Idle engines: a short prompt is read where it is decoded, which saves the transfer.
+    let choice = board.choose(&demand("lm", Need::Start, 300, None), now);
+    assert_eq!(choice.expect("an engine").instance.stage, Some(Stage::Decode));
+}
+
+/// Guards against prompts that are all read by engines of one stage while the others are idle.
+#[test]
+fn long_prompts_are_read_apart_until_those_engines_are_busy() {
+    let (mut board, now) = board(engines());
+    let demand = demand("lm", Need::Start, 4_000, None);
+    insta::assert_debug_snapshot!(choices(&mut board, &demand, 8, now));
+}
+
+/// Guards against shared prompt parts that are read by every engine, and against homes that move
+/// when another engine leaves.
+#[test]
+fn shared_parts_stay_at_their_home() {
+    let (mut board, now) = board(engines());
+    let mut homes = |board: &mut Board| -> Vec<String> {
+        (0..8)
+            .map(|affinity| {
+                let demand = demand("lm", Need::Start, 4_000, Some(affinity));
+                let choice = board.choose(&demand, now).expect("an engine");
+                board.finish(&finish(&choice, 4_000, Ending::Served), now);
+                choice.instance.id.to_string()
+            })
+            .collect()
+    };
+    let before = homes(&mut board);
+    assert_eq!(homes(&mut board), before);
+    let left = engines().into_iter().filter(|engine| engine.id.as_str() != "p1");
+    board.replace(left.collect(), now);
+    let after = homes(&mut board);
+    let stayed = before.iter().zip(&after).filter(|(old, _)| *old != "p1");
+    assert!(stayed.clone().count() > 0, "no prompt had another home");
+    assert!(stayed.clone().all(|(old, new)| old == new), "{before:?} {after:?}");
+}
+
+/// Guards against requests for endpoints that are leaving, were tried already, or have failed.
+#[test]
+fn unusable_endpoints_are_passed_over() {
+    let (mut board, now) = board(services());
+    let mut results = Vec::new();
+
+    let mut leaving = services();
+    Arc::make_mut(&mut leaving[0]).draining = true;
+    board.replace(leaving, now);
+    let mut demand = demand("print", Need::Start, 0, None);
+    results.push(format!("s1 leaves: {:?}", choices(&mut board, &demand, 4, now)));
+
+    demand.avoid = vec!["s2".parse().expect("a valid name")];
+    results.push(format!("s2 was tried: {:?}", choices(&mut board, &demand, 2, now)));
+
+    board.replace(services(), now);
+    demand.avoid = vec!["s1".parse().expect("a name"), "s3-far".parse().expect("a name")];
+    for _ in 0..3 {
+        let choice = board.choose(&demand, now).expect("s2");
+        board.finish(&finish(&choice, 0, Ending::Failed), now);
+    }
+    demand.avoid.clear();
+    results.push(format!("s2 is ejected: {:?}", choices(&mut board, &demand, 4, now)));
+
+    let later = now + Duration::from_secs(60);
+    results.push(format!("later: {:?}", choices(&mut board, &demand, 4, later)));
+
+    board.replace(Vec::new(), now);
+    results.push(format!("none is left: {:?}", choices(&mut board, &demand, 1, now)));
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a choice that ignores the work of other processes, or trusts an old report.
+#[test]
+fn reports_of_other_work_count_while_they_are_fresh() {
+    let (mut board, now) = board(services());
+    let busy = Progress {
+        endpoint: "s1".parse().expect("a valid name"),
+        prompt: Tokens::ZERO,
+        load: Some(Load {
+            running: 4,
+            waiting: 4,
+            slots: 4,
+        }),
+    };
+    board.progress(&busy, now);
+    let demand = demand("print", Need::Start, 0, None);
+    let fresh = choices(&mut board, &demand, 4, now);
+    let later = now + Duration::from_secs(3);
+    let old = choices(&mut board, &demand, 2, later);
+    insta::assert_debug_snapshot!((fresh, old));
+}
+
+/// Guards against more repeats than the shared budget allows, and against repeats that use it up
+/// for another service.
+#[test]
+fn repeats_are_a_part_of_requests() {
+    let (mut board, now) = board([engines(), services()].concat());
+    let print = "print".parse().expect("a valid name");
+    let granted = |board: &mut Board| (0..40).filter(|_| board.may_repeat(&print, now)).count();
+    let at_rest = granted(&mut board);
+    choices(&mut board, &demand("lm", Need::Start, 100, None), 100, now);
+    let after_others = granted(&mut board);
+    choices(&mut board, &demand("print", Need::Start, 0, None), 100, now);
+    let after_own = granted(&mut board);
+    insta::assert_debug_snapshot!([at_rest, after_others, after_own]);
+}
+
+/// Guards against a process that goes on sending to an address that another endpoint has now.
+#[test]
+fn replaced_endpoint_is_forgotten() {
+    let (mut board, now) = board(vec![instance("s1", "print", None)]);
+    let demand = demand("print", Need::Start, 0, None);
+    let choice = board.choose(&demand, now).expect("s1");
+    board.finish(&finish(&choice, 0, Ending::Replaced), now);
+    assert_eq!(choices(&mut board, &demand, 1, now), ["no-endpoint"]);
+    let known: Endpoint = "s1".parse().expect("a valid name");
+    board.replace(vec![instance("s1", "print", None)], now);
+    assert_eq!(choices(&mut board, &demand, 1, now), [known.to_string()]);
+}
