--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -16,8 +16,9 @@
 };
 
 /// Time after the store's return for which missing entries stay usable. Endpoints register again
-/// within about two seconds.
-const RETURN_GRACE: Duration = Duration::from_millis(2_500);
+/// within about two seconds. It must not be longer: an entry can also be missing because its
+/// endpoint left just before the store's return, and it must get no request two seconds later.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
 /// Heartbeats of endpoints for which the store must have been out of reach before entries can have
 /// lapsed for that reason. An entry lapses after three.
 const AWAY_HEARTBEATS: u32 = 2;
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -126,9 +126,13 @@
     trace.step(1_000, "lost", Some(Feed::Contact(Contact::Lost)));
     let back = Feed::Snapshot(vec![item("e1", "lm ready", 9)]);
     trace.step(6_000, "all but e1 are missing", Some(back));
-    trace.step(7_000, "e2 leaves the store again", Some(Feed::Changes(vec![delete("e2", 10)])));
-    trace.step(8_400, "before the end of the grace", None);
-    trace.step(8_600, "after the end of the grace", None);
+    trace.step(
+        7_000,
+        "e2 leaves the store again",
+        Some(Feed::Changes(vec![delete("e2", 10)])),
+    );
+    trace.step(7_900, "before the end of the grace", None);
+    trace.step(8_000, "at the end of the grace", None);
     insta::assert_debug_snapshot!(trace.lines);
 }
 
@@ -138,7 +142,11 @@
 fn removed_entries_are_gone_at_once() {
     let mut trace = Trace::new();
     trace.step(0, "read", Some(three()));
-    trace.step(500, "e1 is removed", Some(Feed::Changes(vec![delete("e1", 4)])));
+    trace.step(
+        500,
+        "e1 is removed",
+        Some(Feed::Changes(vec![delete("e1", 4)])),
+    );
     trace.step(600, "watch is cut", Some(Feed::Contact(Contact::Lost)));
     let back = Feed::Snapshot(vec![item("e3", "lm draining", 3)]);
     trace.step(900, "e2 was removed meanwhile", Some(back));
@@ -151,7 +159,7 @@
 fn foreign_and_old_entries_are_skipped() {
     let mut trace = Trace::new();
     trace.step(0, "read", Some(three()));
-    let foreign = vec![put("e4", "nonsense", 4), put("two words", "lm ready", 5)];
+    let foreign = vec![put("e4", "nonsense", 4), put("e5", "two words ready", 5)];
     trace.step(100, "foreign entries", Some(Feed::Changes(foreign)));
     let old = vec![put("e1", "lm draining", 8), put("e1", "lm ready", 7)];
     trace.step(200, "an old entry", Some(Feed::Changes(old)));
@@ -175,10 +183,11 @@
     let lines = on_virtual_time(async {
         let store = Memory::new(System::shared());
         write(&store, "e1").await;
+        let client = store.client();
         let seen = Rc::new(RefCell::new(Vec::new()));
         let sink = Rc::clone(&seen);
         let task = follow(
-            Rc::new(store.client()),
+            Rc::new(client.clone()),
             "/endpoints/".parse().expect("a valid path"),
             System::shared(),
             Box::new(move |feed| {
@@ -200,9 +209,9 @@
             down: true,
             ..Faults::default()
         };
-        store.set_faults(down);
+        client.set_faults(down);
         time::sleep(Duration::from_secs(5)).await;
-        store.set_faults(Faults::default());
+        client.set_faults(Faults::default());
         write(&store, "e6").await;
         time::sleep(Duration::from_secs(2)).await;
         task.abort();
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -105,7 +105,10 @@
     }
     // Idle engines: a short prompt is read where it is decoded, which saves the transfer.
     let choice = board.choose(&demand("lm", Need::Start, 300, None), now);
-    assert_eq!(choice.expect("an engine").instance.stage, Some(Stage::Decode));
+    assert_eq!(
+        choice.expect("an engine").instance.stage,
+        Some(Stage::Decode)
+    );
 }
 
 /// Guards against prompts that are all read by engines of one stage while the others are idle.
@@ -121,7 +124,7 @@
 #[test]
 fn shared_parts_stay_at_their_home() {
     let (mut board, now) = board(engines());
-    let mut homes = |board: &mut Board| -> Vec<String> {
+    let homes = |board: &mut Board| -> Vec<String> {
         (0..8)
             .map(|affinity| {
                 let demand = demand("lm", Need::Start, 4_000, Some(affinity));
@@ -133,12 +136,17 @@
     };
     let before = homes(&mut board);
     assert_eq!(homes(&mut board), before);
-    let left = engines().into_iter().filter(|engine| engine.id.as_str() != "p1");
+    let left = engines()
+        .into_iter()
+        .filter(|engine| engine.id.as_str() != "p1");
     board.replace(left.collect(), now);
     let after = homes(&mut board);
     let stayed = before.iter().zip(&after).filter(|(old, _)| *old != "p1");
     assert!(stayed.clone().count() > 0, "no prompt had another home");
-    assert!(stayed.clone().all(|(old, new)| old == new), "{before:?} {after:?}");
+    assert!(
+        stayed.clone().all(|(old, new)| old == new),
+        "{before:?} {after:?}"
+    );
 }
 
 /// Guards against requests for endpoints that are leaving, were tried already, or have failed.
@@ -151,25 +159,43 @@
     Arc::make_mut(&mut leaving[0]).draining = true;
     board.replace(leaving, now);
     let mut demand = demand("print", Need::Start, 0, None);
-    results.push(format!("s1 leaves: {:?}", choices(&mut board, &demand, 4, now)));
+    results.push(format!(
+        "s1 leaves: {:?}",
+        choices(&mut board, &demand, 4, now)
+    ));
 
     demand.avoid = vec!["s2".parse().expect("a valid name")];
-    results.push(format!("s2 was tried: {:?}", choices(&mut board, &demand, 2, now)));
+    results.push(format!(
+        "s2 was tried: {:?}",
+        choices(&mut board, &demand, 2, now)
+    ));
 
     board.replace(services(), now);
-    demand.avoid = vec!["s1".parse().expect("a name"), "s3-far".parse().expect("a name")];
+    demand.avoid = vec![
+        "s1".parse().expect("a name"),
+        "s3-far".parse().expect("a name"),
+    ];
     for _ in 0..3 {
         let choice = board.choose(&demand, now).expect("s2");
         board.finish(&finish(&choice, 0, Ending::Failed), now);
     }
     demand.avoid.clear();
-    results.push(format!("s2 is ejected: {:?}", choices(&mut board, &demand, 4, now)));
+    results.push(format!(
+        "s2 is ejected: {:?}",
+        choices(&mut board, &demand, 4, now)
+    ));
 
     let later = now + Duration::from_secs(60);
-    results.push(format!("later: {:?}", choices(&mut board, &demand, 4, later)));
+    results.push(format!(
+        "later: {:?}",
+        choices(&mut board, &demand, 4, later)
+    ));
 
     board.replace(Vec::new(), now);
-    results.push(format!("none is left: {:?}", choices(&mut board, &demand, 1, now)));
+    results.push(format!(
+        "none is left: {:?}",
+        choices(&mut board, &demand, 1, now)
+    ));
     insta::assert_debug_snapshot!(results);
 }
 
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -17,7 +17,7 @@
 };
 
 /// Pause between two checks for endpoints whose grace is over.
-const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
+const EXPIRY_PERIOD: Duration = Duration::from_millis(100);
 /// Time that is left between the end of the last answer and the end of the process's grace.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
