Pass on an endpoint's own error when it cannot be repeated

Cause: an idempotent request whose last attempt ended in 500 was answered 502, which hides the endpoint's signature.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -240,25 +240,13 @@
         let id = flight.choice().instance.id.clone();
         let next = match sent {
             Ok(Ok(reply)) => {
-                let ending = ending(&reply, false);
-                let wanted = match reply.verdict {
-                    Verdict::Ran if PROMISES.contains(&reply.status) => false,
-                    Verdict::Ran => reply.status < 500 || !self.route.kind.repeatable(),
-                    Verdict::Rejected | Verdict::Replaced => false,
-                };
-                if wanted {
-                    self.may_have_run = true;
-                    flight.began(reply.load);
-                    return Ok(Some(Opened { reply, flight }));
-                }
                 flight.began(reply.load);
-                flight.end(ending);
-                if reply.verdict == Verdict::Ran {
-                    self.may_have_run = true;
-                    self.after_loss(&format!("status {}", reply.status)).await?
-                } else {
-                    self.after_rejection(&format!("rejected: status {}", reply.status))
-                        .await?
+                match self.judge(&reply).await? {
+                    None => return Ok(Some(Opened { reply, flight })),
+                    Some(next) => {
+                        flight.end(ending(&reply, false));
+                        next
+                    }
                 }
             }
             Ok(Err(Failure::NotSent(detail))) => {
@@ -285,6 +273,25 @@
         }
     }
 
+    /// Whether an answer is passed on (nothing), or what else is done.
+    async fn judge(&mut self, reply: &Reply) -> Result<Option<Next>> {
+        match reply.verdict {
+            Verdict::Rejected | Verdict::Replaced => {
+                let why = format!("rejected: status {}", reply.status);
+                return self.after_rejection(&why).await.map(Some);
+            }
+            Verdict::Ran => self.may_have_run = true,
+        }
+        if reply.status < 500 && !PROMISES.contains(&reply.status) {
+            return Ok(None);
+        }
+        match self.after_loss(&format!("status {}", reply.status)).await? {
+            // The endpoint's own error is better than one that hides it.
+            Next::Stop(_) if !PROMISES.contains(&reply.status) => Ok(None),
+            next => Ok(Some(next)),
+        }
+    }
+
     /// The time for which an answer is awaited.
     fn patience(&self) -> Duration {
         let left = self.left() + DEADLINE_GRACE;
