Read the end of bodies with a length

Cause: the server polls a body with a length no further than that length, so the end never reached the exchange: its connection was closed, the endpoint never counted as healthy again, and the log said that the caller had left. It stays because log lines and ejection were wrong without it.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -70,8 +70,9 @@
         loop {
             match self.read().await {
                 Ok(Some(bytes)) => {
-                    if let Some(left) = &mut self.left {
-                        *left = left.saturating_sub(bytes.len() as u64);
+                    if self.count(bytes.len()) {
+                        // The server asks for nothing beyond the length, so the end is read here.
+                        self.finish().await?;
                     }
                     let ready = match &mut self.splitter {
                         Some(splitter) => splitter.push(&bytes)?,
@@ -87,6 +88,28 @@
         }
     }
 
+    /// Counts bytes of a body whose length is known. Returns whether these are the last.
+    fn count(&mut self, bytes: usize) -> bool {
+        let Some(left) = &mut self.left else {
+            return false;
+        };
+        *left = left.saturating_sub(bytes as u64);
+        *left == 0
+    }
+
+    /// Reads the end of a body, which lets its connection be used again.
+    async fn finish(&mut self) -> Result<()> {
+        match self.read().await {
+            Ok(None) => self.complete(),
+            Ok(Some(_)) => Err(Error::new(
+                Kind::EndpointFailed,
+                "the body exceeds its length",
+            )),
+            // All bytes are here; only the connection is lost.
+            Err(_error) => self.complete(),
+        }
+    }
+
     async fn read(&mut self) -> Result<Option<Bytes>> {
         let left = self.exchange.left();
         let resumable = self.splitter.is_some() && self.exchange.route.kind.repeatable();
