--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -24,7 +24,7 @@
 /// Cost of a request besides its prompt, in prompt tokens: the steps that it slows down.
 const REQUEST_COST: f64 = 100.0;
 /// Cost of reading a prompt token at a decode engine, which reads at half the speed.
-const DECODE_PREFILL_COST: f64 = 2.0;
+const DECODE_PREFILL_COST: f64 = 32.0;
 /// Cost of handing a KV cache from one engine to another, in prompt tokens: a second request.
 const TRANSFER_COST: f64 = 400.0;
 /// Cost of an endpoint in another zone, in prompt tokens for an engine. It decides between
