--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -23,8 +23,9 @@
 const FOREIGN_PROMPT: f64 = 600.0;
 /// Cost of a request besides its prompt, in prompt tokens: the steps that it slows down.
 const REQUEST_COST: f64 = 100.0;
-/// Cost of reading a prompt token at a decode engine, which reads at half the speed.
-const DECODE_PREFILL_COST: f64 = 32.0;
+/// Cost of reading a prompt token at a decode engine. It reads at half the speed, and each step with
+/// a piece of a prompt slows down all streams of the engine.
+const DECODE_PREFILL_COST: f64 = 8.0;
 /// Cost of handing a KV cache from one engine to another, in prompt tokens: a second request.
 const TRANSFER_COST: f64 = 400.0;
 /// Cost of an endpoint in another zone, in prompt tokens for an engine. It decides between
