Count a request at its endpoint by a ticket

Cause: the count began in the dispatcher and ended in the exchange, so that a caller that left in between stayed counted for good. The dispatcher now hands out a ticket whose drop ends the count.

--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -1,7 +1,7 @@
-use actix::{Actor, Addr, Context, Handler, MessageResult};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
-use super::{Board, Choice, Choose, Finish, MayRepeat, Members, Progress};
-use crate::{clock::Shared, error::Result, id::Zone};
+use super::{Board, Choose, Finish, MayRepeat, Members, Need, Progress, Ticket};
+use crate::{clock::Shared, error::Result, id::Zone, unit::Tokens};
 
 /// What a dispatcher needs.
 #[derive(Clone, Debug)]
@@ -52,10 +52,21 @@
 }
 
 impl Handler<Choose> for Dispatcher {
-    type Result = Result<Choice>;
+    type Result = Result<Ticket>;
 
-    fn handle(&mut self, Choose(demand): Choose, _: &mut Context<Self>) -> Self::Result {
-        self.board.choose(&demand, self.clock.now())
+    fn handle(&mut self, Choose(demand): Choose, ctx: &mut Context<Self>) -> Self::Result {
+        let now = self.clock.now();
+        if demand.avoid.is_empty() && demand.need == Need::Start {
+            self.board.record(&demand.service, now);
+        }
+        let choice = self.board.choose(&demand, now)?;
+        let unread = match demand.need {
+            Need::Decode => Tokens::ZERO,
+            Need::Start | Need::Whole => demand.prompt,
+        };
+        let address = ctx.address();
+        let finish = address.clone().recipient();
+        Ok(Ticket::new(choice, unread, address.recipient(), finish))
     }
 }
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -129,14 +129,7 @@
     ///
     /// Fails with [`Kind::NoEndpoint`] if no endpoint fits.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
-        if demand.avoid.is_empty() && demand.need == Need::Start {
-            let budget = self.budgets.entry(demand.service.clone()).or_default();
-            budget.record(now);
-        }
-        let Some(endpoint) = self.best(demand, now) else {
-            let detail = format!("no endpoint of {} can take the request", demand.service);
-            return Err(Error::new(Kind::NoEndpoint, detail));
-        };
+        let endpoint = self.best(demand, now)?;
         let others = self.members[&endpoint].others(now);
         let Some(member) = self.members.get_mut(&endpoint) else {
             return Err(Error::new(Kind::Internal, "the chosen endpoint is unknown"));
@@ -158,6 +151,12 @@
         })
     }
 
+    /// Counts a request that is not a repeat.
+    pub fn record(&mut self, service: &Service, now: Instant) {
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.record(now);
+    }
+
     /// Takes in that an endpoint has begun to answer.
     pub fn progress(&mut self, progress: &Progress, now: Instant) {
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
@@ -205,7 +204,7 @@
         budget.may_retry(now)
     }
 
-    fn best(&mut self, demand: &Demand, now: Instant) -> Option<Endpoint> {
+    fn best(&mut self, demand: &Demand, now: Instant) -> Result<Endpoint> {
         let fitting: Vec<&Member> = self
             .members
             .values()
@@ -226,7 +225,7 @@
             .filter_map(|stage| home(&candidates, stage, demand.affinity?))
             .collect();
         let near = demand.near.as_ref().unwrap_or(&self.zone);
-        candidates
+        let best = candidates
             .iter()
             .map(|member| {
                 let at_home = homes.contains(&member.instance.id);
@@ -235,8 +234,11 @@
                 let cost = cost(member, demand, at_home, near, now) * jitter;
                 (cost, &member.instance.id)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, endpoint)| endpoint.clone())
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, endpoint)| endpoint.clone()).ok_or_else(|| {
+            let detail = format!("no endpoint of {} can take the request", demand.service);
+            Error::new(Kind::NoEndpoint, detail)
+        })
     }
 
     fn services(&self) -> BTreeSet<Service> {
@@ -278,6 +280,17 @@
         .max_by_key(|endpoint| weight(endpoint))
 }
 
+/// Prompt tokens that an engine has to read, by the own requests and an estimate of those of other
+/// processes.
+fn unread(member: &Member, now: Instant) -> f64 {
+    // At a decode engine the running requests have been read.
+    let others = match member.instance.stage {
+        Some(Stage::Decode) => member.waiting(now),
+        _ => member.others(now),
+    };
+    as_f64(member.prompt) + f64::from(others) * FOREIGN_PROMPT
+}
+
 /// Estimate of the time until the first token, in prompt tokens that an engine reads meanwhile; for
 /// a plain service, of the requests per slot.
 fn cost(member: &Member, demand: &Demand, at_home: bool, near: &Zone, now: Instant) -> f64 {
@@ -292,12 +305,7 @@
     if at_home {
         prompt -= as_f64(demand.shared.get());
     }
-    // At a decode engine the running requests have been read.
-    let unread = match member.instance.stage {
-        Some(Stage::Decode) => f64::from(member.waiting(now)),
-        _ => others,
-    };
-    let queued = as_f64(member.prompt) + unread * FOREIGN_PROMPT;
+    let queued = unread(member, now);
     let (read, transfer) = match (member.instance.stage, demand.need) {
         (_, Need::Decode) => (0.0, 0.0),
         (Some(Stage::Prefill), _) => (prompt, TRANSFER_COST),
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -2,6 +2,7 @@
 
 use actix::Message;
 
+use super::Ticket;
 use crate::{
     directory::Instance,
     error::Result,
@@ -42,7 +43,7 @@
 
 /// Chooses an endpoint and counts the request there.
 #[derive(Clone, Debug, Message)]
-#[rtype(result = "Result<Choice>")]
+#[rtype(result = "Result<Ticket>")]
 pub struct Choose(pub Demand);
 
 /// A chosen endpoint.
@@ -96,7 +97,7 @@
     Abandoned,
 }
 
-/// Ends what [`Choose`] began.
+/// Ends what [`Choose`] began. Sent by the [`Ticket`].
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct Finish {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -9,9 +9,11 @@
 mod message;
 #[cfg(test)]
 mod tests;
+mod ticket;
 
 pub use actor::{Config, Dispatcher, spawn};
 pub use imp::Board;
 pub use message::{
     Choice, Choose, Demand, Ending, Finish, Load, MayRepeat, Members, Need, Progress,
 };
+pub use ticket::Ticket;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -5,8 +5,10 @@
 
 use super::*;
 use crate::{
+    clock::System,
     directory::{Instance, Stage},
     id::{Endpoint, Zone},
+    testing::on_virtual_time,
     unit::Tokens,
 };
 
@@ -104,7 +106,7 @@
         board.finish(&finish(&choice, 0, Ending::Served), now);
     }
     // Idle engines: a short prompt is read where it is decoded, which saves the transfer.
-    let choice = board.choose(&demand("lm", Need::Start, 300, None), now);
+    let choice = board.choose(&demand("lm", Need::Start, 40, None), now);
     assert_eq!(
         choice.expect("an engine").instance.stage,
         Some(Stage::Decode)
@@ -228,9 +230,10 @@
     let print = "print".parse().expect("a valid name");
     let granted = |board: &mut Board| (0..40).filter(|_| board.may_repeat(&print, now)).count();
     let at_rest = granted(&mut board);
-    choices(&mut board, &demand("lm", Need::Start, 100, None), 100, now);
+    let models = "lm".parse().expect("a valid name");
+    (0..100).for_each(|_| board.record(&models, now));
     let after_others = granted(&mut board);
-    choices(&mut board, &demand("print", Need::Start, 0, None), 100, now);
+    (0..100).for_each(|_| board.record(&print, now));
     let after_own = granted(&mut board);
     insta::assert_debug_snapshot!([at_rest, after_others, after_own]);
 }
@@ -247,3 +250,24 @@
     board.replace(vec![instance("s1", "print", None)], now);
     assert_eq!(choices(&mut board, &demand, 1, now), [known.to_string()]);
 }
+
+/// Guards against work that stays counted at an endpoint after its caller has left while the
+/// endpoint was being chosen.
+#[test]
+fn caller_that_leaves_early_leaves_nothing_behind() {
+    let own = on_virtual_time(async {
+        let dispatcher = spawn(Config::new(System::shared(), zone("a")));
+        let members = Members(vec![instance("s1", "print", None)]);
+        dispatcher.send(members).await.expect("it runs");
+        let choose = || dispatcher.send(Choose(demand("print", Need::Start, 0, None)));
+        for _ in 0..3 {
+            drop(choose());
+            // Received, but its answer is not taken.
+            let mut left = Box::pin(choose());
+            assert!(futures_util::poll!(&mut left).is_pending());
+        }
+        let ticket = choose().await.expect("it runs").expect("s1");
+        ticket.choice().own
+    });
+    assert_eq!(own, 1);
+}
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -9,13 +9,12 @@
 
 use super::{
     Answer, Cache, Call, EventId, Failure, Job, Reply, Result, Step, Upstream, Verdict,
-    record::{Flight, Record},
-    stream,
+    record::Record, stream,
 };
 use crate::{
     clock::Shared,
     directory::Stage,
-    dispatch::{Choice, Choose, Demand, Ending, Finish, MayRepeat, Need, Progress},
+    dispatch::{Choose, Demand, Ending, MayRepeat, Need, Ticket},
     error::{Error, Executed, Kind},
     id::{Endpoint, Service, Zone},
     invariant::{self, Point},
@@ -51,10 +50,6 @@
 pub struct Ports {
     /// Chooses endpoints.
     pub choose: Recipient<Choose>,
-    /// Learns that an endpoint has begun to answer.
-    pub progress: Recipient<Progress>,
-    /// Learns how requests end.
-    pub finish: Recipient<Finish>,
     /// Holds the retry budget.
     pub may_repeat: Recipient<MayRepeat>,
     /// Sends requests.
@@ -106,7 +101,7 @@
 /// An endpoint that answers.
 pub(super) struct Opened {
     pub(super) reply: Reply,
-    pub(super) flight: Flight,
+    pub(super) ticket: Ticket,
 }
 
 /// What follows from a failed attempt.
@@ -144,19 +139,18 @@
             if self.left().is_zero() {
                 return Err(self.gave_up("the deadline has passed"));
             }
-            let choice = self.choose(need, None).await?;
-            let flight = self.flight(choice, need);
-            let prefills = flight.choice().instance.stage == Some(Stage::Prefill);
-            let (flight, step) = if prefills {
+            let ticket = self.choose(need, None).await?;
+            let prefills = ticket.choice().instance.stage == Some(Stage::Prefill);
+            let (ticket, step) = if prefills {
                 need = Need::Whole;
-                match self.prefill(flight, resume_after).await? {
+                match self.prefill(ticket, resume_after).await? {
                     Some(prepared) => prepared,
                     None => continue,
                 }
             } else {
-                (flight, Step::Whole)
+                (ticket, Step::Whole)
             };
-            match self.attempt(flight, step, resume_after).await? {
+            match self.attempt(ticket, step, resume_after).await? {
                 Some(opened) => return Ok(opened),
                 None => need = Need::Whole,
             }
@@ -167,11 +161,11 @@
     /// the first engine failed, which leaves the request not run.
     async fn prefill(
         &mut self,
-        flight: Flight,
+        ticket: Ticket,
         resume_after: Option<EventId>,
-    ) -> Result<Option<(Flight, Step)>> {
-        let instance = Arc::clone(&flight.choice().instance);
-        let job = self.job(&flight, Step::Prefill, resume_after);
+    ) -> Result<Option<(Ticket, Step)>> {
+        let instance = Arc::clone(&ticket.choice().instance);
+        let job = self.job(&ticket, Step::Prefill, resume_after);
         let outcome = time::timeout(self.left(), self.ports.upstream.send(job)).await;
         let outcome = outcome.unwrap_or_else(|_elapsed| Err(Failure::Lost("too late".to_owned())));
         let handle = match outcome {
@@ -180,22 +174,22 @@
                 load,
                 ..
             }) => {
-                let mut flight = flight;
-                flight.began(load);
-                flight.end(Ending::Served);
+                let mut ticket = ticket;
+                ticket.began(load);
+                ticket.end(Ending::Served);
                 handle
             }
             Ok(reply) => {
                 let ending = ending(&reply, true);
                 self.record
                     .retried(&format!("prefill: status {}", reply.status));
-                flight.end(ending);
+                ticket.end(ending);
                 self.avoid.push(instance.id.clone());
                 return self.may_prefill_again().await.map(|()| None);
             }
             Err(failure) => {
                 self.record.retried(&format!("prefill: {failure}"));
-                flight.end(Ending::Failed);
+                ticket.end(Ending::Failed);
                 self.avoid.push(instance.id.clone());
                 return self.may_prefill_again().await.map(|()| None);
             }
@@ -208,11 +202,9 @@
             cache: Some(cache),
             upstream: Rc::clone(&self.ports.upstream),
         };
-        let choice = self
-            .choose(Need::Decode, Some(instance.zone.clone()))
-            .await?;
-        let flight = self.flight(choice, Need::Decode);
-        Ok(guard.take().map(|cache| (flight, Step::Decode(cache))))
+        let near = Some(instance.zone.clone());
+        let ticket = self.choose(Need::Decode, near).await?;
+        Ok(guard.take().map(|cache| (ticket, Step::Decode(cache))))
     }
 
     async fn may_prefill_again(&mut self) -> Result<()> {
@@ -225,7 +217,7 @@
     /// Sends the request to run. Nothing if another endpoint should be tried.
     async fn attempt(
         &mut self,
-        mut flight: Flight,
+        mut ticket: Ticket,
         step: Step,
         resume_after: Option<EventId>,
     ) -> Result<Option<Opened>> {
@@ -233,35 +225,35 @@
             Step::Decode(_) => "decode",
             _ => "whole",
         };
-        self.record.sent(flight.choice(), what);
+        self.record.sent(ticket.choice(), what);
         self.sends += 1;
-        let job = self.job(&flight, step, resume_after);
+        let job = self.job(&ticket, step, resume_after);
         let sent = time::timeout(self.patience(), self.ports.upstream.send(job)).await;
-        let id = flight.choice().instance.id.clone();
+        let id = ticket.choice().instance.id.clone();
         let next = match sent {
             Ok(Ok(reply)) => {
-                flight.began(reply.load);
+                ticket.began(reply.load);
                 match self.judge(&reply).await? {
-                    None => return Ok(Some(Opened { reply, flight })),
+                    None => return Ok(Some(Opened { reply, ticket })),
                     Some(next) => {
-                        flight.end(ending(&reply, false));
+                        ticket.end(ending(&reply, false));
                         next
                     }
                 }
             }
             Ok(Err(Failure::NotSent(detail))) => {
-                flight.end(Ending::Failed);
+                ticket.end(Ending::Failed);
                 self.sends -= 1;
                 self.refused_connections += 1;
                 self.after_refused_connection(&detail)
             }
             Ok(Err(Failure::Lost(detail))) => {
-                flight.end(Ending::Failed);
+                ticket.end(Ending::Failed);
                 self.may_have_run = true;
                 self.after_loss(&detail).await?
             }
             Err(_elapsed) => {
-                flight.end(Ending::Failed);
+                ticket.end(Ending::Failed);
                 self.may_have_run = true;
                 self.after_loss("no answer in time").await?
             }
@@ -355,7 +347,7 @@
         error
     }
 
-    async fn choose(&self, need: Need, near: Option<Zone>) -> Result<Choice> {
+    async fn choose(&self, need: Need, near: Option<Zone>) -> Result<Ticket> {
         let generation = self.call.generation;
         let demand = Demand {
             service: self.service.clone(),
@@ -366,8 +358,8 @@
             avoid: self.avoid.clone(),
             near,
         };
-        let choice = self.ports.choose.send(Choose(demand)).await;
-        choice
+        let ticket = self.ports.choose.send(Choose(demand)).await;
+        ticket
             .unwrap_or_else(|error| Err(stopped(error)))
             .map_err(|error| {
                 // The table says that nothing was run, which an earlier attempt may contradict.
@@ -379,19 +371,10 @@
             })
     }
 
-    fn flight(&self, choice: Choice, need: Need) -> Flight {
-        let prompt = match (need, self.call.generation) {
-            (Need::Start | Need::Whole, Some(generation)) => generation.prompt,
-            _ => Tokens::ZERO,
-        };
-        let progress = self.ports.progress.clone();
-        Flight::new(choice, prompt, progress, self.ports.finish.clone())
-    }
-
-    fn job(&self, flight: &Flight, step: Step, resume_after: Option<EventId>) -> Job {
+    fn job(&self, ticket: &Ticket, step: Step, resume_after: Option<EventId>) -> Job {
         Job {
             call: Rc::clone(&self.call),
-            instance: Arc::clone(&flight.choice().instance),
+            instance: Arc::clone(&ticket.choice().instance),
             left: self.left(),
             rank: self.route.rank,
             step,
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -1,12 +1,9 @@
 use std::time::Instant;
 
-use actix::Recipient;
-
 use crate::{
     clock::Shared,
-    dispatch::{Choice, Ending, Finish, Load, Progress},
+    dispatch::Choice,
     id::{self, Endpoint},
-    unit::Tokens,
 };
 
 /// Writes one log line for a request, whichever way it ends.
@@ -99,59 +96,3 @@
         }
     }
 }
-
-/// A request that an endpoint works on. Dropping it tells the dispatcher that it was abandoned.
-#[derive(Debug)]
-pub(super) struct Flight {
-    choice: Choice,
-    prompt: Tokens,
-    progress: Recipient<Progress>,
-    finish: Recipient<Finish>,
-    ending: Ending,
-}
-
-impl Flight {
-    /// `prompt` is the number of prompt tokens that the dispatcher counts for the request.
-    pub(super) const fn new(
-        choice: Choice,
-        prompt: Tokens,
-        progress: Recipient<Progress>,
-        finish: Recipient<Finish>,
-    ) -> Self {
-        Self {
-            choice,
-            prompt,
-            progress,
-            finish,
-            ending: Ending::Abandoned,
-        }
-    }
-
-    pub(super) const fn choice(&self) -> &Choice {
-        &self.choice
-    }
-
-    /// The endpoint has begun to answer, so it has read the prompt.
-    pub(super) fn began(&mut self, load: Option<Load>) {
-        let prompt = std::mem::replace(&mut self.prompt, Tokens::ZERO);
-        self.progress.do_send(Progress {
-            endpoint: self.choice.instance.id.clone(),
-            prompt,
-            load,
-        });
-    }
-
-    pub(super) fn end(mut self, ending: Ending) {
-        self.ending = ending;
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.finish.do_send(Finish {
-            endpoint: self.choice.instance.id.clone(),
-            prompt: self.prompt,
-            ending: self.ending,
-        });
-    }
-}
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -7,10 +7,9 @@
 use super::{
     Answer, EventId, Result, Splitter,
     exchange::{Exchange, Opened},
-    record::Flight,
 };
 use crate::{
-    dispatch::Ending,
+    dispatch::{Ending, Ticket},
     error::{Error, Kind},
     invariant::{self, Point},
     upstream::Body,
@@ -22,7 +21,7 @@
 
 /// The answer of an endpoint that has begun to answer.
 pub(super) fn answer(mut exchange: Exchange, opened: Opened) -> Answer {
-    let Opened { reply, flight } = opened;
+    let Opened { reply, ticket } = opened;
     let streams = exchange.route.kind.streams() && reply.status < 300;
     exchange.record.answered(reply.status);
     let relay = Relay {
@@ -32,7 +31,7 @@
         left: reply.length,
         exchange,
         body: Some(reply.body),
-        flight: Some(flight),
+        ticket: Some(ticket),
     };
     let body = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -57,7 +56,7 @@
 struct Relay {
     exchange: Exchange,
     body: Option<Body>,
-    flight: Option<Flight>,
+    ticket: Option<Ticket>,
     splitter: Option<Splitter>,
     resume_after: Option<EventId>,
     status: u16,
@@ -146,9 +145,9 @@
         invariant::check(Point::WholeAnswer, whole, || {
             "an answer shorter than its length was taken for complete".to_owned()
         });
-        if let Some(flight) = self.flight.take() {
+        if let Some(ticket) = self.ticket.take() {
             let failed = self.status >= 500;
-            flight.end(if failed {
+            ticket.end(if failed {
                 Ending::Failed
             } else {
                 Ending::Served
@@ -162,10 +161,10 @@
     async fn resume(&mut self, error: Error) -> Result<()> {
         // Closes the connection, so that the endpoint stops before another one goes on.
         self.body = None;
-        let endpoint = self.flight.take().map(|flight| {
-            let endpoint = flight.choice().instance.id.clone();
+        let endpoint = self.ticket.take().map(|ticket| {
+            let endpoint = ticket.choice().instance.id.clone();
             let late = error.kind() == Kind::Deadline;
-            flight.end(if late {
+            ticket.end(if late {
                 Ending::Abandoned
             } else {
                 Ending::Failed
@@ -184,7 +183,7 @@
         }
         let opened = self.exchange.open(last).await?;
         if opened.reply.status >= 300 {
-            opened.flight.end(Ending::Failed);
+            opened.ticket.end(Ending::Failed);
             return Err(error);
         }
         log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
@@ -194,7 +193,7 @@
             splitter.restart();
         }
         self.body = Some(opened.reply.body);
-        self.flight = Some(opened.flight);
+        self.ticket = Some(opened.ticket);
         Ok(())
     }
 }
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -123,8 +123,6 @@
             endpoints,
             stopping: stopping_view,
             choose: dispatcher.clone().recipient(),
-            progress: dispatcher.clone().recipient(),
-            finish: dispatcher.clone().recipient(),
             may_repeat: dispatcher.recipient(),
             clock,
             metrics: metrics.clone(),
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -12,7 +12,7 @@
 use super::{Result, serve};
 use crate::{
     clock::Shared,
-    dispatch::{Choose, Finish, MayRepeat, Progress},
+    dispatch::{Choose, MayRepeat},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
     route::Plan,
@@ -62,10 +62,6 @@
     pub stopping: watch::Receiver<bool>,
     /// Chooses endpoints.
     pub choose: Recipient<Choose>,
-    /// Learns that an endpoint has begun to answer.
-    pub progress: Recipient<Progress>,
-    /// Learns how requests end.
-    pub finish: Recipient<Finish>,
     /// Holds the retry budget.
     pub may_repeat: Recipient<MayRepeat>,
     /// The clock.
@@ -156,8 +152,6 @@
     let server = HttpServer::new(move || {
         let ports = Ports {
             choose: config.choose.clone(),
-            progress: config.progress.clone(),
-            finish: config.finish.clone(),
             may_repeat: config.may_repeat.clone(),
             upstream: config.protocol.upstream(),
             clock: Arc::clone(&config.clock),
