--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -25,9 +25,17 @@
 const REQUEST_COST: f64 = 100.0;
 /// Cost of reading a prompt token at a decode engine. It reads at half the speed, and each step with
 /// a piece of a prompt slows down all streams of the engine.
-const DECODE_PREFILL_COST: f64 = 8.0;
+const DECODE_PREFILL_COST: f64 = 4.0;
+/// Length of a prompt at which that cost is twice as high per token: a long prompt slows down the
+/// streams of a decode engine for longer than their callers wait.
+const DECODE_PREFILL_SCALE: f64 = 3_000.0;
 /// Cost of handing a KV cache from one engine to another, in prompt tokens: a second request.
 const TRANSFER_COST: f64 = 400.0;
+/// Time for which an endpoint gets no requests after it has rejected one. Twice as long after each
+/// further rejection.
+const FIRST_REST: Duration = Duration::from_millis(250);
+/// Longest such time. An engine that changes its stage rejects requests for some seconds.
+const LONGEST_REST: Duration = Duration::from_secs(2);
 /// Cost of an endpoint in another zone, in prompt tokens for an engine. It decides between
 /// endpoints with nearly the same load.
 const FAR_COST: f64 = 60.0;
@@ -42,6 +50,9 @@
     /// Prompt tokens of those that the engine has not read.
     prompt: u64,
     report: Option<Report>,
+    /// Rejections since it last served a request.
+    rejections: u32,
+    rest_until: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +64,21 @@
 }
 
 impl Member {
+    fn reject(&mut self, now: Instant) {
+        let rest = FIRST_REST * (1 << self.rejections.min(4));
+        self.rest_until = Some(now + rest.min(LONGEST_REST));
+        self.rejections += 1;
+    }
+
+    fn serve(&mut self) {
+        self.rejections = 0;
+        self.rest_until = None;
+    }
+
+    fn rests(&self, now: Instant) -> bool {
+        self.rest_until.is_some_and(|until| now < until)
+    }
+
     /// Requests of other processes, by a report that is recent enough.
     fn others(&self, now: Instant) -> u32 {
         self.recent(now).map_or(0, |report| {
@@ -107,6 +133,8 @@
                     own: 0,
                     prompt: 0,
                     report: None,
+                    rejections: 0,
+                    rest_until: None,
                 },
                 |member| Member {
                     instance: Arc::clone(&instance),
@@ -181,7 +209,10 @@
         member.prompt = member.prompt.saturating_sub(finish.prompt.get());
         let service = member.instance.service.clone();
         match finish.ending {
-            Ending::Served => self.ejector.served(endpoint, now),
+            Ending::Served => {
+                member.serve();
+                self.ejector.served(endpoint, now);
+            }
             Ending::Failed => {
                 let pool = self.pool(&service);
                 if self.ejector.failed(endpoint, &[pool], now) {
@@ -194,7 +225,8 @@
                     "another instance has the address; endpoint is forgotten");
                 self.members.remove(endpoint);
             }
-            Ending::Rejected | Ending::Abandoned => {}
+            Ending::Rejected => member.reject(now),
+            Ending::Abandoned => {}
         }
     }
 
@@ -215,10 +247,11 @@
             .copied()
             .filter(|member| {
                 let portion = self.ejector.portion(&member.instance.id, now).get();
+                let portion = if member.rests(now) { 0.0 } else { portion };
                 portion >= 1.0 || (portion > 0.0 && self.rng.random_bool(portion))
             })
             .collect();
-        // An endpoint that has failed is better than none.
+        // An endpoint that has failed or rejected a request is better than none.
         let candidates = if healthy.is_empty() { fitting } else { healthy };
         let homes: BTreeSet<&Endpoint> = [Some(Stage::Prefill), Some(Stage::Decode), None]
             .into_iter()
@@ -309,7 +342,10 @@
     let (read, transfer) = match (member.instance.stage, demand.need) {
         (_, Need::Decode) => (0.0, 0.0),
         (Some(Stage::Prefill), _) => (prompt, TRANSFER_COST),
-        (Some(Stage::Decode), _) => (prompt * DECODE_PREFILL_COST, 0.0),
+        (Some(Stage::Decode), _) => {
+            let slowdown = 1.0 + prompt / DECODE_PREFILL_SCALE;
+            (prompt * DECODE_PREFILL_COST * slowdown, 0.0)
+        }
         (None, _) => (prompt, 0.0),
     };
     let speed = match member.instance.stage {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -167,8 +167,12 @@
             "the answer belongs to another request".to_owned(),
         ));
     }
-    let verdict = if status == 421 {
+    // The same status says that the endpoint is another one, or has another stage by now.
+    let other = text(headers, names::INSTANCE).is_none_or(|id| id != job.instance.id.as_str());
+    let verdict = if status == 421 && other {
         Verdict::Replaced
+    } else if status == 421 {
+        Verdict::Rejected
     } else if headers.contains_key(names::NOT_EXECUTED) {
         Verdict::Rejected
     } else {
