--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -203,6 +203,7 @@
         Some(("drain", matches)) => status::drain(matches),
         _ => Ok(()),
     };
+    ::log::logger().flush();
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(Failure::Invalid(faults)) => {
--- a/src/log/imp.rs
+++ b/src/log/imp.rs
@@ -1,13 +1,12 @@
-use std::fmt;
+use std::{fmt, io};
 
 use ::log::{Level, Log, Metadata, Record, kv};
 use log4rs::{
     Logger,
-    append::console::{ConsoleAppender, Target},
     config::{Appender, Config, Root, runtime::ConfigErrors},
-    encode::json::JsonEncoder,
 };
 
+use super::queue::Queue;
 use crate::id::Process;
 
 /// Why the log cannot be opened.
@@ -18,6 +17,7 @@
 enum Cause {
     Config(ConfigErrors),
     Installed(::log::SetLoggerError),
+    Thread(io::Error),
 }
 
 impl fmt::Display for Error {
@@ -31,6 +31,7 @@
         match &self.0 {
             Cause::Config(error) => Some(error),
             Cause::Installed(error) => Some(error),
+            Cause::Thread(error) => Some(error),
         }
     }
 }
@@ -83,12 +84,9 @@
 ///
 /// # Errors
 ///
-/// Fails if a log is already installed.
+/// Fails if a log is already installed, or if its thread cannot be started.
 pub fn open(level: Level, process: &Process) -> Result<()> {
-    let console = ConsoleAppender::builder()
-        .target(Target::Stdout)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
+    let console = Queue::spawn(io::stdout()).map_err(|error| Error(Cause::Thread(error)))?;
     let filter = level.to_level_filter();
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
--- a/src/log/tests.rs
+++ b/src/log/tests.rs
@@ -1,8 +1,13 @@
-use std::sync::{Arc, Mutex};
+use std::{
+    io,
+    sync::{Arc, Mutex, mpsc},
+};
 
 use ::log::{Level, Log, Metadata, Record, kv};
 
-use super::imp::Named;
+use log4rs::append::Append;
+
+use super::{imp::Named, queue::Queue};
 
 /// Keeps the attributes of the last record as text.
 #[derive(Default)]
@@ -47,3 +52,61 @@
     named.log(&record);
     insta::assert_snapshot!(last.lock().expect("one thread"));
 }
+
+/// An output that blocks until it is released.
+struct Blocked {
+    release: mpsc::Receiver<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl io::Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.release.recv().map_err(io::Error::other)?;
+        let mut written = self.written.lock().expect("no panic");
+        written.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a reader of the log that stops reading and so stops requests, and against lines
+/// that are dropped without a note.
+#[test]
+fn blocked_output_drops_lines_and_says_so() {
+    let (release, released) = mpsc::channel();
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let output = Blocked {
+        release: released,
+        written: Arc::clone(&written),
+    };
+    let queue = Queue::spawn(output).expect("a thread");
+    let lines = 10_000;
+    for number in 0..lines {
+        let arguments = format_args!("line {number}");
+        let record = Record::builder().level(Level::Info).args(arguments).build();
+        queue.append(&record).expect("the line is encoded");
+    }
+    for _ in 0..lines {
+        release.send(()).expect("the thread runs");
+    }
+    let count = |text: &str| -> (usize, usize) {
+        let kept = text.lines().filter(|line| line.contains("line ")).count();
+        let notes = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+        let dropped = notes.filter_map(|note| usize::try_from(note["lines"].as_u64()?).ok());
+        (kept, dropped.sum())
+    };
+    // A flush fails while the queue is full, so it is repeated.
+    let mut counts = (0, 0);
+    while counts.0 + counts.1 < lines {
+        queue.flush();
+        let written = written.lock().expect("no panic");
+        counts = count(std::str::from_utf8(&written).expect("text"));
+    }
+    assert!(counts.1 > 0, "all lines were kept");
+    assert_eq!(counts.0 + counts.1, lines);
+}
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -38,7 +38,7 @@
 }
 
 impl Error {
-    pub(super) fn new(kind: Kind, detail: impl Into<String>) -> Self {
+    pub(crate) fn new(kind: Kind, detail: impl Into<String>) -> Self {
         Self {
             kind,
             detail: detail.into(),
@@ -83,6 +83,22 @@
         }
     }
 
+    /// A body that holds some chunks and then ends as told, or never.
+    #[cfg(test)]
+    pub(crate) fn scripted(chunks: &[&'static str], end: Option<Result<()>>) -> Self {
+        let (sender, parts) = mpsc::channel(chunks.len() + 1);
+        let chunks = chunks.iter().map(|chunk| Part::Chunk(Bytes::from(*chunk)));
+        let end = end.map(|end| end.map_or_else(Part::Broken, |()| Part::End));
+        let hangs = end.is_none();
+        for part in chunks.chain(end) {
+            sender.try_send(part).expect("the channel is large enough");
+        }
+        if hangs {
+            tokio::task::spawn_local(async move { sender.closed().await });
+        }
+        Self::new(parts)
+    }
+
     /// The next bytes, or nothing at the end of a complete body.
     ///
     /// # Errors
