--- a/mulberrymill-bench/src/lib.rs
+++ b/mulberrymill-bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod hosts;
 pub mod load;
+pub mod platform;
 pub mod port;
 pub mod service;
 pub mod store;
--- /dev/null
+++ b/mulberrymill-bench/src/platform/store.rs
@@ -0,0 +1,183 @@
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use actix_web::{
+    HttpResponse,
+    web::{self, Query},
+};
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::{sync::watch, time};
+
+use super::Result;
+use crate::port::Port;
+
+/// Items of one page of a read, few enough that tests need several pages.
+const PAGE: usize = 2;
+
+#[derive(Debug, Default)]
+struct Keys {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    /// All changes; a removal has no value.
+    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Changes up to this revision are forgotten.
+    compacted: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    keys: Mutex<Keys>,
+    changed: watch::Sender<u64>,
+}
+
+impl Shared {
+    fn keys(&self) -> MutexGuard<'_, Keys> {
+        self.keys.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, key: &str, value: Option<Vec<u8>>) {
+        let mut keys = self.keys();
+        keys.revision += 1;
+        let revision = keys.revision;
+        match &value {
+            Some(value) => keys.items.insert(key.to_owned(), (value.clone(), revision)),
+            None => keys.items.remove(key),
+        };
+        keys.history.push((revision, key.to_owned(), value));
+        drop(keys);
+        self.changed.send_replace(revision);
+    }
+}
+
+/// The platform's store, for reading. It serves ranges in small pages, and watches.
+#[derive(Clone, Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    port: Port,
+}
+
+impl Store {
+    /// Binds a free port. Runs inside an actix system.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub fn bind() -> Result<Self> {
+        let shared = Arc::new(Shared {
+            keys: Mutex::default(),
+            changed: watch::Sender::new(0),
+        });
+        let data = web::Data::from(Arc::clone(&shared));
+        let routes = Arc::new(move |app: &mut web::ServiceConfig| {
+            app.app_data(data.clone())
+                .route("/mulberrymill/kv-range", web::get().to(range))
+                .route("/mulberrymill/kv-watch", web::get().to(watch_changes))
+                .default_service(web::to(HttpResponse::NotFound));
+        });
+        let port = Port::bind(routes)?;
+        Ok(Self { shared, port })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.port.address()
+    }
+
+    /// Controls whether it listens.
+    #[must_use]
+    pub const fn port(&self) -> &Port {
+        &self.port
+    }
+
+    /// Writes a key.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.shared
+            .change(key, Some(value.to_string().into_bytes()));
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.shared.change(key, None);
+    }
+
+    /// Forgets all changes so far, as the platform does after a while.
+    pub fn compact(&self) {
+        let mut keys = self.shared.keys();
+        keys.history.clear();
+        keys.compacted = keys.revision;
+    }
+}
+
+#[derive(Deserialize)]
+struct Range {
+    prefix: String,
+    #[serde(default)]
+    after: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Watch {
+    prefix: String,
+    after: u64,
+    wait_ms: u64,
+}
+
+fn item(key: &str, value: &[u8], revision: u64) -> Value {
+    json!({
+        "key": key, "value": STANDARD.encode(value), "rev": revision, "createRev": revision, "lease": 0,
+    })
+}
+
+async fn range(shared: web::Data<Shared>, query: Query<Range>) -> HttpResponse {
+    let keys = shared.keys();
+    let matching = keys
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(&query.prefix) && **key > query.after);
+    let items: Vec<Value> = matching
+        .map(|(key, (value, revision))| item(key, value, *revision))
+        .collect();
+    let truncated = items.len() > PAGE;
+    let page = &items[..items.len().min(PAGE)];
+    HttpResponse::Ok().json(json!({ "items": page, "truncated": truncated, "asOf": keys.revision }))
+}
+
+async fn watch_changes(shared: web::Data<Shared>, query: Query<Watch>) -> HttpResponse {
+    let mut changed = shared.changed.subscribe();
+    let deadline = time::Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        changed.borrow_and_update();
+        let answer = {
+            let keys = shared.keys();
+            if query.after < keys.compacted {
+                return HttpResponse::Gone().finish();
+            }
+            let events: Vec<Value> = keys
+                .history
+                .iter()
+                .filter(|(revision, key, _)| {
+                    *revision > query.after && key.starts_with(&query.prefix)
+                })
+                .map(|(revision, key, value)| match value {
+                    Some(value) => item(key, value, *revision),
+                    None => json!({ "key": key, "rev": revision, "removed": true }),
+                })
+                .collect();
+            json!({ "events": events, "asOf": keys.revision })
+        };
+        let any = answer["events"]
+            .as_array()
+            .is_some_and(|events| !events.is_empty());
+        if any || time::timeout_at(deadline, changed.changed()).await.is_err() {
+            return HttpResponse::Ok().json(answer);
+        }
+    }
+}
--- a/src/entry/recorder.rs
+++ b/src/entry/recorder.rs
@@ -1,4 +1,7 @@
-use std::{sync::OnceLock, time::Duration};
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -16,8 +19,10 @@
 
 /// Installs the metrics recorder of the process, once.
 pub(crate) fn install() -> Result<PrometheusHandle> {
-    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-    if let Some(handle) = HANDLE.get() {
+    // Locked while it is installed, so that of two callers at the same time one gets the other's.
+    static HANDLE: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
+    let mut installed = HANDLE.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(handle) = &*installed {
         return Ok(handle.clone());
     }
     let failed = |error: metrics_exporter_prometheus::BuildError| {
@@ -27,5 +32,6 @@
         .set_buckets(&BUCKETS)
         .map_err(failed)?;
     let handle = builder.install_recorder().map_err(failed)?;
-    Ok(HANDLE.get_or_init(|| handle).clone())
+    *installed = Some(handle.clone());
+    Ok(handle)
 }
