--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -215,14 +215,13 @@
             }
         };
         let same = known.filter(|entry| *entry.instance == instance);
-        let instance = match same {
-            Some(entry) => Arc::clone(&entry.instance),
-            None => {
-                log::info!(endpoint:% = instance.id, service:% = instance.service,
-                    address:% = instance.address, draining = instance.draining,
-                    revision:% = revision; "endpoint has changed");
-                Arc::new(instance)
-            }
+        let instance = if let Some(entry) = same {
+            Arc::clone(&entry.instance)
+        } else {
+            log::info!(endpoint:% = instance.id, service:% = instance.service,
+                address:% = instance.address, draining = instance.draining,
+                revision:% = revision; "endpoint has changed");
+            Arc::new(instance)
         };
         let entry = Entry {
             instance,
@@ -237,13 +236,12 @@
         let Some(entry) = self.entries.get_mut(path) else {
             return;
         };
-        match grace_end.filter(|end| now < *end && !entry.instance.draining) {
-            Some(end) => entry.until = Some(end),
-            None => {
-                log::info!(endpoint:% = entry.instance.id, revision:% = entry.revision;
-                    "endpoint has left the store");
-                self.entries.remove(path);
-            }
+        if let Some(end) = grace_end.filter(|end| now < *end && !entry.instance.draining) {
+            entry.until = Some(end);
+        } else {
+            log::info!(endpoint:% = entry.instance.id, revision:% = entry.revision;
+                "endpoint has left the store");
+            self.entries.remove(path);
         }
     }
 }
--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -73,16 +73,16 @@
 impl Handler<Progress> for Dispatcher {
     type Result = ();
 
-    fn handle(&mut self, progress: Progress, _: &mut Context<Self>) {
-        self.board.progress(&progress, self.clock.now());
+    fn handle(&mut self, msg: Progress, _: &mut Context<Self>) {
+        self.board.progress(&msg, self.clock.now());
     }
 }
 
 impl Handler<Finish> for Dispatcher {
     type Result = ();
 
-    fn handle(&mut self, finish: Finish, _: &mut Context<Self>) {
-        self.board.finish(&finish, self.clock.now());
+    fn handle(&mut self, msg: Finish, _: &mut Context<Self>) {
+        self.board.finish(&msg, self.clock.now());
     }
 }
 
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -187,7 +187,7 @@
         choices(&mut board, &demand, 4, now)
     ));
 
-    let later = now + Duration::from_secs(60);
+    let later = now + Duration::from_mins(1);
     results.push(format!(
         "later: {:?}",
         choices(&mut board, &demand, 4, later)
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -354,7 +354,7 @@
             passed.extend_from_slice(&splitter.push(&whole[from..cut]).expect("ids increase"));
             from = cut;
         }
-        prop_assert_eq!(&passed[..], &whole[..whole.len() - 6]);
+        prop_assert_eq!(&*passed, &whole[..whole.len() - 6]);
         prop_assert_eq!(splitter.last(), Some(EventId::new(30)));
         prop_assert!(!splitter.is_between_events());
     }
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -22,7 +22,7 @@
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 /// Time for which an idle connection of a caller is kept. Longer than any idle time that callers
 /// are allowed, so that a kept connection is not closed under a request.
-const IDLE_LIMIT: Duration = Duration::from_secs(120);
+const IDLE_LIMIT: Duration = Duration::from_mins(2);
 /// Connections of callers.
 const CONNECTIONS_MAX: usize = 3_000;
 /// One thread: a host of the platform has a part of one core.
--- a/src/log/tests.rs
+++ b/src/log/tests.rs
@@ -60,11 +60,11 @@
 }
 
 impl io::Write for Blocked {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         self.release.recv().map_err(io::Error::other)?;
         let mut written = self.written.lock().expect("no panic");
-        written.extend_from_slice(bytes);
-        Ok(bytes.len())
+        written.extend_from_slice(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -47,11 +47,11 @@
         let head = encode(&job)?;
         let body = job.call.body.clone();
         let response = self.pool.send(job.instance.address, head, body).await;
-        let response = response.map_err(failure)?;
+        let response = response.map_err(|error| failure(&error))?;
         let mut reply = decode(response, &job)?;
         if job.step == Step::Prefill && reply.status == 200 {
             let body = reply.body.collect(PREFILL_ANSWER_MAX).await;
-            let body = body.map_err(failure)?;
+            let body = body.map_err(|error| failure(&error))?;
             let prefilled: Prefilled = serde_json::from_slice(&body)
                 .map_err(|error| Failure::Lost(format!("malformed prefill answer: {error}")))?;
             let handle: Handle = prefilled
@@ -77,7 +77,7 @@
                 let head = head(Method::DELETE, &target, cache.source, HeaderMap::new())?;
                 pool.send(cache.source, head, Bytes::new())
                     .await
-                    .map_err(failure)
+                    .map_err(|error| failure(&error))
             })
             .await;
             match freed {
@@ -171,9 +171,7 @@
     let other = text(headers, names::INSTANCE).is_none_or(|id| id != job.instance.id.as_str());
     let verdict = if status == 421 && other {
         Verdict::Replaced
-    } else if status == 421 {
-        Verdict::Rejected
-    } else if headers.contains_key(names::NOT_EXECUTED) {
+    } else if status == 421 || headers.contains_key(names::NOT_EXECUTED) {
         Verdict::Rejected
     } else {
         Verdict::Ran
@@ -213,7 +211,7 @@
     })
 }
 
-fn failure(error: upstream::Error) -> Failure {
+fn failure(error: &upstream::Error) -> Failure {
     match error.kind() {
         Kind::NotSent => Failure::NotSent(error.to_string()),
         Kind::Lost | Kind::Malformed => Failure::Lost(error.to_string()),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -126,7 +126,7 @@
                 range.revision = Revision::new(page.revision);
             }
             let last = page.items.last().map(|entry| entry.key.clone());
-            range.items.extend(page.items.into_iter().filter_map(item));
+            range.items.extend(page.items.iter().filter_map(item));
             match last {
                 Some(last) if page.truncated => after = last,
                 _ => return Ok(range),
@@ -142,7 +142,7 @@
             let single: Single =
                 Self::call(&self.client, self.address, names::KEY, &query, CALL_LIMIT).await?;
             Ok(Range {
-                items: item(single.entry).into_iter().collect(),
+                items: item(&single.entry).into_iter().collect(),
                 revision: Revision::new(single.revision),
             })
         }
@@ -171,7 +171,7 @@
                 match batch.await {
                     Ok(batch) => {
                         let next = batch.revision.max(after);
-                        let events = batch.events.into_iter().filter_map(event).collect();
+                        let events = batch.events.iter().filter_map(event).collect();
                         Some((Ok(events), Some((client, next))))
                     }
                     Err(error) => Some((Err(error), None)),
@@ -224,20 +224,20 @@
         .ok()
 }
 
-fn item(entry: Entry) -> Option<Item> {
+fn item(entry: &Entry) -> Option<Item> {
     Some(Item {
         path: path(&entry.key)?,
-        value: value(&entry)?,
+        value: value(entry)?,
         created: Revision::new(entry.created),
         modified: Revision::new(entry.rev),
     })
 }
 
-fn event(entry: Entry) -> Option<Event> {
+fn event(entry: &Entry) -> Option<Event> {
     let change = if entry.removed {
         Change::Delete
     } else {
-        Change::Put(value(&entry)?)
+        Change::Put(value(entry)?)
     };
     Some(Event {
         path: path(&entry.key)?,
