--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -1,4 +1,10 @@
-use std::{fmt, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix::Recipient;
 use actix_web::{
@@ -33,13 +39,13 @@
     /// Path at which the load balancer asks for readiness.
     fn readiness_path(&self) -> &'static str;
 
-    /// The request of a caller, without the headers that concern only one connection and without
+    /// The request of a caller that arrived at the given time, without the headers that concern only one connection and without
     /// those that only this system may set.
     ///
     /// # Errors
     ///
     /// `Kind::BadRequest` on a malformed field.
-    fn decode(&self, request: &HttpRequest, body: Bytes) -> Result<Call>;
+    fn decode(&self, request: &HttpRequest, body: Bytes, arrived: Instant) -> Result<Call>;
 
     /// Opens the client of endpoints for one thread.
     fn upstream(&self) -> Rc<dyn Upstream>;
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -5,8 +5,6 @@
 
 mod imp;
 mod serve;
-#[cfg(test)]
-mod tests;
 
 pub use imp::{Config, Protocol, Server, bind};
 
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -64,8 +64,7 @@
     check_head(request.headers(), limits.head)?;
     let arrived = context.ports.clock.now();
     let body = receive::body(payload, limits.body).await?;
-    let mut call = context.config.protocol.decode(request, body)?;
-    call.arrived = arrived;
+    let call = context.config.protocol.decode(request, body, arrived)?;
     forward::start(call, route, context.ports.clone()).await
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,11 @@
 //! A serving system for a fixed fleet of model engines under a shifting prompt-to-output mix.
 //!
-//! One binary has two long-running roles. An *entry* ([`entry`]) serves callers and operators over
+//! One binary has three long-running roles. An *entry* ([`entry`]) serves callers and operators over
 //! HTTP; an *agent* ([`agent`]) on each endpoint host is the only process that sends its endpoint
-//! work. What must last is in the platform's key-value store ([`store`]). `docs/design.md` is the
-//! specification; `docs/operators.md` is for those who run it.
+//! work. What must last is in the platform's key-value store ([`store`]). A *gateway* ([`gateway`])
+//! serves callers on a platform that has a directory of endpoints and a configuration of its own;
+//! it sends requests straight to endpoints, and [`platform`] translates for it. `docs/design.md` is
+//! the specification, `docs/platform.md` that of the gateway; `docs/OPERATIONS.md` is for those who run it.
 //!
 //! Slices that own state are actors. Their decisions are plain code on a clock that is passed in
 //! ([`clock`]), without sockets or encodings.
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -27,7 +27,7 @@
         names::READY
     }
 
-    fn decode(&self, request: &HttpRequest, body: Bytes) -> Result<Call> {
+    fn decode(&self, request: &HttpRequest, body: Bytes, arrived: Instant) -> Result<Call> {
         let received = request.headers();
         let patience = number::<u64>(received, names::DEADLINE_MS)?;
         let resume_after = text(received, names::LAST_EVENT_ID).map(str::parse);
@@ -38,7 +38,7 @@
             target: target.map_or_else(|| "/".to_owned(), ToString::to_string),
             headers: end_to_end(received),
             body,
-            arrived: Instant::now(),
+            arrived,
             patience: patience.map(Duration::from_millis),
             generation: generation(received)?,
             resume_after: resume_after.transpose()?,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,6 +19,7 @@
 pub use store::Store;
 
 use crate::{
+    clock,
     error::{Error, Kind},
     gateway::Adapter,
 };
@@ -44,7 +45,7 @@
 /// Fails if a name of the platform is not valid in this program, which is a fault of this module.
 pub fn open(store: SocketAddr) -> Result<Adapter> {
     Ok(Adapter {
-        store: Rc::new(Store::open(store)),
+        store: Rc::new(Store::open(store, clock::System::shared())),
         endpoints: names::ENDPOINTS.parse()?,
         plan: names::PLAN.parse()?,
         codec: Arc::new(Codec),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,6 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use actix_web::http::StatusCode;
+use actix_web::{http::StatusCode, web::Bytes};
 use awc::Client;
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use futures_util::{
@@ -12,6 +12,7 @@
 
 use super::{Result, names};
 use crate::{
+    clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
     store::{Change, Event, Events, Future, Item, Path, Range, Reader},
@@ -27,10 +28,12 @@
 /// Largest answer: a page of a read has at most about 1 MB, before base64.
 const ANSWER_MAX: usize = 4 << 20;
 
-/// Client of the platform's store.
+/// Client of the platform's store. Clones share its connections.
+#[derive(Clone)]
 pub struct Store {
     address: SocketAddr,
     client: Client,
+    clock: Shared,
 }
 
 impl fmt::Debug for Store {
@@ -79,11 +82,13 @@
 }
 
 impl Store {
-    /// A client of the store at an address. Connections are made when they are needed.
+    /// A client of the store at an address. `clock` measures the duration of calls. Connections are
+    /// made when they are needed.
     #[must_use]
-    pub fn open(address: SocketAddr) -> Self {
+    pub fn open(address: SocketAddr, clock: Shared) -> Self {
         Self {
             address,
+            clock,
             // Each call has its own limit.
             client: Client::builder()
                 .disable_timeout()
@@ -94,21 +99,37 @@
     }
 
     async fn call<T: DeserializeOwned>(
-        client: &Client,
-        address: SocketAddr,
+        &self,
         path: &'static str,
         query: &[(&str, &str)],
         limit: Duration,
     ) -> Result<T> {
-        let start = time::Instant::now();
-        let outcome = time::timeout(limit, fetch(client, address, path, query)).await;
-        metrics::histogram!("store_call_seconds", "route" => path)
-            .record(start.elapsed().as_secs_f64());
+        let start = self.clock.now();
+        let outcome = time::timeout(limit, self.fetch(path, query)).await;
+        let elapsed = self.clock.now() - start;
+        metrics::histogram!("store_call_seconds", "route" => path).record(elapsed.as_secs_f64());
         let body = outcome.unwrap_or_else(|_elapsed| Err(unavailable("no answer in time")))?;
         serde_json::from_slice(&body)
             .map_err(|error| unavailable("malformed answer").with_source(error))
     }
 
+    async fn fetch(&self, path: &str, query: &[(&str, &str)]) -> Result<Bytes> {
+        let failed = |error: awc::error::SendRequestError| {
+            unavailable("the call failed").with_source(error.to_string())
+        };
+        let request = self.client.get(format!("http://{}{path}", self.address));
+        let request = request
+            .query(&query)
+            .map_err(|error| unavailable("the query cannot be written").with_source(error))?;
+        let mut response = request.send().await.map_err(failed)?;
+        let body = response.body().limit(ANSWER_MAX).await;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(unavailable(&format!("the store answered {status}")));
+        }
+        body.map_err(|error| unavailable("broken answer").with_source(error.to_string()))
+    }
+
     async fn read_all(&self, prefix: &Path) -> Result<Range> {
         let mut range = Range::default();
         let mut after = String::new();
@@ -119,8 +140,7 @@
             } else {
                 &query
             };
-            let page: Page =
-                Self::call(&self.client, self.address, names::RANGE, query, CALL_LIMIT).await?;
+            let page: Page = self.call(names::RANGE, query, CALL_LIMIT).await?;
             // Later pages are newer. Changes since the first page are read again by the watch.
             if range.revision == Revision::default() {
                 range.revision = Revision::new(page.revision);
@@ -139,8 +159,7 @@
     fn get(&self, path: Path) -> Future<'_, Range> {
         async move {
             let query = [("key", key(&path))];
-            let single: Single =
-                Self::call(&self.client, self.address, names::KEY, &query, CALL_LIMIT).await?;
+            let single: Single = self.call(names::KEY, &query, CALL_LIMIT).await?;
             Ok(Range {
                 items: item(&single.entry).into_iter().collect(),
                 revision: Revision::new(single.revision),
@@ -154,12 +173,11 @@
     }
 
     fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
-        let (client, address) = (self.client.clone(), self.address);
         let after = from.get().saturating_sub(1);
-        let events = stream::unfold(Some((client, after)), move |state| {
+        let events = stream::unfold(Some((self.clone(), after)), move |state| {
             let prefix = prefix.clone();
             async move {
-                let (client, after) = state?;
+                let (store, after) = state?;
                 let (since, wait) = (after.to_string(), WATCH_WAIT.as_millis().to_string());
                 let query = [
                     ("prefix", key(&prefix)),
@@ -167,12 +185,11 @@
                     ("waitMs", wait.as_str()),
                 ];
                 let limit = WATCH_WAIT + WATCH_SLACK;
-                let batch = Self::call::<Batch>(&client, address, names::WATCH, &query, limit);
-                match batch.await {
+                match store.call::<Batch>(names::WATCH, &query, limit).await {
                     Ok(batch) => {
                         let next = batch.revision.max(after);
                         let events = batch.events.iter().filter_map(event).collect();
-                        Some((Ok(events), Some((client, next))))
+                        Some((Ok(events), Some((store, next))))
                     }
                     Err(error) => Some((Err(error), None)),
                 }
@@ -182,28 +199,6 @@
     }
 }
 
-async fn fetch(
-    client: &Client,
-    address: SocketAddr,
-    path: &str,
-    query: &[(&str, &str)],
-) -> Result<actix_web::web::Bytes> {
-    let failed = |error: awc::error::SendRequestError| {
-        unavailable("the call failed").with_source(error.to_string())
-    };
-    let request = client.get(format!("http://{address}{path}"));
-    let request = request
-        .query(&query)
-        .map_err(|error| unavailable("the query cannot be written").with_source(error))?;
-    let mut response = request.send().await.map_err(failed)?;
-    let body = response.body().limit(ANSWER_MAX).await;
-    let status = response.status();
-    if status != StatusCode::OK {
-        return Err(unavailable(&format!("the store answered {status}")));
-    }
-    body.map_err(|error| unavailable("broken answer").with_source(error.to_string()))
-}
-
 /// The platform's key for a path.
 fn key(path: &Path) -> &str {
     path.as_str().trim_start_matches('/')
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use actix_web::{http::header::HeaderMap, test::TestRequest, web::Bytes};
 use proptest::prelude::*;
 
@@ -104,7 +106,7 @@
         .insert_header(("Serving-Stage", "prefill"))
         .to_http_request();
     let call = Protocol
-        .decode(&request, Bytes::from_static(b"body"))
+        .decode(&request, Bytes::from_static(b"body"), Instant::now())
         .expect("a request");
     insta::assert_debug_snapshot!((
         call.id,
@@ -135,7 +137,7 @@
             .insert_header((name, value))
             .to_http_request();
         let kind = Protocol
-            .decode(&request, Bytes::new())
+            .decode(&request, Bytes::new(), Instant::now())
             .map_err(|error| error.kind());
         format!(
             "{name} {value}: {:?}",
@@ -152,7 +154,9 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         drop(listener);
-        let range = Store::open(address).range(path("/servers/")).await;
+        let range = Store::open(address, clock::System::shared())
+            .range(path("/servers/"))
+            .await;
         range.expect_err("nobody listens")
     });
     assert_eq!(error.kind(), Kind::StoreUnavailable);
@@ -188,6 +192,6 @@
             .insert_header(("Token-Count", tokens))
             .insert_header(("Prefix-Hash", prefix))
             .to_http_request();
-        drop(Protocol.decode(&request, Bytes::new()));
+        drop(Protocol.decode(&request, Bytes::new(), Instant::now()));
     }
 }
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::RequestHead;
 use bytes::Bytes;
@@ -6,12 +6,17 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{Notify, mpsc},
     task,
 };
 
 use super::*;
 
+thread_local! {
+    /// Lets an endpoint reset its connection.
+    static RESET: Rc<Notify> = Rc::default();
+}
+
 /// What a scripted endpoint does after it has read a request.
 #[derive(Clone, Copy, Debug)]
 enum After {
@@ -58,9 +63,8 @@
             After::Keep => {}
             After::Close => return,
             After::Reset => {
-                // Lets the bytes arrive before the reset discards what was not read.
-                task::yield_now().await;
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                // A reset discards what was not read, so it comes after the head was.
+                RESET.with(|reset| Rc::clone(reset)).notified().await;
                 let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 linger.expect("the option is set");
                 return;
@@ -79,6 +83,7 @@
 async fn outcome(pool: &Pool, address: SocketAddr) -> String {
     match pool.send(address, request(), Bytes::new()).await {
         Ok(mut response) => {
+            RESET.with(|reset| reset.notify_one());
             let status = response.head.status.as_u16();
             match response.body.collect(1 << 20).await {
                 Ok(body) => format!("{status} {:?}", String::from_utf8_lossy(&body)),
@@ -150,8 +155,6 @@
             for _ in 0..3 {
                 outcome(&pool, address).await;
                 connections.push(requests.recv().await.expect("a request"));
-                // The task puts its connection back after it has handed out the last part.
-                tokio::time::sleep(Duration::from_millis(5)).await;
             }
             outcomes.push(format!("{name}: {connections:?}"));
         }
