--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -64,7 +64,7 @@
             After::Close => return,
             After::Reset => {
                 // A reset discards what was not read, so it comes after the head was.
-                RESET.with(|reset| Rc::clone(reset)).notified().await;
+                RESET.with(Rc::clone).notified().await;
                 let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 linger.expect("the option is set");
                 return;
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -66,3 +66,27 @@
     assert_eq!(endpoint.zone, agent.zone);
     insta::assert_debug_snapshot!((entry, agent));
 }
+
+/// Guards against a template whose result the gateway refuses at its start.
+#[test]
+fn template_of_the_gateway_is_valid() {
+    let template = include_str!("../deploy/gateway.jsonc");
+    let values = [
+        ("{{nodeName|json}}", "\"edge-santiago-a-1\""),
+        ("{{zone|json}}", "\"santiago-a\""),
+        ("{{listen.frontend|json}}", "\"10.1.0.38:8149\""),
+        ("{{listen.readyAddr|json}}", "\"10.1.0.38:8141\""),
+        ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
+        ("{{heartbeatMs}}", "1200"),
+        ("{{bounds.graceS}}", "8"),
+    ];
+    let text = values
+        .iter()
+        .fold(template.to_owned(), |text, (name, value)| {
+            text.replace(name, value)
+        });
+    insta::assert_debug_snapshot!(mulberrymill::settings::Gateway::parse(
+        "gateway.jsonc",
+        &text
+    ));
+}
