--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -21,6 +21,7 @@
     dispatch::{Choose, MayRepeat},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
+    id,
     route::Plan,
 };
 
@@ -39,6 +40,9 @@
     /// Path at which the load balancer asks for readiness.
     fn readiness_path(&self) -> &'static str;
 
+    /// The caller's id of a request, for logs.
+    fn call_id(&self, request: &HttpRequest) -> Option<id::Call>;
+
     /// The request of a caller that arrived at the given time, without the headers that concern only one connection and without
     /// those that only this system may set.
     ///
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -16,9 +16,9 @@
 };
 use crate::{
     error::{Error, Kind},
-    forward::{self, Answer},
+    forward::{self, Answer, Call},
     front::{problem, receive},
-    route::Plan,
+    route::{Plan, Route},
     unit::Bytes,
 };
 
@@ -34,7 +34,7 @@
     let stopping = *context.config.stopping.borrow();
     let mut response = match forward(&request, payload, &context).await {
         Ok(answer) => respond(answer),
-        Err(error) => refuse(&request, &error),
+        Err(error) => refuse(&error),
     };
     if stopping {
         // The caller's next request goes to a process that stays.
@@ -50,22 +50,41 @@
     payload: web::Payload,
     context: &Context,
 ) -> Result<Answer> {
+    let (call, route) = admit(request, payload, context)
+        .await
+        .inspect_err(|error| {
+            let id = context.config.protocol.call_id(request);
+            let version = context
+                .config
+                .plan
+                .borrow()
+                .as_ref()
+                .map(|plan| plan.version());
+            log::info!(call:? = id.map(|id| id.to_string()), path = request.path(),
+            plan:? = version.map(|version| version.to_string()), error:% = error;
+            "request is refused");
+        })?;
+    forward::start(call, route, context.ports.clone()).await
+}
+
+/// Finds the route of a request and receives it within the limits.
+async fn admit(
+    request: &HttpRequest,
+    payload: web::Payload,
+    context: &Context,
+) -> Result<(Call, Arc<Route>)> {
     let plan: Option<Arc<Plan>> = context.config.plan.borrow().clone();
-    let Some(plan) = plan else {
-        return Err(Error::new(Kind::NotReady, "no plan is known yet"));
-    };
+    let plan = plan.ok_or_else(|| Error::new(Kind::NotReady, "no plan is known yet"))?;
     let host = request.headers().get(HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let Some(route) = plan.find(host, request.path()).cloned() else {
-        log::info!(host = host, version:% = plan.version(); "request has no route");
-        return Err(Error::new(Kind::NotFound, "there is no such route"));
-    };
+    let route = plan.find(host, request.path()).cloned();
+    let route = route.ok_or_else(|| Error::new(Kind::NotFound, "there is no such route"))?;
     let limits = plan.limits();
     check_head(request.headers(), limits.head)?;
     let arrived = context.ports.clock.now();
     let body = receive::body(payload, limits.body).await?;
     let call = context.config.protocol.decode(request, body, arrived)?;
-    forward::start(call, route, context.ports.clone()).await
+    Ok((call, route))
 }
 
 fn check_head(headers: &HeaderMap, limit: Bytes) -> Result<()> {
@@ -92,8 +111,7 @@
     }
 }
 
-fn refuse(request: &HttpRequest, error: &Error) -> HttpResponse {
-    log::debug!(path = request.path(), error:% = error; "request is answered with an error");
+fn refuse(error: &Error) -> HttpResponse {
     let mut response = problem::respond(error);
     if let Some(period) = error.retry_after() {
         let seconds = format!("{:.3}", period.as_secs_f64());
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -14,7 +14,7 @@
 use crate::{
     error::{Error, Kind},
     forward::{Call, Generation, Upstream},
-    ingress,
+    id, ingress,
     unit::Tokens,
 };
 
@@ -27,13 +27,17 @@
         names::READY
     }
 
+    fn call_id(&self, request: &HttpRequest) -> Option<id::Call> {
+        text(request.headers(), names::REQUEST_ID).and_then(|id| id.parse().ok())
+    }
+
     fn decode(&self, request: &HttpRequest, body: Bytes, arrived: Instant) -> Result<Call> {
         let received = request.headers();
         let patience = number::<u64>(received, names::DEADLINE_MS)?;
         let resume_after = text(received, names::LAST_EVENT_ID).map(str::parse);
         let target = request.uri().path_and_query();
         Ok(Call {
-            id: text(received, names::REQUEST_ID).and_then(|id| id.parse().ok()),
+            id: self.call_id(request),
             method: request.method().clone(),
             target: target.map_or_else(|| "/".to_owned(), ToString::to_string),
             headers: end_to_end(received),
