--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -62,6 +62,19 @@
         }
     }
 
+    /// A site whose routes go to `s1`, with the endpoint `e1`; `e2` belongs to `s2`.
+    async fn with_two_services() -> (Self, [Endpoint; 2]) {
+        let site = Self::open();
+        let endpoints = ["e1", "e2"].map(|id| Endpoint::bind(id).expect("a free port"));
+        site.store.put("op/config", &config(3, "s1"));
+        for (endpoint, (id, service)) in endpoints.iter().zip([("e1", "s1"), ("e2", "s2")]) {
+            let entry = endpoint.entry(service, "ready");
+            site.store.put(&format!("servers/{id}"), &entry);
+        }
+        site.until_answered_by("e1").await;
+        (site, endpoints)
+    }
+
     /// Waits until `/plain/` is answered by this text, which is the id of an endpoint.
     async fn until_answered_by(&self, expected: &str) {
         for _ in 0..LOOKS {
@@ -151,12 +164,7 @@
 /// Guards against a gateway that keeps an old plan, or sends work to an endpoint that is leaving.
 #[actix_web::test]
 async fn changes_in_the_store_take_effect() {
-    let site = Site::open();
-    let [first, second] = ["e1", "e2"].map(|id| Endpoint::bind(id).expect("a free port"));
-    site.store.put("op/config", &config(3, "s1"));
-    site.store.put("servers/e1", &first.entry("s1", "ready"));
-    site.store.put("servers/e2", &second.entry("s2", "ready"));
-    site.until_answered_by("e1").await;
+    let (site, [first, second]) = Site::with_two_services().await;
     site.store.put("op/config", &config(9, "s2"));
     site.until_answered_by("e2").await;
     site.store.put("op/config", &config(11, "s1"));
@@ -177,12 +185,7 @@
 /// meanwhile.
 #[actix_web::test]
 async fn store_outage_stops_nothing() {
-    let site = Site::open();
-    let [first, second] = ["e1", "e2"].map(|id| Endpoint::bind(id).expect("a free port"));
-    site.store.put("op/config", &config(3, "s1"));
-    site.store.put("servers/e1", &first.entry("s1", "ready"));
-    site.store.put("servers/e2", &second.entry("s2", "ready"));
-    site.until_answered_by("e1").await;
+    let (site, _endpoints) = Site::with_two_services().await;
     site.store.port().down().await;
     for _ in 0..20 {
         assert!(site.get("/once/1").await.contains("e1"));
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -9,7 +9,7 @@
 use actix::Recipient;
 use actix_web::{
     App, HttpRequest, HttpServer,
-    dev::ServerHandle,
+    dev::{Server as Running, ServerHandle},
     web::{self, Bytes},
 };
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -187,10 +187,7 @@
     .bind(listen)
     .map_err(|error| cannot_listen(listen, error))?;
     let address = server.addrs().first().copied().unwrap_or(listen);
-    let running = server.run();
-    let handle = running.handle();
-    actix_rt::spawn(running);
-    Ok((handle, address))
+    Ok((spawn(server.run()), address))
 }
 
 fn bind_control(config: &Config) -> Result<(ServerHandle, SocketAddr)> {
@@ -208,10 +205,13 @@
     .bind(listen)
     .map_err(|error| cannot_listen(listen, error))?;
     let address = server.addrs().first().copied().unwrap_or(listen);
-    let running = server.run();
+    Ok((spawn(server.run()), address))
+}
+
+fn spawn(running: Running) -> ServerHandle {
     let handle = running.handle();
     actix_rt::spawn(running);
-    Ok((handle, address))
+    handle
 }
 
 fn cannot_listen(address: SocketAddr, error: std::io::Error) -> Error {
