Give metrics upkeep, their rendering and the conversion of counts one copy each; log two errors

Found on rereading the change: the gateway had its own copy of the recorder's upkeep and of the metrics response, and the dispatcher its own conversion of counts to estimates. Two errors were turned into an outcome without a log line: a connection lost after a whole body, and a budget that cannot be asked for a stream to be continued.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -14,6 +14,7 @@
     id::{Endpoint, Service, Zone},
     invariant::{self, Point},
     retry::{Budget as _, Ejector, Window},
+    unit::as_f64,
 };
 
 /// Age at which a load report says nothing about the present. Requests last about this long.
@@ -355,11 +356,3 @@
     let far = if far { FAR_COST } else { 0.0 };
     queued * speed + read + transfer + (own + others) * REQUEST_COST + far
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "token counts stay far below 2^52"
-)]
-fn as_f64(number: u64) -> f64 {
-    number as f64
-}
--- a/src/entry/imp.rs
+++ b/src/entry/imp.rs
@@ -1,7 +1,6 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use actix::Addr;
-use metrics_exporter_prometheus::PrometheusHandle;
 use rand::Rng;
 use tokio::{sync::watch, task::AbortHandle, time};
 
@@ -105,7 +104,7 @@
         spread::follow(editor, actors.holder.clone(), actors.authority.clone()),
         tokio::task::spawn_local(send_heartbeats(actors.pool.clone(), view.revision))
             .abort_handle(),
-        tokio::task::spawn_local(upkeep(metrics)).abort_handle(),
+        tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
     ];
     let stop_delay = settings.stop_delay;
     Ok(Entry {
@@ -247,11 +246,3 @@
         pool.do_send(link::Announce(revision));
     }
 }
-
-async fn upkeep(metrics: PrometheusHandle) {
-    let mut ticks = time::interval(recorder::UPKEEP_PERIOD);
-    loop {
-        ticks.tick().await;
-        metrics.run_upkeep();
-    }
-}
--- a/src/entry/recorder.rs
+++ b/src/entry/recorder.rs
@@ -4,6 +4,7 @@
 };
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::time;
 
 use super::Result;
 use crate::error::{Error, Kind};
@@ -15,7 +16,7 @@
 ];
 
 /// Pause between two clean-ups of the recorder, which else keeps every sample until it is read.
-pub(crate) const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
 
 /// Installs the metrics recorder of the process, once.
 pub(crate) fn install() -> Result<PrometheusHandle> {
@@ -35,3 +36,12 @@
     *installed = Some(handle.clone());
     Ok(handle)
 }
+
+/// Cleans the recorder up from time to time, without end.
+pub(crate) async fn upkeep(metrics: PrometheusHandle) {
+    let mut ticks = time::interval(UPKEEP_PERIOD);
+    loop {
+        ticks.tick().await;
+        metrics.run_upkeep();
+    }
+}
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -324,7 +324,13 @@
     pub(super) async fn may_continue(&mut self, endpoint: &Endpoint) -> bool {
         let allowed = self.route.kind.repeatable() && self.sends < self.route.attempts;
         self.avoid.push(endpoint.clone());
-        allowed && self.left() > USEFUL_TIME && self.ask_budget().await.unwrap_or(false)
+        if !allowed || self.left() <= USEFUL_TIME {
+            return false;
+        }
+        self.ask_budget().await.unwrap_or_else(|error| {
+            log::info!(error:% = error; "stream is not continued");
+            false
+        })
     }
 
     /// The error for a request that is given up now. Only one that has not run is refused with a
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -104,8 +104,11 @@
                 Kind::EndpointFailed,
                 "the body exceeds its length",
             )),
-            // All bytes are here; only the connection is lost.
-            Err(_error) => self.complete(),
+            Err(error) => {
+                log::debug!(error:% = error;
+                    "connection was lost after a whole body; the answer is complete");
+                self.complete()
+            }
         }
     }
 
--- a/src/front/health.rs
+++ b/src/front/health.rs
@@ -1,4 +1,5 @@
 use actix_web::{HttpResponse, http::header, web};
+use metrics_exporter_prometheus::PrometheusHandle;
 
 use super::{imp::Context, problem};
 
@@ -17,7 +18,12 @@
 
 /// Metrics in the Prometheus text format.
 pub(super) async fn metrics(context: web::Data<Context>) -> HttpResponse {
+    render(&context.metrics)
+}
+
+/// The metrics as a response, for every server that shows them.
+pub(crate) fn render(metrics: &PrometheusHandle) -> HttpResponse {
     HttpResponse::Ok()
         .insert_header((header::CONTENT_TYPE, "text/plain; version=0.0.4"))
-        .body(context.metrics.render())
+        .body(metrics.render())
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,7 +6,7 @@
 
 mod auth;
 mod estimate;
-mod health;
+pub(crate) mod health;
 mod imp;
 mod openai;
 mod operator;
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -1,7 +1,6 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use actix::Addr;
-use metrics_exporter_prometheus::PrometheusHandle;
 use rand::Rng;
 use tokio::{sync::watch, task::AbortHandle, time};
 
@@ -133,7 +132,7 @@
         follow_plan,
         follow_endpoints,
         tokio::task::spawn_local(expire(book)).abort_handle(),
-        tokio::task::spawn_local(upkeep(metrics)).abort_handle(),
+        tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
     ];
     Ok(Gateway {
         server,
@@ -183,11 +182,3 @@
         book.borrow_mut().expire();
     }
 }
-
-async fn upkeep(metrics: PrometheusHandle) {
-    let mut ticks = time::interval(recorder::UPKEEP_PERIOD);
-    loop {
-        ticks.tick().await;
-        metrics.run_upkeep();
-    }
-}
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -17,7 +17,7 @@
 use crate::{
     error::{Error, Kind},
     forward::{self, Answer, Call},
-    front::{problem, receive},
+    front::{health, problem, receive},
     route::{Plan, Route},
     unit::Bytes,
 };
@@ -132,7 +132,5 @@
 
 /// The metrics in the text format of Prometheus.
 pub(super) async fn metrics(config: web::Data<Config>) -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("text/plain; version=0.0.4")
-        .body(config.metrics.render())
+    health::render(&config.metrics)
 }
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -6,7 +6,7 @@
 use rand::{Rng as _, RngCore};
 
 use super::{Demand, Pool, Status, View};
-use crate::{id::Endpoint, wire::Role};
+use crate::{id::Endpoint, unit::as_f64, wire::Role};
 
 /// Difference of load, as a part of the larger one, below which the zone decides.
 const TIE: f64 = 0.05;
@@ -180,11 +180,3 @@
         (_, Role::Decode) => !long_prompt,
     }
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "token counts stay far below 2^52"
-)]
-pub(super) fn as_f64(number: u64) -> f64 {
-    number as f64
-}
--- a/src/routing/separate.rs
+++ b/src/routing/separate.rs
@@ -2,10 +2,10 @@
 
 use super::{
     Demand, Policy, Pool, Status, View, Weights,
-    policy::{as_f64, fits_role, prefer},
+    policy::{fits_role, prefer},
     view::is_long,
 };
-use crate::id::Endpoint;
+use crate::{id::Endpoint, unit::as_f64};
 
 /// Parts of the work that belong to long prompts between which they have engines of their own.
 const LEAST_LONG: f64 = 0.02;
--- a/src/unit/imp.rs
+++ b/src/unit/imp.rs
@@ -326,3 +326,12 @@
         parse(&text).map_err(de::Error::custom)
     }
 }
+
+/// A count for estimates.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of tokens and engines stay far below 2^52"
+)]
+pub(crate) fn as_f64(number: u64) -> f64 {
+    number as f64
+}
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -16,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use imp::as_f64;
 pub use imp::{Bytes, Error, Rate, Share, Tokens, Worth, period};
 
 /// Result of parsing a quantity.
