End both halves of a link with its task, and tell the sink of it

Cause: a connection's writing task outlived an abort of the connection, so a dropped listener or dialer left half of the socket open, and the sink never heard that the peer had gone. Ruled out: the peer's silence limit; it closes the link only after three seconds, and not while the writer still sends. Also adds link::dial and Port::address for links between gateways.

--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -5,7 +5,7 @@
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
-use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio::{net::TcpStream, sync::mpsc, task::JoinSet, time};
 use tokio_tungstenite::{
     WebSocketStream,
     tungstenite::{self, Message, protocol::WebSocketConfig},
@@ -52,10 +52,10 @@
     let (outbox, queue) = Outbox::channel();
     outbox.send(identity.hello());
     let (writer, mut reader) = socket.split();
-    let writer = tokio::task::spawn_local(write(writer, queue));
-    let error = read(&mut reader, clock, sink, &outbox).await;
-    writer.abort();
-    error
+    // The set ends the task also if this one is aborted, which would leave half of the socket open.
+    let mut writers = JoinSet::new();
+    writers.spawn_local(write(writer, queue));
+    read(&mut reader, clock, sink, &outbox).await
 }
 
 async fn read(
@@ -73,9 +73,20 @@
         hello,
     };
     sink.opened(&peer, outbox);
-    let error = read_frames(reader, clock, sink, outbox, &peer).await;
-    sink.closed(&peer);
-    error
+    let open = Open { sink, peer };
+    read_frames(reader, clock, sink, outbox, &open.peer).await
+}
+
+/// A connection whose peer is known. Tells the sink when it ends, also by an abort of its task.
+struct Open<'a> {
+    sink: &'a Rc<dyn Sink>,
+    peer: Peer,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.sink.closed(&self.peer);
+    }
 }
 
 async fn expect_hello(reader: &mut SplitStream<Socket>) -> Result<Hello> {
@@ -190,6 +201,7 @@
         | Frame::Order(_)
         | Frame::Done(_)
         | Frame::Fetch(_)
-        | Frame::Document(_) => "control",
+        | Frame::Document(_)
+        | Frame::Usage(_) => "control",
     }
 }
--- a/src/link/dialer.rs
+++ b/src/link/dialer.rs
@@ -1,7 +1,11 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::Rng;
-use tokio::{net::TcpStream, time};
+use tokio::{
+    net::TcpStream,
+    task::{self, AbortHandle},
+    time,
+};
 use tokio_tungstenite::client_async_with_config;
 
 use super::{Identity, Sink, connection};
@@ -20,7 +24,18 @@
 /// Longest time for a connection and its handshake.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
-/// Keeps a connection to an agent until the task is aborted.
+/// Starts to keep a connection to the process at an address, until the handle ends the task.
+#[must_use]
+pub fn dial(
+    address: SocketAddr,
+    identity: Identity,
+    clock: clock::Shared,
+    sink: Rc<dyn Sink>,
+) -> AbortHandle {
+    task::spawn_local(run(address, identity, clock, sink)).abort_handle()
+}
+
+/// Keeps a connection until the task is aborted.
 pub(super) async fn run(
     address: SocketAddr,
     identity: Identity,
@@ -34,7 +49,7 @@
             Ok(socket) => connection::run(socket, &identity, &clock, &sink).await,
             Err(error) => error,
         };
-        log::info!(address:% = address, error:% = error; "no connection to the agent");
+        log::info!(address:% = address, error:% = error; "no connection to the peer");
         if clock.now().duration_since(started) >= STABLE {
             backoff = BACKOFF_MIN;
         }
@@ -48,7 +63,7 @@
     let lost = |error: &dyn std::fmt::Display| {
         Error::new(
             Kind::EndpointLost,
-            format!("agent cannot be reached: {error}"),
+            format!("peer cannot be reached: {error}"),
         )
     };
     let handshake = async {
--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -65,7 +65,13 @@
         Ok(Self { address, listener })
     }
 
-    /// Accepts connections of entries.
+    /// The bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts connections.
     #[must_use]
     pub fn listen(self, identity: Identity, clock: clock::Shared, sink: Rc<dyn Sink>) -> Listener {
         let Self { address, listener } = self;
@@ -113,7 +119,7 @@
     match time::timeout(HANDSHAKE_LIMIT, handshake).await {
         Ok(Ok(socket)) => {
             let error = connection::run(socket, &identity, &clock, &sink).await;
-            log::info!(error:% = error; "connection of an entry ended");
+            log::info!(error:% = error; "accepted connection ended");
         }
         Ok(Err(error)) => log::info!(error:% = error; "handshake failed"),
         Err(_elapsed) => log::info!("handshake took too long"),
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,4 +1,4 @@
-//! WebSocket connections between entries and agents.
+//! WebSocket connections between entries and agents, and between gateways.
 //!
 //! Each connection is a pair of tasks: one owns the reading half and the time of the last message,
 //! the other owns the writing half and its queue. An entry has a [`Pool`] that keeps one connection
@@ -17,6 +17,7 @@
 mod tests;
 
 pub use connection::SILENCE;
+pub use dialer::dial;
 pub use hub::{Acknowledged, Broadcast, Close, GoAway, Hub, Joined, Left};
 pub use imp::{Identity, Item, Outbox, Peer, Session, Sink};
 pub use listener::{Listener, Port};
