--- a/mulberrymill-bench/src/platform/store.rs
+++ b/mulberrymill-bench/src/platform/store.rs
@@ -28,6 +28,10 @@
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     /// Changes up to this revision are forgotten.
     compacted: u64,
+    /// Leases that were ever granted.
+    granted: u64,
+    /// Keys of each lease.
+    leases: BTreeMap<u64, Vec<String>>,
 }
 
 #[derive(Debug)]
@@ -55,7 +59,8 @@
     }
 }
 
-/// The platform's store, for reading. It serves ranges in small pages, and watches.
+/// The platform's store. It serves ranges in small pages, watches, unconditional writes, and leases
+/// that never lapse by themselves.
 #[derive(Clone, Debug)]
 pub struct Store {
     shared: Arc<Shared>,
@@ -78,6 +83,13 @@
             app.app_data(data.clone())
                 .route("/mulberrymill/kv-range", web::get().to(range))
                 .route("/mulberrymill/kv-watch", web::get().to(watch_changes))
+                .route("/mulberrymill/kv-txn", web::post().to(commit))
+                .route("/mulberrymill/kv-lease", web::post().to(grant))
+                .route("/mulberrymill/kv-keep/{lease}", web::post().to(renew))
+                .route(
+                    "/mulberrymill/kv-lease-end/{lease}",
+                    web::delete().to(revoke),
+                )
                 .default_service(web::to(HttpResponse::NotFound));
         });
         let port = Port::bind(routes)?;
@@ -96,6 +108,22 @@
         &self.port
     }
 
+    /// Keys that start with a prefix.
+    #[must_use]
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.shared.keys();
+        let matching = keys.items.keys().filter(|key| key.starts_with(prefix));
+        matching.cloned().collect()
+    }
+
+    /// Ends all leases and removes their keys, as an outage of the platform can.
+    pub fn lapse_leases(&self) {
+        let leases = std::mem::take(&mut self.shared.keys().leases);
+        for key in leases.into_values().flatten() {
+            self.remove(&key);
+        }
+    }
+
     /// Writes a key.
     pub fn put(&self, key: &str, value: &Value) {
         self.shared
@@ -181,3 +209,61 @@
         }
     }
 }
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Txn {
+    #[serde(default)]
+    set_keys: Vec<SetKey>,
+}
+
+#[derive(Deserialize)]
+struct SetKey {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+async fn commit(shared: web::Data<Shared>, txn: web::Json<Txn>) -> HttpResponse {
+    for set in &txn.set_keys {
+        let Ok(value) = STANDARD.decode(&set.value) else {
+            return HttpResponse::BadRequest().finish();
+        };
+        if set.lease != 0 {
+            let mut keys = shared.keys();
+            let Some(leased) = keys.leases.get_mut(&set.lease) else {
+                return HttpResponse::NotFound().finish();
+            };
+            leased.push(set.key.clone());
+        }
+        shared.change(&set.key, Some(value));
+    }
+    HttpResponse::Ok().json(json!({ "rev": shared.keys().revision }))
+}
+
+async fn grant(shared: web::Data<Shared>) -> HttpResponse {
+    let mut keys = shared.keys();
+    keys.granted += 1;
+    let lease = keys.granted;
+    keys.leases.insert(lease, Vec::new());
+    HttpResponse::Ok().json(json!({ "lease": lease, "ttlMs": 15_000 }))
+}
+
+async fn renew(shared: web::Data<Shared>, lease: web::Path<u64>) -> HttpResponse {
+    if shared.keys().leases.contains_key(&lease) {
+        HttpResponse::Ok().json(json!({ "ttlMs": 15_000 }))
+    } else {
+        HttpResponse::NotFound().finish()
+    }
+}
+
+async fn revoke(shared: web::Data<Shared>, lease: web::Path<u64>) -> HttpResponse {
+    let Some(leased) = shared.keys().leases.remove(&lease) else {
+        return HttpResponse::NotFound().finish();
+    };
+    for key in leased {
+        shared.change(&key, None);
+    }
+    HttpResponse::Ok().json(json!({}))
+}
--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -43,17 +43,20 @@
     })
 }
 
+async fn open_gateway(process: &str, store: SocketAddr) -> Gateway {
+    let text = format!(
+        r#"{{"process": "{process}", "zone": "a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0",
+            "readiness": "127.0.0.1:0", "store": "{store}", "stop_delay": "200ms"}}"#,
+    );
+    let settings = settings::Gateway::parse("gateway.jsonc", &text).expect("no fault");
+    let adapter = platform::open(settings.store).expect("valid names");
+    gateway::open(&settings, adapter).await.expect("free ports")
+}
+
 impl Site {
-    fn open() -> Self {
+    async fn open() -> Self {
         let store = Store::bind().expect("a free port");
-        let text = format!(
-            r#"{{"process": "gateway-1", "zone": "a", "listen": "127.0.0.1:0",
-                "readiness": "127.0.0.1:0", "store": "{}", "stop_delay": "200ms"}}"#,
-            store.address()
-        );
-        let settings = settings::Gateway::parse("gateway.jsonc", &text).expect("no fault");
-        let adapter = platform::open(settings.store).expect("valid names");
-        let gateway = gateway::open(&settings, adapter).expect("free ports");
+        let gateway = open_gateway("gateway-1", store.address()).await;
         let client = Client::builder().timeout(Duration::from_secs(20)).finish();
         Self {
             store,
@@ -64,7 +67,7 @@
 
     /// A site whose routes go to `s1`, with the endpoint `e1`; `e2` belongs to `s2`.
     async fn with_two_services() -> (Self, [Endpoint; 2]) {
-        let site = Self::open();
+        let site = Self::open().await;
         let endpoints = ["e1", "e2"].map(|id| Endpoint::bind(id).expect("a free port"));
         site.store.put("op/config", &config(3, "s1"));
         for (endpoint, (id, service)) in endpoints.iter().zip([("e1", "s1"), ("e2", "s2")]) {
@@ -124,7 +127,7 @@
 /// callers set what only the system may.
 #[actix_web::test]
 async fn requests_reach_an_endpoint_unchanged() {
-    let site = Site::open();
+    let site = Site::open().await;
     let endpoint = Endpoint::bind("e1").expect("a free port");
     let mut steps = vec![format!("nothing known: ready {}", site.ready().await)];
     steps.push(format!(
@@ -199,7 +202,7 @@
 /// Guards against a stop that cuts off a stream, or that goes on being ready.
 #[actix_web::test]
 async fn stop_completes_streams() {
-    let site = Site::open();
+    let site = Site::open().await;
     let endpoint = Endpoint::bind("e1").expect("a free port");
     endpoint.release(1);
     site.store.put("op/config", &config(3, "s1"));
@@ -233,7 +236,7 @@
 /// Guards against requests over the limits that reach an endpoint.
 #[actix_web::test]
 async fn limits_are_kept() {
-    let site = Site::open();
+    let site = Site::open().await;
     let endpoint = Endpoint::bind("e1").expect("a free port");
     site.store.put("op/config", &config(3, "s1"));
     site.store.put("servers/e1", &endpoint.entry("s1", "ready"));
@@ -259,3 +262,28 @@
     assert_eq!(statuses, [413, 431, 400]);
     assert_eq!(endpoint.seen().len(), before);
 }
+
+/// Guards against a gateway that others do not find, that they find after it has stopped, or that
+/// stays lost after the platform has let its entry lapse.
+#[actix_web::test]
+async fn gateways_register_until_they_stop() {
+    let site = Site::open().await;
+    let other = open_gateway("gateway-2", site.store.address()).await;
+    let until = async |expected: &[&str]| {
+        for _ in 0..LOOKS {
+            if site.store.keys("gateways/") == expected {
+                return;
+            }
+            time::sleep(LOOK).await;
+        }
+        panic!(
+            "listed are {:?}, not {expected:?}",
+            site.store.keys("gateways/")
+        );
+    };
+    until(&["gateways/gateway-1", "gateways/gateway-2"]).await;
+    site.store.lapse_leases();
+    until(&["gateways/gateway-1", "gateways/gateway-2"]).await;
+    other.stop().await;
+    until(&["gateways/gateway-1"]).await;
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -45,7 +45,7 @@
     open_log(settings.log, &settings.process)?;
     block_on(async {
         let mut stop = Stop::listen()?;
-        let gateway = gateway::open(&settings, platform::open(settings.store)?)?;
+        let gateway = gateway::open(&settings, platform::open(settings.store)?).await?;
         ::log::info!(address:% = gateway.address(), readiness:% = gateway.readiness(),
             settings:? = settings; "gateway is listening");
         while stop.next().await == Request::Reload {
--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -1,7 +1,10 @@
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
-use super::{Board, Choose, Finish, MayRepeat, Members, Need, Progress, Ticket};
-use crate::{clock::Shared, error::Result, id::Zone, unit::Tokens};
+use super::{
+    Audience, Board, Choose, Finish, MayRepeat, Members, Need, PeerLost, PeerUsage, Progress,
+    Survey, Ticket,
+};
+use crate::{clock::Shared, error::Result, id::Zone};
 
 /// What a dispatcher needs.
 #[derive(Clone, Debug)]
@@ -60,13 +63,9 @@
             self.board.record(&demand.service, now);
         }
         let choice = self.board.choose(&demand, now)?;
-        let unread = match demand.need {
-            Need::Decode => Tokens::ZERO,
-            Need::Start | Need::Whole => demand.prompt,
-        };
         let address = ctx.address();
         let finish = address.clone().recipient();
-        Ok(Ticket::new(choice, unread, address.recipient(), finish))
+        Ok(Ticket::new(choice, address.recipient(), finish))
     }
 }
 
@@ -101,3 +100,35 @@
         self.board.replace(instances, self.clock.now());
     }
 }
+
+impl Handler<Survey> for Dispatcher {
+    type Result = MessageResult<Survey>;
+
+    fn handle(&mut self, _: Survey, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.board.usages())
+    }
+}
+
+impl Handler<PeerUsage> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, msg: PeerUsage, _: &mut Context<Self>) {
+        self.board.hear(msg);
+    }
+}
+
+impl Handler<PeerLost> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, PeerLost(session): PeerLost, _: &mut Context<Self>) {
+        self.board.forget_peer(session);
+    }
+}
+
+impl Handler<Audience> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, msg: Audience, _: &mut Context<Self>) {
+        self.board.set_audience(msg);
+    }
+}
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -7,14 +7,19 @@
 
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
-use super::{Choice, Demand, Ending, Finish, Load, Need, Progress};
+use super::{
+    Audience, Backlog, Choice, Demand, Ending, Finish, Load, Need, PeerUsage, Progress,
+    hearsay::{Foreign, Hearsay},
+};
 use crate::{
     directory::{Instance, Stage},
     error::{Error, Kind, Result},
     id::{Endpoint, Service, Zone},
     invariant::{self, Point},
+    link::Session,
     retry::{Budget as _, Ejector, Window},
-    unit::as_f64,
+    unit::{Tokens, as_f64},
+    wire::Usage,
 };
 
 /// Age at which a load report says nothing about the present. Requests last about this long.
@@ -24,12 +29,18 @@
 const FOREIGN_PROMPT: f64 = 600.0;
 /// Cost of a request besides its prompt, in prompt tokens: the steps that it slows down.
 const REQUEST_COST: f64 = 100.0;
+/// Part of the less urgent prompts that a request waits for: the piece that the engine reads when
+/// it arrives.
+const LESS_URGENT_PART: f64 = 0.5;
 /// Cost of reading a prompt token at a decode engine. It reads at half the speed, and each step with
 /// a piece of a prompt slows down all streams of the engine.
-const DECODE_PREFILL_COST: f64 = 4.0;
+const DECODE_PREFILL_COST: f64 = 9.0;
 /// Length of a prompt at which that cost is twice as high per token: a long prompt slows down the
 /// streams of a decode engine for longer than their callers wait.
 const DECODE_PREFILL_SCALE: f64 = 3_000.0;
+/// Cost of reading a shared token that another engine holds, besides the time for it: it takes the
+/// place of a part that others need, and that part is read again later.
+const AWAY_COST: f64 = 2.0;
 /// Cost of handing a KV cache from one engine to another, in prompt tokens: a second request.
 const TRANSFER_COST: f64 = 400.0;
 /// Time for which an endpoint gets no requests after it has rejected one. Twice as long after each
@@ -49,7 +60,7 @@
     /// Requests of this process in progress.
     own: u32,
     /// Prompt tokens of those that the engine has not read.
-    prompt: u64,
+    unread: Backlog,
     report: Option<Report>,
     /// Rejections since it last served a request.
     rejections: u32,
@@ -106,6 +117,7 @@
     members: BTreeMap<Endpoint, Member>,
     ejector: Ejector,
     budgets: BTreeMap<Service, Window>,
+    hearsay: Hearsay,
 }
 
 impl Board {
@@ -118,6 +130,7 @@
             members: BTreeMap::new(),
             ejector: Ejector::new(),
             budgets: BTreeMap::new(),
+            hearsay: Hearsay::default(),
         }
     }
 
@@ -132,7 +145,7 @@
                 || Member {
                     instance: Arc::clone(&instance),
                     own: 0,
-                    prompt: 0,
+                    unread: Backlog::default(),
                     report: None,
                     rejections: 0,
                     rest_until: None,
@@ -158,8 +171,8 @@
     ///
     /// Fails with [`Kind::NoEndpoint`] if no endpoint fits.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
-        let endpoint = self.best(demand, now)?;
-        let others = self.members[&endpoint].others(now);
+        let (endpoint, unread) = self.best(demand, now)?;
+        let others = others(&self.hearsay, &self.members[&endpoint], demand.rank, now).requests;
         let Some(member) = self.members.get_mut(&endpoint) else {
             return Err(Error::new(Kind::Internal, "the chosen endpoint is unknown"));
         };
@@ -167,11 +180,11 @@
             format!("{endpoint} was chosen although it is leaving")
         });
         member.own += 1;
-        if demand.need != Need::Decode {
-            member.prompt += demand.prompt.get();
-        }
+        member.unread.add(demand.rank, unread);
         Ok(Choice {
             instance: Arc::clone(&member.instance),
+            rank: demand.rank,
+            unread,
             own: member.own,
             others,
             report_age: member
@@ -189,7 +202,7 @@
     /// Takes in that an endpoint has begun to answer.
     pub fn progress(&mut self, progress: &Progress, now: Instant) {
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
-            member.prompt = member.prompt.saturating_sub(progress.prompt.get());
+            member.unread.take(progress.rank, progress.prompt);
             if let Some(load) = progress.load {
                 member.report = Some(Report {
                     load,
@@ -207,7 +220,7 @@
             return;
         };
         member.own = member.own.saturating_sub(1);
-        member.prompt = member.prompt.saturating_sub(finish.prompt.get());
+        member.unread.take(finish.rank, finish.prompt);
         let service = member.instance.service.clone();
         match finish.ending {
             Ending::Served => {
@@ -231,13 +244,41 @@
         }
     }
 
+    /// The own work in progress, for each endpoint that has any.
+    #[must_use]
+    pub fn usages(&self) -> Vec<Usage> {
+        let busy = self.members.values().filter(|member| member.own > 0);
+        busy.map(|member| Usage {
+            endpoint: member.instance.id.clone(),
+            requests: member.own,
+            unread: member.unread.iter().collect(),
+        })
+        .collect()
+    }
+
+    /// Takes in the work of another process.
+    pub fn hear(&mut self, usage: PeerUsage) {
+        self.hearsay.hear(usage);
+    }
+
+    /// Forgets the work of another process.
+    pub fn forget_peer(&mut self, session: Session) {
+        self.hearsay.forget(session);
+    }
+
+    /// Takes in how many other processes tell of their work.
+    pub const fn set_audience(&mut self, audience: Audience) {
+        self.hearsay.set_audience(audience);
+    }
+
     /// Whether a request of a service may be sent to a further endpoint.
     pub fn may_repeat(&mut self, service: &Service, now: Instant) -> bool {
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.may_retry(now)
     }
 
-    fn best(&mut self, demand: &Demand, now: Instant) -> Result<Endpoint> {
+    /// The endpoint with the least cost, and the prompt tokens that it has to read.
+    fn best(&mut self, demand: &Demand, now: Instant) -> Result<(Endpoint, Tokens)> {
         let fitting: Vec<&Member> = self
             .members
             .values()
@@ -265,14 +306,17 @@
                 let at_home = homes.contains(&member.instance.id);
                 // The jitter separates processes that see the same load.
                 let jitter = self.rng.random_range(1.0..1.05);
-                let cost = cost(member, demand, at_home, near, now) * jitter;
+                let others = others(&self.hearsay, member, demand.rank, now);
+                let cost = cost(member, demand, at_home, near, others) * jitter;
                 (cost, &member.instance.id)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, endpoint)| endpoint.clone()).ok_or_else(|| {
+        let Some((_, endpoint)) = best else {
             let detail = format!("no endpoint of {} can take the request", demand.service);
-            Error::new(Kind::NoEndpoint, detail)
-        })
+            return Err(Error::new(Kind::NoEndpoint, detail));
+        };
+        let unread = unread(demand, homes.contains(endpoint));
+        Ok((endpoint.clone(), unread))
     }
 
     fn services(&self) -> BTreeSet<Service> {
@@ -291,6 +335,34 @@
     }
 }
 
+/// Work of other processes at an endpoint: what they tell, else an estimate from its report.
+fn others(hearsay: &Hearsay, member: &Member, rank: u8, now: Instant) -> Foreign {
+    hearsay.at(&member.instance.id, rank).unwrap_or_else(|| {
+        let others = member.others(now);
+        // At a decode engine the running requests have been read.
+        let unread = match member.instance.stage {
+            Some(Stage::Decode) => member.waiting(now),
+            _ => others,
+        };
+        Foreign {
+            requests: f64::from(others),
+            urgent: f64::from(unread) * FOREIGN_PROMPT,
+            patient: 0.0,
+        }
+    })
+}
+
+/// Prompt tokens that an endpoint has to read for a request.
+fn unread(demand: &Demand, at_home: bool) -> Tokens {
+    match demand.need {
+        Need::Decode => Tokens::ZERO,
+        Need::Start | Need::Whole if at_home => {
+            Tokens::new(demand.prompt.get().saturating_sub(demand.shared.get()))
+        }
+        Need::Start | Need::Whole => demand.prompt,
+    }
+}
+
 fn fits(member: &Member, demand: &Demand) -> bool {
     let instance = &member.instance;
     instance.service == demand.service
@@ -314,32 +386,28 @@
         .max_by_key(|endpoint| weight(endpoint))
 }
 
-/// Prompt tokens that an engine has to read, by the own requests and an estimate of those of other
-/// processes.
-fn unread(member: &Member, now: Instant) -> f64 {
-    // At a decode engine the running requests have been read.
-    let others = match member.instance.stage {
-        Some(Stage::Decode) => member.waiting(now),
-        _ => member.others(now),
-    };
-    as_f64(member.prompt) + f64::from(others) * FOREIGN_PROMPT
-}
-
 /// Estimate of the time until the first token, in prompt tokens that an engine reads meanwhile; for
 /// a plain service, of the requests per slot.
-fn cost(member: &Member, demand: &Demand, at_home: bool, near: &Zone, now: Instant) -> f64 {
+fn cost(member: &Member, demand: &Demand, at_home: bool, near: &Zone, others: Foreign) -> f64 {
     let far = member.instance.zone != *near;
-    let others = f64::from(member.others(now));
+    let Foreign {
+        requests: others,
+        urgent,
+        patient,
+    } = others;
     let own = f64::from(member.own);
     if demand.prompt.get() == 0 {
         let far = if far { FAR_REQUESTS } else { 0.0 };
         return (own + others + 1.0 + far) / f64::from(member.instance.slots.max(1));
     }
-    let mut prompt = as_f64(demand.prompt.get());
-    if at_home {
-        prompt -= as_f64(demand.shared.get());
-    }
-    let queued = unread(member, now);
+    let prompt = as_f64(unread(demand, at_home).get());
+    let away = if at_home || demand.need == Need::Decode {
+        0.0
+    } else {
+        as_f64(demand.shared.get()) * AWAY_COST
+    };
+    let (own_urgent, own_patient) = member.unread.split(demand.rank);
+    let queued = as_f64(own_urgent) + urgent + (as_f64(own_patient) + patient) * LESS_URGENT_PART;
     let (read, transfer) = match (member.instance.stage, demand.need) {
         (_, Need::Decode) => (0.0, 0.0),
         (Some(Stage::Prefill), _) => (prompt, TRANSFER_COST),
@@ -354,5 +422,5 @@
         _ => 1.0,
     };
     let far = if far { FAR_COST } else { 0.0 };
-    queued * speed + read + transfer + (own + others) * REQUEST_COST + far
+    queued * speed + read + away + transfer + (own + others) * REQUEST_COST + far
 }
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -7,7 +7,9 @@
     directory::Instance,
     error::Result,
     id::{Endpoint, Service, Zone},
+    link::Session,
     unit::Tokens,
+    wire::Usage,
 };
 
 /// What a request needs of an endpoint.
@@ -29,6 +31,8 @@
     pub service: Service,
     /// What the request needs.
     pub need: Need,
+    /// Urgency, 0 first. Engines admit more urgent requests first.
+    pub rank: u8,
     /// Prompt tokens, 0 for a plain service.
     pub prompt: Tokens,
     /// Prompt tokens in parts that other requests share.
@@ -47,14 +51,18 @@
 pub struct Choose(pub Demand);
 
 /// A chosen endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// The endpoint.
     pub instance: Arc<Instance>,
+    /// Urgency of the request.
+    pub rank: u8,
+    /// Prompt tokens that the endpoint has to read for the request.
+    pub unread: Tokens,
     /// Requests of this process that it works on, this one included.
     pub own: u32,
-    /// Requests of other processes, by its last report.
-    pub others: u32,
+    /// Requests of other processes, as they tell, or by its last report.
+    pub others: f64,
     /// Age of that report.
     pub report_age: Option<Duration>,
 }
@@ -76,6 +84,8 @@
 pub struct Progress {
     /// The endpoint.
     pub endpoint: Endpoint,
+    /// Urgency of the request.
+    pub rank: u8,
     /// Prompt tokens that are read now.
     pub prompt: Tokens,
     /// Its load.
@@ -103,6 +113,8 @@
 pub struct Finish {
     /// The endpoint.
     pub endpoint: Endpoint,
+    /// Urgency of the request.
+    pub rank: u8,
     /// Prompt tokens that were counted and that no [`Progress`] has taken off.
     pub prompt: Tokens,
     /// How it ended.
@@ -114,6 +126,36 @@
 #[rtype(result = "bool")]
 pub struct MayRepeat(pub Service);
 
+/// Asks for the work in progress at each endpoint that has any.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Vec<Usage>")]
+pub struct Survey;
+
+/// What another process has in progress. Endpoints that are not listed are as before.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct PeerUsage {
+    /// The link over which it was told.
+    pub session: Session,
+    /// Its work.
+    pub usages: Vec<Usage>,
+}
+
+/// The link to another process has ended; its work is not known any more.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct PeerLost(pub Session);
+
+/// How many of the other processes tell of their work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Message)]
+#[rtype(result = "()")]
+pub struct Audience {
+    /// Processes that do.
+    pub linked: usize,
+    /// All other processes.
+    pub known: usize,
+}
+
 /// Replaces the list of endpoints.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,8 @@
 //! the home of. [`Dispatcher`] is the actor that owns the board.
 
 mod actor;
+mod backlog;
+mod hearsay;
 mod imp;
 mod message;
 #[cfg(test)]
@@ -12,8 +14,10 @@
 mod ticket;
 
 pub use actor::{Config, Dispatcher, spawn};
+pub use backlog::Backlog;
 pub use imp::Board;
 pub use message::{
-    Choice, Choose, Demand, Ending, Finish, Load, MayRepeat, Members, Need, Progress,
+    Audience, Choice, Choose, Demand, Ending, Finish, Load, MayRepeat, Members, Need, PeerLost,
+    PeerUsage, Progress, Survey,
 };
 pub use ticket::Ticket;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -3,13 +3,17 @@
     time::{Duration, Instant},
 };
 
+use proptest::prelude::*;
+
 use super::*;
 use crate::{
     clock::System,
     directory::{Instance, Stage},
     id::{Endpoint, Zone},
+    link::Session,
     testing::on_virtual_time,
     unit::Tokens,
+    wire::Usage,
 };
 
 fn zone(name: &str) -> Zone {
@@ -32,6 +36,7 @@
     Demand {
         service: service.parse().expect("a valid name"),
         need,
+        rank: 1,
         prompt: Tokens::new(prompt),
         shared: Tokens::new(prompt / 2),
         affinity,
@@ -43,6 +48,7 @@
 fn finish(choice: &Choice, prompt: u64, ending: Ending) -> Finish {
     Finish {
         endpoint: choice.instance.id.clone(),
+        rank: choice.rank,
         prompt: Tokens::new(prompt),
         ending,
     }
@@ -207,6 +213,7 @@
     let (mut board, now) = board(services());
     let busy = Progress {
         endpoint: "s1".parse().expect("a valid name"),
+        rank: 0,
         prompt: Tokens::ZERO,
         load: Some(Load {
             running: 4,
@@ -271,3 +278,112 @@
     });
     assert_eq!(own, 1);
 }
+
+fn usage(endpoint: &str, requests: u32, unread: &[(u8, u64)]) -> Usage {
+    let unread = unread.iter().copied();
+    Usage {
+        endpoint: endpoint.parse().expect("a valid name"),
+        requests,
+        unread: unread
+            .map(|(rank, tokens)| (rank, Tokens::new(tokens)))
+            .collect(),
+    }
+}
+
+fn told(session: Session, usages: Vec<Usage>) -> PeerUsage {
+    PeerUsage { session, usages }
+}
+
+/// Guards against prompts that queue at an engine that other processes have filled, and against work
+/// that stays counted after its process has said that it has ended, or has gone.
+#[test]
+fn told_work_of_others_counts_until_it_ends() {
+    let (mut board, now) = board(engines());
+    let demand = demand("lm", Need::Start, 4_000, None);
+    let session = Session::next();
+    let mut results = Vec::new();
+    let mut note = |board: &mut Board, what: &str| {
+        let choice = board.choose(&demand, now).expect("an engine");
+        board.finish(&finish(&choice, 4_000, Ending::Served), now);
+        results.push(format!(
+            "{what}: {} with {} of others",
+            choice.instance.id, choice.others
+        ));
+    };
+    board.hear(told(session, vec![usage("p1", 3, &[(0, 90_000)])]));
+    note(&mut board, "p1 is busy");
+    board.hear(told(
+        session,
+        vec![usage("p2", 3, &[(0, 95_000)]), usage("p1", 0, &[])],
+    ));
+    note(&mut board, "p2 is busy");
+    board.hear(told(session, vec![usage("p1", 4, &[(0, 120_000)])]));
+    note(&mut board, "both are busy");
+    board.forget_peer(session);
+    note(&mut board, "the process has gone");
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against urgent requests that avoid an engine because of less urgent ones, which it serves
+/// later.
+#[test]
+fn less_urgent_prompts_count_less() {
+    let (mut board, now) = board(engines());
+    let session = Session::next();
+    let busy = vec![
+        usage("p1", 1, &[(0, 9_000)]),
+        usage("p2", 1, &[(5, 12_000)]),
+    ];
+    board.hear(told(session, busy));
+    let mut demand = demand("lm", Need::Start, 4_000, None);
+    let mut chosen = Vec::new();
+    for rank in [0, 5] {
+        demand.rank = rank;
+        let choice = board.choose(&demand, now).expect("an engine");
+        board.finish(&finish(&choice, 4_000, Ending::Served), now);
+        chosen.push((rank, choice.instance.id.to_string()));
+    }
+    insta::assert_debug_snapshot!(chosen);
+}
+
+/// Guards against a sample of processes that is taken for all of them.
+#[test]
+fn linked_processes_stand_for_the_others() {
+    let (mut board, now) = board(vec![instance("s1", "print", None)]);
+    board.set_audience(Audience {
+        linked: 2,
+        known: 8,
+    });
+    for _ in 0..2 {
+        board.hear(told(Session::next(), vec![usage("s1", 3, &[])]));
+    }
+    let choice = board.choose(&demand("print", Need::Start, 0, None), now);
+    insta::assert_debug_snapshot!(choice.expect("s1").others);
+}
+
+proptest! {
+    /// Guards against totals that drift from what the processes last told, over any sequence of
+    /// messages and broken links.
+    #[test]
+    fn totals_follow_what_was_told_last(
+        told_work in proptest::collection::vec((0_usize..3, 0_u32..4, 0_u64..500, any::<bool>()), 1..40),
+    ) {
+        let (mut board, now) = board(vec![instance("s1", "print", None)]);
+        let sessions = [(); 3].map(|()| Session::next());
+        let mut last = [None; 3];
+        for (peer, requests, tokens, ends) in told_work {
+            if ends {
+                board.forget_peer(sessions[peer]);
+                last[peer] = None;
+            } else {
+                let usages = vec![usage("s1", requests, &[(0, tokens)])];
+                board.hear(told(sessions[peer], usages));
+                last[peer] = Some(requests);
+            }
+            let expected: u32 = last.iter().flatten().sum();
+            let choice = board.choose(&demand("print", Need::Start, 0, None), now).expect("s1");
+            board.finish(&finish(&choice, 0, Ending::Served), now);
+            prop_assert!((choice.others - f64::from(expected)).abs() < f64::EPSILON);
+        }
+    }
+}
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -20,13 +20,12 @@
 impl Ticket {
     pub(super) const fn new(
         choice: Choice,
-        unread: Tokens,
         progress: Recipient<Progress>,
         finish: Recipient<Finish>,
     ) -> Self {
         Self {
+            unread: choice.unread,
             choice,
-            unread,
             progress,
             finish,
             ending: Ending::Abandoned,
@@ -44,6 +43,7 @@
         let prompt = std::mem::replace(&mut self.unread, Tokens::ZERO);
         self.progress.do_send(Progress {
             endpoint: self.choice.instance.id.clone(),
+            rank: self.choice.rank,
             prompt,
             load,
         });
@@ -59,6 +59,7 @@
     fn drop(&mut self) {
         self.finish.do_send(Finish {
             endpoint: self.choice.instance.id.clone(),
+            rank: self.choice.rank,
             prompt: self.unread,
             ending: self.ending,
         });
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -358,6 +358,7 @@
         let demand = Demand {
             service: self.service.clone(),
             need,
+            rank: self.route.rank,
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
             shared: generation.map_or(Tokens::ZERO, |generation| generation.shared),
             affinity: generation.and_then(|generation| generation.affinity),
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -10,9 +10,12 @@
     directory::{self, Codec, Directory, Feed},
     dispatch::{self, Dispatcher, Members},
     entry::recorder,
+    id::{Incarnation, Revision},
     ingress::{self, Protocol},
+    link::{self, Identity},
+    peers::{self, Presence},
     settings,
-    store::{Path, Reader},
+    store::{Path, Reader, Store},
 };
 
 /// Pause between two checks for endpoints whose grace is over.
@@ -25,6 +28,10 @@
 pub struct Adapter {
     /// The store.
     pub store: Rc<dyn Reader>,
+    /// The same store, with a watch that costs fewer calls, for the entries of the gateways.
+    pub roster: Rc<dyn Store>,
+    /// Prefix of the gateways' entries.
+    pub gateways: Path,
     /// Prefix of the endpoints' entries.
     pub endpoints: Path,
     /// Key of the plan.
@@ -42,6 +49,7 @@
     stopping: watch::Sender<bool>,
     stop_delay: Duration,
     tasks: Vec<AbortHandle>,
+    links: Option<Links>,
 }
 
 impl Gateway {
@@ -62,7 +70,17 @@
     pub async fn stop(self) {
         log::info!("gateway is stopping");
         self.stopping.send_replace(true);
-        time::sleep(self.stop_delay).await;
+        // The links stay open: peers count the work in progress until it has ended.
+        let (presence, _links) = self
+            .links
+            .map(|links| (links.presence, links.listener))
+            .unzip();
+        let withdraw = async {
+            if let Some(presence) = presence {
+                presence.withdraw().await;
+            }
+        };
+        futures_util::future::join(withdraw, time::sleep(self.stop_delay)).await;
         self.server.stop().await;
         for task in &self.tasks {
             task.abort();
@@ -71,12 +89,19 @@
     }
 }
 
+/// What links a gateway with others.
+#[derive(Debug)]
+struct Links {
+    presence: Presence,
+    listener: link::Listener,
+}
+
 /// Starts a gateway.
 ///
 /// # Errors
 ///
 /// Fails if an address cannot be bound.
-pub fn open(settings: &settings::Gateway, adapter: Adapter) -> Result<Gateway> {
+pub async fn open(settings: &settings::Gateway, adapter: Adapter) -> Result<Gateway> {
     let clock = clock::System::shared();
     let metrics = recorder::install()?;
     let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone());
@@ -122,26 +147,83 @@
             endpoints,
             stopping: stopping_view,
             choose: dispatcher.clone().recipient(),
-            may_repeat: dispatcher.recipient(),
-            clock,
+            may_repeat: dispatcher.clone().recipient(),
+            clock: Arc::clone(&clock),
             metrics: metrics.clone(),
         },
         stop_limit,
     )?;
-    let tasks = vec![
+    let (links, follow_gateways) = match settings.peers {
+        Some(address) => {
+            let port = link::Port::bind(address).await?;
+            let (links, follow) = meet(
+                settings,
+                port,
+                &adapter.roster,
+                &adapter.gateways,
+                &dispatcher,
+                &clock,
+            );
+            (Some(links), Some(follow))
+        }
+        None => (None, None),
+    };
+    let mut tasks = vec![
         follow_plan,
         follow_endpoints,
         tokio::task::spawn_local(expire(book)).abort_handle(),
         tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
     ];
+    tasks.extend(follow_gateways);
     Ok(Gateway {
         server,
         stopping,
         stop_delay: settings.stop_delay,
         tasks,
+        links,
     })
 }
 
+/// Registers this gateway and links it with others. Also returns the task that follows their
+/// entries.
+fn meet(
+    settings: &settings::Gateway,
+    port: link::Port,
+    roster: &Rc<dyn Store>,
+    gateways: &Path,
+    dispatcher: &Addr<Dispatcher>,
+    clock: &Shared,
+) -> (Links, AbortHandle) {
+    let entry = gateways.join(&settings.process);
+    let presence = Presence::keep(
+        Rc::clone(roster),
+        entry,
+        port.address().to_string().into_bytes(),
+    );
+    let identity = Identity {
+        process: settings.process.clone(),
+        incarnation: Incarnation::random(&mut rand::rng()),
+        zone: settings.zone.clone(),
+        // Gateways take the plan from the store, never from each other.
+        revision: watch::Sender::new(Revision::default()).subscribe(),
+    };
+    let terms = peers::Terms {
+        survey: dispatcher.clone().recipient(),
+        usage: dispatcher.clone().recipient(),
+        lost: dispatcher.clone().recipient(),
+        audience: dispatcher.clone().recipient(),
+    };
+    let config = peers::Config::new(identity, Arc::clone(clock), terms);
+    let (mesh, listener) = peers::spawn(config, port);
+    let follow = directory::follow(
+        Rc::clone(roster) as Rc<dyn Reader>,
+        gateways.clone(),
+        Arc::clone(clock),
+        Box::new(move |feed| mesh.do_send(peers::Listed(feed))),
+    );
+    (Links { presence, listener }, follow)
+}
+
 /// Passes the directory on to the dispatcher.
 struct Book {
     directory: Directory,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod log;
 pub mod membership;
 pub mod operator;
+pub mod peers;
 pub mod platform;
 pub mod reconcile;
 pub mod relay;
--- /dev/null
+++ b/src/peers/tests.rs
@@ -0,0 +1,253 @@
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::{sync::watch, time};
+
+use super::*;
+use crate::{
+    clock::System,
+    directory::{Feed, Instance, Stage},
+    dispatch::{self, Choose, Demand, Dispatcher, Ending, Members, Need, Ticket},
+    id::{Incarnation, Process, Revision},
+    link::{Identity, Port},
+    store::{Change, Event, Item, Memory, Path, Reader as _},
+    testing::on_virtual_time,
+    unit::Tokens,
+};
+
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(10);
+/// Looks after which a condition counts as never met.
+const LOOKS: usize = 500;
+
+fn process(name: &str) -> Process {
+    name.parse().expect("a valid name")
+}
+
+fn path(name: &str) -> Path {
+    format!("/gateways/{name}").parse().expect("a valid path")
+}
+
+fn item(name: &str, value: &str) -> Item {
+    Item {
+        path: path(name),
+        value: value.as_bytes().to_vec(),
+        created: Revision::new(1),
+        modified: Revision::new(1),
+    }
+}
+
+fn roster(count: usize) -> (Roster, Vec<Process>) {
+    let names: Vec<String> = (0..count).map(|number| format!("g{number}")).collect();
+    let items = names.iter().map(|name| item(name, "127.0.0.1:7380"));
+    let mut roster = Roster::new();
+    roster.apply(Feed::Snapshot(items.collect()));
+    let processes = names.iter().map(|name| process(name));
+    (roster, processes.collect())
+}
+
+/// Guards against pairs of which only one side wants the link, and against a number of links that
+/// grows with the number of gateways.
+#[test]
+fn links_are_mutual_and_bounded() {
+    let mut counts = Vec::new();
+    for count in [1, 2, 5, 25, 26, 300] {
+        let (roster, processes) = roster(count);
+        let mut sizes = BTreeSet::new();
+        for own in &processes {
+            let linked = roster.linked(own);
+            assert!(!linked.contains_key(own), "{own} is linked with itself");
+            for other in linked.keys() {
+                let back = roster.linked(other);
+                assert!(back.contains_key(own), "{other} does not want {own}");
+            }
+            sizes.insert(linked.len());
+        }
+        counts.push((count, sizes));
+    }
+    insta::assert_debug_snapshot!(counts);
+}
+
+/// Guards against gateways that are linked before they are listed, are kept after they have left,
+/// or are read from an entry by another writer.
+#[test]
+fn roster_follows_the_store() {
+    let mut roster = Roster::new();
+    let own = process("a");
+    let mut seen = Vec::new();
+    let mut note = |roster: &Roster, what: &str| {
+        let linked = roster.linked(&own).into_iter();
+        let linked: Vec<String> = linked
+            .map(|(process, address)| format!("{process} at {address}"))
+            .collect();
+        seen.push((what.to_owned(), linked, roster.others(&own)));
+    };
+    let event = |name: &str, change| {
+        Feed::Changes(vec![Event {
+            path: path(name),
+            change,
+            revision: Revision::new(2),
+        }])
+    };
+    roster.apply(Feed::Snapshot(vec![item("b", "127.0.0.1:1")]));
+    note(&roster, "own entry is missing");
+    roster.apply(event("a", Change::Put(b"127.0.0.1:2".to_vec())));
+    note(&roster, "own entry was written");
+    roster.apply(event("c", Change::Put(b"{}".to_vec())));
+    note(&roster, "entry without an address");
+    roster.apply(event("b", Change::Put(b"127.0.0.1:3".to_vec())));
+    note(&roster, "another address");
+    roster.apply(event("b", Change::Delete));
+    note(&roster, "the other has left");
+    insta::assert_debug_snapshot!(seen);
+}
+
+/// Guards against a gateway that is not found again after its lease has lapsed, and against an
+/// entry that outlives its process.
+#[test]
+fn presence_returns_after_an_outage_and_ends_with_the_process() {
+    let listed = on_virtual_time(async {
+        let store = Memory::new(System::shared());
+        let listed = || async {
+            let range = store.range(path("a")).await.expect("the store is up");
+            range.items.len()
+        };
+        let mut seen = vec![("before", listed().await)];
+        let presence = Presence::keep(Rc::new(store.client()), path("a"), b"127.0.0.1:1".to_vec());
+        time::sleep(Duration::from_secs(1)).await;
+        seen.push(("kept", listed().await));
+        time::sleep(Duration::from_mins(1)).await;
+        seen.push(("a minute later", listed().await));
+        store.set_faults(crate::store::Faults {
+            down: true,
+            ..Default::default()
+        });
+        time::sleep(Duration::from_secs(30)).await;
+        store.set_faults(crate::store::Faults::default());
+        time::sleep(Duration::from_secs(3)).await;
+        seen.push(("after an outage", listed().await));
+        presence.withdraw().await;
+        seen.push(("withdrawn", listed().await));
+        seen
+    });
+    insta::assert_debug_snapshot!(listed);
+}
+
+struct Gateway {
+    name: Process,
+    dispatcher: actix::Addr<Dispatcher>,
+    mesh: actix::Addr<Mesh>,
+    listener: crate::link::Listener,
+}
+
+async fn gateway(name: &str) -> Gateway {
+    let clock = System::shared();
+    let zone: crate::id::Zone = "a".parse().expect("a valid name");
+    let dispatcher = dispatch::spawn(dispatch::Config::new(Arc::clone(&clock), zone.clone()));
+    let engine = Instance {
+        id: "e1".parse().expect("a valid name"),
+        service: "lm".parse().expect("a valid name"),
+        address: "127.0.0.1:9001".parse().expect("an address"),
+        zone: zone.clone(),
+        slots: 4,
+        draining: false,
+        stage: Some(Stage::Decode),
+    };
+    dispatcher.do_send(Members(vec![Arc::new(engine)]));
+    let identity = Identity {
+        process: process(name),
+        incarnation: Incarnation::from_bytes([1; 8]),
+        zone,
+        revision: watch::Sender::new(Revision::default()).subscribe(),
+    };
+    let terms = Terms {
+        survey: dispatcher.clone().recipient(),
+        usage: dispatcher.clone().recipient(),
+        lost: dispatcher.clone().recipient(),
+        audience: dispatcher.clone().recipient(),
+    };
+    let loopback = "127.0.0.1:0".parse().expect("an address");
+    let port = Port::bind(loopback).await.expect("a free port");
+    let (mesh, listener) = spawn(Config::new(identity, clock, terms), port);
+    Gateway {
+        name: process(name),
+        dispatcher,
+        mesh,
+        listener,
+    }
+}
+
+impl Gateway {
+    async fn choose(&self) -> Ticket {
+        let demand = Demand {
+            service: "lm".parse().expect("a valid name"),
+            need: Need::Start,
+            rank: 0,
+            prompt: Tokens::new(1_000),
+            shared: Tokens::ZERO,
+            affinity: None,
+            avoid: Vec::new(),
+            near: None,
+        };
+        let ticket = self.dispatcher.send(Choose(demand)).await;
+        ticket.expect("it runs").expect("an engine")
+    }
+
+    /// Waits until the work of others at the engine has this size.
+    async fn until_others(&self, expected: f64) {
+        for _ in 0..LOOKS {
+            let others = self.choose().await.choice().others;
+            if (others - expected).abs() < f64::EPSILON {
+                return;
+            }
+            time::sleep(LOOK).await;
+        }
+        panic!("the others' work at {} never was {expected}", self.name);
+    }
+}
+
+/// Guards against gateways that do not learn of each other's work, that still count it after it has
+/// ended, or after the other gateway has gone.
+#[test]
+fn work_is_told_and_forgotten() {
+    actix::System::new().block_on(async {
+        let (first, second) = (gateway("a").await, gateway("b").await);
+        let listed = [&first, &second].map(|gateway| {
+            item(
+                gateway.name.as_str(),
+                &gateway.listener.address().to_string(),
+            )
+        });
+        for gateway in [&first, &second] {
+            gateway
+                .mesh
+                .do_send(Listed(Feed::Snapshot(listed.to_vec())));
+        }
+        let tickets = [second.choose().await, second.choose().await];
+        first.until_others(2.0).await;
+        let [one, other] = tickets;
+        one.end(Ending::Served);
+        first.until_others(1.0).await;
+        // The listener's end takes the link along, as the end of a process does.
+        drop(second.listener);
+        first.until_others(0.0).await;
+        drop(other);
+    });
+}
+
+/// Guards against a link that is given up because the store has forgotten the gateway while it was
+/// away.
+#[test]
+fn link_outlives_its_entry_in_the_store() {
+    actix::System::new().block_on(async {
+        let (first, second) = (gateway("a").await, gateway("b").await);
+        let own = item("a", &first.listener.address().to_string());
+        let other = item("b", &second.listener.address().to_string());
+        let both = Feed::Snapshot(vec![own.clone(), other]);
+        first.mesh.do_send(Listed(both));
+        let _ticket = second.choose().await;
+        first.until_others(1.0).await;
+        first.mesh.do_send(Listed(Feed::Snapshot(vec![own])));
+        let _another = second.choose().await;
+        first.until_others(2.0).await;
+    });
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 pub use codec::Codec;
 pub use engine::Engine;
@@ -26,6 +26,10 @@
 
 pub use crate::error::Result;
 
+/// Time that the store holds the watch of the other gateways. Links notice by themselves when a
+/// gateway is gone, so this watch only has to tell of new ones, and each call is priced.
+const GATEWAYS_WAIT: Duration = Duration::from_secs(20);
+
 /// Path of the settings file that the platform fills in from the project's template.
 ///
 /// # Errors
@@ -44,9 +48,12 @@
 ///
 /// Fails if a name of the platform is not valid in this program, which is a fault of this module.
 pub fn open(store: SocketAddr) -> Result<Adapter> {
+    let store = Store::open(store, clock::System::shared());
     Ok(Adapter {
-        store: Rc::new(Store::open(store, clock::System::shared())),
+        roster: Rc::new(store.clone().watch_wait(GATEWAYS_WAIT)),
+        store: Rc::new(store),
         endpoints: names::ENDPOINTS.parse()?,
+        gateways: names::GATEWAYS.parse()?,
         plan: names::PLAN.parse()?,
         codec: Arc::new(Codec),
         protocol: Arc::new(Protocol),
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -7,6 +7,8 @@
 /// Prefix of the endpoints' entries. Paths of this program start with a slash, keys of the
 /// platform do not.
 pub(super) const ENDPOINTS: &str = "/servers/";
+/// Prefix of the entries by which gateways find each other.
+pub(super) const GATEWAYS: &str = "/gateways";
 /// Key of the operator's configuration.
 pub(super) const PLAN: &str = "/op/config";
 
@@ -14,6 +16,10 @@
 pub(super) const RANGE: &str = "/mulberrymill/kv-range";
 pub(super) const KEY: &str = "/mulberrymill/kv-key";
 pub(super) const WATCH: &str = "/mulberrymill/kv-watch";
+pub(super) const TXN: &str = "/mulberrymill/kv-txn";
+pub(super) const LEASE: &str = "/mulberrymill/kv-lease";
+pub(super) const KEEP: &str = "/mulberrymill/kv-keep";
+pub(super) const LEASE_END: &str = "/mulberrymill/kv-lease-end";
 pub(super) const KV_HANDLE: &str = "/mulberrymill/kv-handle";
 
 /// The caller's id of one attempt.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,13 +1,17 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use actix_web::{http::StatusCode, web::Bytes};
-use awc::Client;
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+};
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use futures_util::{
     FutureExt, StreamExt,
     stream::{self},
 };
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::{Value, json};
 use tokio::time;
 
 use super::{Result, names};
@@ -15,7 +19,10 @@
     clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
-    store::{Change, Event, Events, Future, Item, Path, Range, Reader},
+    store::{
+        self, Change, Commit, Compare, Event, Events, Future, Item, Lease, Path, Range, Reader,
+        Txn, Write,
+    },
 };
 
 /// Limit of one call. A slow store answers within a fifth of a second.
@@ -23,7 +30,7 @@
 /// Time that the store holds a watch without events. Short enough to notice a store that has gone
 /// silent before the entries of live endpoints lapse.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
-/// Time beyond [`WATCH_WAIT`] after which a watch counts as lost.
+/// Time beyond the wait of a watch after which a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Largest answer: a page of a read has at most about 1 MB, before base64.
 const ANSWER_MAX: usize = 4 << 20;
@@ -34,6 +41,7 @@
     address: SocketAddr,
     client: Client,
     clock: Shared,
+    watch_wait: Duration,
 }
 
 impl fmt::Debug for Store {
@@ -89,6 +97,7 @@
         Self {
             address,
             clock,
+            watch_wait: WATCH_WAIT,
             // Each call has its own limit.
             client: Client::builder()
                 .disable_timeout()
@@ -98,36 +107,56 @@
         }
     }
 
+    /// Sets the time that the store holds a watch without events. A longer one costs fewer calls; a
+    /// store that has gone silent is noticed as much later.
+    #[must_use]
+    pub const fn watch_wait(mut self, wait: Duration) -> Self {
+        self.watch_wait = wait;
+        self
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         path: &'static str,
         query: &[(&str, &str)],
         limit: Duration,
     ) -> Result<T> {
-        let start = self.clock.now();
-        let outcome = time::timeout(limit, self.fetch(path, query)).await;
-        let elapsed = self.clock.now() - start;
-        metrics::histogram!("store_call_seconds", "route" => path).record(elapsed.as_secs_f64());
-        let body = outcome.unwrap_or_else(|_elapsed| Err(unavailable("no answer in time")))?;
-        serde_json::from_slice(&body)
-            .map_err(|error| unavailable("malformed answer").with_source(error))
-    }
-
-    async fn fetch(&self, path: &str, query: &[(&str, &str)]) -> Result<Bytes> {
-        let failed = |error: awc::error::SendRequestError| {
-            unavailable("the call failed").with_source(error.to_string())
-        };
         let request = self.client.get(format!("http://{}{path}", self.address));
         let request = request
             .query(&query)
             .map_err(|error| unavailable("the query cannot be written").with_source(error))?;
-        let mut response = request.send().await.map_err(failed)?;
-        let body = response.body().limit(ANSWER_MAX).await;
-        let status = response.status();
-        if status != StatusCode::OK {
-            return Err(unavailable(&format!("the store answered {status}")));
+        match self.limited(path, limit, send(request.send())).await? {
+            (StatusCode::OK, body) => parse(&body),
+            (status, _) => Err(refused(status)),
         }
-        body.map_err(|error| unavailable("broken answer").with_source(error.to_string()))
+    }
+
+    async fn write(
+        &self,
+        route: &'static str,
+        path: &str,
+        body: &Value,
+    ) -> Result<(StatusCode, Bytes)> {
+        let request = self.client.post(format!("http://{}{path}", self.address));
+        let call = send(request.send_json(body));
+        self.limited(route, CALL_LIMIT, call).await
+    }
+
+    /// Awaits a call for a limited time and measures it. A call without an answer may take effect
+    /// even later.
+    async fn limited<T>(
+        &self,
+        route: &'static str,
+        limit: Duration,
+        call: impl std::future::Future<Output = Result<T>>,
+    ) -> Result<T> {
+        let start = self.clock.now();
+        let outcome = time::timeout(limit, call).await;
+        let elapsed = self.clock.now() - start;
+        metrics::histogram!("store_call_seconds", "route" => route).record(elapsed.as_secs_f64());
+        outcome.unwrap_or_else(|_elapsed| {
+            Err(unavailable("no answer in time").with_executed(Executed::Unknown))
+        })
     }
 
     async fn read_all(&self, prefix: &Path) -> Result<Range> {
@@ -178,14 +207,15 @@
             let prefix = prefix.clone();
             async move {
                 let (store, after) = state?;
-                let (since, wait) = (after.to_string(), WATCH_WAIT.as_millis().to_string());
+                let wait = store.watch_wait;
+                let (since, wait_text) = (after.to_string(), wait.as_millis().to_string());
                 let query = [
                     ("prefix", key(&prefix)),
                     ("after", since.as_str()),
-                    ("waitMs", wait.as_str()),
+                    ("waitMs", wait_text.as_str()),
                 ];
-                let limit = WATCH_WAIT + WATCH_SLACK;
-                match store.call::<Batch>(names::WATCH, &query, limit).await {
+                let call = store.call::<Batch>(names::WATCH, &query, wait + WATCH_SLACK);
+                match call.await {
                     Ok(batch) => {
                         let next = batch.revision.max(after);
                         let events = batch.events.iter().filter_map(event).collect();
@@ -199,6 +229,155 @@
     }
 }
 
+#[derive(Deserialize)]
+struct Committed {
+    rev: u64,
+}
+
+/// The present state of the compared keys.
+#[derive(Deserialize)]
+struct Refused {
+    items: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    lease: i64,
+}
+
+impl store::Store for Store {
+    fn commit(&self, txn: Txn) -> Future<'_, Commit> {
+        async move {
+            txn.check()?;
+            let (status, body) = self
+                .write(names::TXN, names::TXN, &transaction(&txn))
+                .await?;
+            match status {
+                StatusCode::OK => Ok(Commit {
+                    succeeded: true,
+                    revision: Revision::new(parse::<Committed>(&body)?.rev),
+                    found: Vec::new(),
+                }),
+                StatusCode::PRECONDITION_FAILED => {
+                    let items = parse::<Refused>(&body)?.items;
+                    // A key that does not exist is listed with revision 0.
+                    let found: Vec<Item> = items
+                        .iter()
+                        .filter(|entry| entry.rev > 0 && !entry.removed)
+                        .filter_map(item)
+                        .collect();
+                    let revisions = found.iter().map(|item| item.modified);
+                    Ok(Commit {
+                        succeeded: false,
+                        revision: revisions.max().unwrap_or_default(),
+                        found,
+                    })
+                }
+                status => Err(refused(status)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn grant(&self, period: Duration) -> Future<'_, Lease> {
+        async move {
+            let body = json!({ "ttlMs": u64::try_from(period.as_millis()).unwrap_or(u64::MAX) });
+            match self.write(names::LEASE, names::LEASE, &body).await? {
+                (StatusCode::OK, body) => Ok(Lease::new(parse::<Granted>(&body)?.lease)),
+                (status, _) => Err(refused(status)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn renew(&self, lease: Lease) -> Future<'_, bool> {
+        async move {
+            let path = format!("{}/{lease}", names::KEEP);
+            match self.write(names::KEEP, &path, &json!({})).await? {
+                (StatusCode::OK, _) => Ok(true),
+                (StatusCode::NOT_FOUND, _) => Ok(false),
+                (status, _) => Err(refused(status)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn revoke(&self, lease: Lease) -> Future<'_, ()> {
+        async move {
+            let url = format!("http://{}{}/{lease}", self.address, names::LEASE_END);
+            let call = send(self.client.delete(url).send());
+            match self.limited(names::LEASE_END, CALL_LIMIT, call).await? {
+                // The lease has ended already, for example by a call whose answer was lost.
+                (StatusCode::OK | StatusCode::NOT_FOUND, _) => Ok(()),
+                (status, _) => Err(refused(status)),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// A transaction on the wire. The platform compares the last change of a key only, so a comparison
+/// with its creation holds for keys that are written once, as those of the authority are.
+fn transaction(txn: &Txn) -> Value {
+    let conditions = txn.compares.iter().map(|compare| {
+        let revision = match compare {
+            Compare::Absent(_) => 0,
+            Compare::Modified(_, revision) | Compare::Created(_, revision) => revision.get(),
+        };
+        json!({ "key": key(compare.path()), "rev": revision })
+    });
+    let puts = txn.writes.iter().filter_map(|write| match write {
+        Write::Put(path, value, lease) => Some(json!({
+            "key": key(path),
+            "value": STANDARD.encode(value),
+            "lease": lease.map_or(0, Lease::get),
+        })),
+        Write::Delete(_) => None,
+    });
+    let deletes = txn.writes.iter().filter_map(|write| match write {
+        Write::Delete(path) => Some(key(path)),
+        Write::Put(..) => None,
+    });
+    json!({
+        "precondition": conditions.collect::<Vec<_>>(),
+        "setKeys": puts.collect::<Vec<_>>(),
+        "deleteKeys": deletes.collect::<Vec<_>>(),
+    })
+}
+
+async fn send(call: awc::SendClientRequest) -> Result<(StatusCode, Bytes)> {
+    let mut response = call.await.map_err(|error| {
+        let executed = match &error {
+            SendRequestError::Connect(ConnectError::Disconnected) => Executed::Unknown,
+            SendRequestError::Connect(_) => Executed::No,
+            _ => Executed::Unknown,
+        };
+        unavailable("the call failed")
+            .with_source(error.to_string())
+            .with_executed(executed)
+    })?;
+    let body = response.body().limit(ANSWER_MAX).await;
+    let body = body.map_err(|error| {
+        unavailable("broken answer")
+            .with_source(error.to_string())
+            .with_executed(Executed::Unknown)
+    })?;
+    Ok((response.status(), body))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| {
+        unavailable("malformed answer")
+            .with_source(error)
+            .with_executed(Executed::Unknown)
+    })
+}
+
+/// The store has answered without doing anything.
+fn refused(status: StatusCode) -> Error {
+    unavailable(&format!("the store answered {status}"))
+}
+
 /// The platform's key for a path.
 fn key(path: &Path) -> &str {
     path.as_str().trim_start_matches('/')
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -31,6 +31,8 @@
     pub listen: SocketAddr,
     /// Where the load balancer asks for readiness, and where metrics are served.
     pub readiness: SocketAddr,
+    /// Where other gateways link to; without it, gateways do not tell each other of their work.
+    pub peers: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Interval at which endpoints write to the store.
@@ -68,6 +70,7 @@
             "zone",
             "listen",
             "readiness",
+            "peers",
             "store",
             "heartbeat",
             "stop_delay",
@@ -79,6 +82,9 @@
         let zone = r.field(&fields, "zone", Reader::text);
         let listen = r.field(&fields, "listen", Reader::address);
         let readiness = r.field(&fields, "readiness", Reader::address);
+        let peers = r.optional(&fields, "peers", None, |r, value| {
+            r.address(value).map(Some)
+        });
         let store = r.field(&fields, "store", Reader::address);
         let heartbeat = r.optional(&fields, "heartbeat", Period(HEARTBEAT), Reader::text);
         let stop_delay = r.optional(&fields, "stop_delay", Period(STOP_DELAY), Reader::text);
@@ -89,6 +95,7 @@
             zone: zone?,
             listen: listen?,
             readiness: readiness?,
+            peers: peers?,
             store: store?,
             heartbeat: heartbeat?.0,
             stop_delay: stop_delay?.0,
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -14,7 +14,7 @@
 /// Version of this protocol. A peer with another version is refused.
 pub const PROTOCOL: u32 = 1;
 
-/// One message between an entry and an agent.
+/// One message between an entry and an agent, or between two gateways.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Frame {
@@ -50,6 +50,9 @@
     Lookup(Lookup),
     /// Answers a lookup, agent to entry.
     Outcome(Outcome),
+    /// Work in progress at endpoints, gateway to gateway; also the heartbeat. Endpoints that are not
+    /// listed are as before.
+    Usage(Vec<Usage>),
 }
 
 /// Who the peer is.
@@ -348,6 +351,38 @@
     Failed(Kind),
 }
 
+/// Work that the sender has in progress at an endpoint. Sent as a tuple, because a gateway sends
+/// many of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(from = "UsageTuple", into = "UsageTuple")]
+pub struct Usage {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Requests in progress.
+    pub requests: u32,
+    /// Prompt tokens of those that the endpoint has not read, by rank.
+    pub unread: Vec<(u8, Tokens)>,
+}
+
+type UsageTuple = (Endpoint, u32, Vec<(u8, Tokens)>);
+
+impl From<UsageTuple> for Usage {
+    fn from((endpoint, requests, unread): UsageTuple) -> Self {
+        Self {
+            endpoint,
+            requests,
+            unread,
+        }
+    }
+}
+
+impl From<Usage> for UsageTuple {
+    fn from(usage: Usage) -> Self {
+        (usage.endpoint, usage.requests, usage.unread)
+    }
+}
+
 /// Asks for a document newer than `have`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,8 @@
-//! Messages between an entry and an agent, and their encoding.
+//! Messages between an entry and an agent and between gateways, and their encoding.
 //!
 //! Each [`Frame`] is one CBOR value in one binary WebSocket message of at most [`FRAME_MAX`].
-//! The agent listens and the entry connects; both send [`Hello`] first.
+//! The agent listens and the entry connects; of two gateways, the one whose name sorts first
+//! connects. Both ends send [`Hello`] first.
 //!
 //! ```
 //! use mulberrymill::wire::{self, Cancel, Frame};
@@ -21,7 +22,7 @@
 pub use imp::{
     Cancel, Change, Chunk, Credit, Document, Done, End, Fail, Fetch, Frame, Generate, Hello,
     Invoke, Load, Lookup, Message, Order, Outcome, PROTOCOL, Prompt, Recorded, Report, Role,
-    Sampling, Submit, Verdict, Work,
+    Sampling, Submit, Usage, Verdict, Work,
 };
 
 /// Result of encoding or decoding a frame.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -1,7 +1,10 @@
 use proptest::prelude::*;
 
 use super::*;
-use crate::{id::Attempt, unit::Bytes};
+use crate::{
+    id::Attempt,
+    unit::{Bytes, Tokens},
+};
 
 fn chunk(data: &[u8]) -> Frame {
     let attempt: Attempt = "0000000000000000000000000000002a.3"
@@ -54,6 +57,23 @@
         let _frame = decode(&bytes);
     }
 
+    /// Guards against work of a gateway that changes on the way.
+    #[test]
+    fn usages_round_trip(
+        told in proptest::collection::vec((0_u32..9, proptest::collection::vec((any::<u8>(), any::<u64>()), 0..4)), 0..9),
+    ) {
+        let usages = told.into_iter().enumerate().map(|(number, (requests, unread))| Usage {
+            endpoint: format!("e{number}").parse().expect("valid name"),
+            requests,
+            unread: unread
+                .into_iter()
+                .map(|(rank, tokens)| (rank, Tokens::new(tokens)))
+                .collect(),
+        });
+        let frame = Frame::Usage(usages.collect());
+        prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
+    }
+
     /// Guards against a chunk that changes on the way.
     #[test]
     fn chunks_round_trip(data in proptest::collection::vec(any::<u8>(), 0..3000)) {
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -76,6 +76,8 @@
         ("{{zone|json}}", "\"santiago-a\""),
         ("{{listen.frontend|json}}", "\"10.1.0.38:8149\""),
         ("{{listen.readyAddr|json}}", "\"10.1.0.38:8141\""),
+        ("{{ip}}", "10.1.0.38"),
+        ("{{portRange.0}}", "7380"),
         ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
         ("{{heartbeatMs}}", "1200"),
         ("{{bounds.graceS}}", "8"),
