Tell other gateways which endpoints fail

Ruled out: the ejector's threshold, which counts one process only.

A failure that two processes see within a second makes the endpoint rest for one to four seconds; one failure is enough soon after a rest. A process that sees more than half of a pool fail is not believed. Errors in an answer count from the second in a row on.

--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -1,7 +1,7 @@
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
-    Audience, Board, Choose, Finish, MayRepeat, Members, Need, PeerLost, PeerUsage, Progress,
+    Audience, Board, Choose, Finish, MayRepeat, Members, Need, PeerDigest, PeerLost, Progress,
     Survey, Ticket,
 };
 use crate::{clock::Shared, error::Result, id::Zone};
@@ -105,15 +105,15 @@
     type Result = MessageResult<Survey>;
 
     fn handle(&mut self, _: Survey, _: &mut Context<Self>) -> Self::Result {
-        MessageResult(self.board.usages())
+        MessageResult(self.board.survey())
     }
 }
 
-impl Handler<PeerUsage> for Dispatcher {
+impl Handler<PeerDigest> for Dispatcher {
     type Result = ();
 
-    fn handle(&mut self, msg: PeerUsage, _: &mut Context<Self>) {
-        self.board.hear(msg);
+    fn handle(&mut self, msg: PeerDigest, _: &mut Context<Self>) {
+        self.board.hear(msg, self.clock.now());
     }
 }
 
--- a/src/dispatch/hearsay.rs
+++ b/src/dispatch/hearsay.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{Audience, Backlog, PeerUsage};
+use super::{Audience, Backlog};
 use crate::{id::Endpoint, link::Session, unit::as_f64, wire::Usage};
 
 /// What other processes tell of their work.
@@ -30,9 +30,9 @@
 }
 
 impl Hearsay {
-    pub(super) fn hear(&mut self, msg: PeerUsage) {
-        let peer = self.peers.entry(msg.session).or_default();
-        for usage in msg.usages {
+    pub(super) fn hear(&mut self, session: Session, usages: Vec<Usage>) {
+        let peer = self.peers.entry(session).or_default();
+        for usage in usages {
             let total = self.totals.entry(usage.endpoint.clone()).or_default();
             if let Some(before) = peer.remove(&usage.endpoint) {
                 total.subtract(&before);
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -8,7 +8,8 @@
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
-    Audience, Backlog, Choice, Demand, Ending, Finish, Load, Need, PeerUsage, Progress,
+    Audience, Backlog, Choice, Demand, Ending, Finish, Load, Need, PeerDigest, Progress,
+    alarm::{Alarms, Source},
     hearsay::{Foreign, Hearsay},
 };
 use crate::{
@@ -19,7 +20,7 @@
     link::Session,
     retry::{Budget as _, Ejector, Window},
     unit::{Tokens, as_f64},
-    wire::Usage,
+    wire::{Digest, Usage},
 };
 
 /// Age at which a load report says nothing about the present. Requests last about this long.
@@ -43,6 +44,8 @@
 const AWAY_COST: f64 = 2.0;
 /// Cost of handing a KV cache from one engine to another, in prompt tokens: a second request.
 const TRANSFER_COST: f64 = 400.0;
+/// Consecutive errors of an endpoint after which other processes are told.
+const TELLING_FAILURES: u32 = 2;
 /// Time for which an endpoint gets no requests after it has rejected one. Twice as long after each
 /// further rejection.
 const FIRST_REST: Duration = Duration::from_millis(250);
@@ -64,6 +67,8 @@
     report: Option<Report>,
     /// Rejections since it last served a request.
     rejections: u32,
+    /// Failures since then.
+    failures: u32,
     rest_until: Option<Instant>,
 }
 
@@ -84,6 +89,7 @@
 
     fn serve(&mut self) {
         self.rejections = 0;
+        self.failures = 0;
         self.rest_until = None;
     }
 
@@ -118,6 +124,9 @@
     ejector: Ejector,
     budgets: BTreeMap<Service, Window>,
     hearsay: Hearsay,
+    alarms: Alarms,
+    /// Failures that other processes have not been told.
+    untold: BTreeSet<Endpoint>,
 }
 
 impl Board {
@@ -131,6 +140,8 @@
             ejector: Ejector::new(),
             budgets: BTreeMap::new(),
             hearsay: Hearsay::default(),
+            alarms: Alarms::default(),
+            untold: BTreeSet::new(),
         }
     }
 
@@ -148,6 +159,7 @@
                     unread: Backlog::default(),
                     report: None,
                     rejections: 0,
+                    failures: 0,
                     rest_until: None,
                 },
                 |member| Member {
@@ -158,8 +170,10 @@
             self.members.insert(instance.id.clone(), member);
         }
         let members = &self.members;
-        self.ejector
-            .retain(|endpoint| members.contains_key(endpoint));
+        let known = |endpoint: &Endpoint| members.contains_key(endpoint);
+        self.ejector.retain(known);
+        self.alarms.retain(known);
+        self.untold.retain(known);
         for service in self.services() {
             self.ejector.relax(&self.pool(&service), now);
         }
@@ -226,13 +240,21 @@
             Ending::Served => {
                 member.serve();
                 self.ejector.served(endpoint, now);
+                self.alarms.served(endpoint);
             }
-            Ending::Failed => {
+            Ending::Failed | Ending::Lost => {
+                member.failures += 1;
+                // An endpoint may fail a single request for a reason that lies in the request.
+                let telling = finish.ending == Ending::Lost || member.failures >= TELLING_FAILURES;
                 let pool = self.pool(&service);
                 if self.ejector.failed(endpoint, &[pool], now) {
                     log::warn!(endpoint:% = endpoint, service:% = service;
                         "endpoint is ejected after consecutive failures");
                 }
+                if telling {
+                    self.untold.insert(endpoint.clone());
+                    self.raise(endpoint, None, now);
+                }
             }
             Ending::Replaced => {
                 log::warn!(endpoint:% = endpoint, service:% = service;
@@ -244,21 +266,44 @@
         }
     }
 
-    /// The own work in progress, for each endpoint that has any.
-    #[must_use]
-    pub fn usages(&self) -> Vec<Usage> {
+    /// The own work in progress, for each endpoint that has any, and the failures since the last
+    /// survey.
+    pub fn survey(&mut self) -> Digest {
         let busy = self.members.values().filter(|member| member.own > 0);
-        busy.map(|member| Usage {
+        let usages = busy.map(|member| Usage {
             endpoint: member.instance.id.clone(),
             requests: member.own,
             unread: member.unread.iter().collect(),
-        })
-        .collect()
+        });
+        Digest {
+            usages: usages.collect(),
+            failed: std::mem::take(&mut self.untold).into_iter().collect(),
+        }
     }
 
-    /// Takes in the work of another process.
-    pub fn hear(&mut self, usage: PeerUsage) {
-        self.hearsay.hear(usage);
+    /// Takes in what another process tells.
+    pub fn hear(&mut self, msg: PeerDigest, now: Instant) {
+        for endpoint in &msg.digest.failed {
+            self.raise(endpoint, Some(msg.session), now);
+        }
+        self.hearsay.hear(msg.session, msg.digest.usages);
+    }
+
+    fn raise(&mut self, endpoint: &Endpoint, source: Source, now: Instant) {
+        let Some(member) = self.members.get(endpoint) else {
+            return;
+        };
+        let pool = self.pool(&member.instance.service);
+        let Some(rest) = self.alarms.raise(endpoint, source, &pool, now) else {
+            return;
+        };
+        // Random, so that one process finds out first whether the endpoint works again.
+        let rest = rest.mul_f64(self.rng.random_range(0.75..1.25));
+        if let Some(member) = self.members.get_mut(endpoint) {
+            member.rest_until = member.rest_until.max(Some(now + rest));
+        }
+        log::warn!(endpoint:% = endpoint, rest:? = rest, own = source.is_none();
+            "endpoint rests: several processes have seen it fail");
     }
 
     /// Forgets the work of another process.
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -9,7 +9,7 @@
     id::{Endpoint, Service, Zone},
     link::Session,
     unit::Tokens,
-    wire::Usage,
+    wire::Digest,
 };
 
 /// What a request needs of an endpoint.
@@ -101,8 +101,10 @@
     Rejected,
     /// Another instance has the address.
     Replaced,
-    /// The endpoint failed or was lost.
+    /// The endpoint answered with an error, or not in time.
     Failed,
+    /// The endpoint could not be reached, or broke the connection.
+    Lost,
     /// Given up by this side.
     Abandoned,
 }
@@ -126,19 +128,20 @@
 #[rtype(result = "bool")]
 pub struct MayRepeat(pub Service);
 
-/// Asks for the work in progress at each endpoint that has any.
+/// Asks for the work in progress at each endpoint that has any, and for failures since the last
+/// survey.
 #[derive(Clone, Copy, Debug, Message)]
-#[rtype(result = "Vec<Usage>")]
+#[rtype(result = "Digest")]
 pub struct Survey;
 
-/// What another process has in progress. Endpoints that are not listed are as before.
+/// What another process tells.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
-pub struct PeerUsage {
+pub struct PeerDigest {
     /// The link over which it was told.
     pub session: Session,
-    /// Its work.
-    pub usages: Vec<Usage>,
+    /// What it knows. Work at endpoints that are not listed is as before.
+    pub digest: Digest,
 }
 
 /// The link to another process has ended; its work is not known any more.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! the home of. [`Dispatcher`] is the actor that owns the board.
 
 mod actor;
+mod alarm;
 mod backlog;
 mod hearsay;
 mod imp;
@@ -17,7 +18,7 @@
 pub use backlog::Backlog;
 pub use imp::Board;
 pub use message::{
-    Audience, Choice, Choose, Demand, Ending, Finish, Load, MayRepeat, Members, Need, PeerLost,
-    PeerUsage, Progress, Survey,
+    Audience, Choice, Choose, Demand, Ending, Finish, Load, MayRepeat, Members, Need, PeerDigest,
+    PeerLost, Progress, Survey,
 };
 pub use ticket::Ticket;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -13,7 +13,7 @@
     link::Session,
     testing::on_virtual_time,
     unit::Tokens,
-    wire::Usage,
+    wire::{Digest, Usage},
 };
 
 fn zone(name: &str) -> Zone {
@@ -290,8 +290,25 @@
     }
 }
 
-fn told(session: Session, usages: Vec<Usage>) -> PeerUsage {
-    PeerUsage { session, usages }
+fn told(session: Session, usages: Vec<Usage>) -> PeerDigest {
+    PeerDigest {
+        session,
+        digest: Digest {
+            usages,
+            failed: Vec::new(),
+        },
+    }
+}
+
+fn failed(session: Session, endpoints: &[&str]) -> PeerDigest {
+    let failed = endpoints.iter().map(|id| id.parse().expect("a valid name"));
+    PeerDigest {
+        session,
+        digest: Digest {
+            usages: Vec::new(),
+            failed: failed.collect(),
+        },
+    }
 }
 
 /// Guards against prompts that queue at an engine that other processes have filled, and against work
@@ -310,14 +327,17 @@
             choice.instance.id, choice.others
         ));
     };
-    board.hear(told(session, vec![usage("p1", 3, &[(0, 90_000)])]));
+    board.hear(told(session, vec![usage("p1", 3, &[(0, 90_000)])]), now);
     note(&mut board, "p1 is busy");
-    board.hear(told(
-        session,
-        vec![usage("p2", 3, &[(0, 95_000)]), usage("p1", 0, &[])],
-    ));
+    board.hear(
+        told(
+            session,
+            vec![usage("p2", 3, &[(0, 95_000)]), usage("p1", 0, &[])],
+        ),
+        now,
+    );
     note(&mut board, "p2 is busy");
-    board.hear(told(session, vec![usage("p1", 4, &[(0, 120_000)])]));
+    board.hear(told(session, vec![usage("p1", 4, &[(0, 120_000)])]), now);
     note(&mut board, "both are busy");
     board.forget_peer(session);
     note(&mut board, "the process has gone");
@@ -334,7 +354,7 @@
         usage("p1", 1, &[(0, 9_000)]),
         usage("p2", 1, &[(5, 12_000)]),
     ];
-    board.hear(told(session, busy));
+    board.hear(told(session, busy), now);
     let mut demand = demand("lm", Need::Start, 4_000, None);
     let mut chosen = Vec::new();
     for rank in [0, 5] {
@@ -355,12 +375,85 @@
         known: 8,
     });
     for _ in 0..2 {
-        board.hear(told(Session::next(), vec![usage("s1", 3, &[])]));
+        board.hear(told(Session::next(), vec![usage("s1", 3, &[])]), now);
     }
     let choice = board.choose(&demand("print", Need::Start, 0, None), now);
     insta::assert_debug_snapshot!(choice.expect("s1").others);
 }
 
+/// Endpoints of a plain service that a board does not use now.
+fn resting(board: &mut Board, now: Instant) -> Vec<String> {
+    let demand = demand("print", Need::Start, 0, None);
+    let mut chosen = choices(board, &demand, 60, now);
+    for id in &chosen {
+        let finish = Finish {
+            endpoint: id.parse().expect("a valid name"),
+            rank: 1,
+            prompt: Tokens::ZERO,
+            ending: Ending::Abandoned,
+        };
+        board.finish(&finish, now);
+    }
+    chosen.sort();
+    chosen.dedup();
+    let known = ["s1", "s2", "s3-far"].map(str::to_owned);
+    known
+        .into_iter()
+        .filter(|id| !chosen.contains(id))
+        .collect()
+}
+
+/// Guards against processes that each have to find out by their own failures that an endpoint is
+/// dead, and against an endpoint that rests on the word of one process.
+#[test]
+fn failures_that_several_processes_see_make_an_endpoint_rest() {
+    let (mut board, start) = board(services());
+    let [one, other] = [Session::next(), Session::next()];
+    let mut results = Vec::new();
+    let mut note = |board: &mut Board, what: &str, now: Instant| {
+        results.push(format!("{what}: {:?}", resting(board, now)));
+    };
+    board.hear(failed(one, &["s1"]), start);
+    board.hear(failed(one, &["s1"]), start);
+    note(&mut board, "one process", start);
+    board.hear(failed(other, &["s1"]), start);
+    note(&mut board, "two processes", start);
+    let later = start + Duration::from_secs(2);
+    note(&mut board, "two seconds later", later);
+    board.hear(failed(one, &["s1"]), later);
+    note(&mut board, "one process once more", later);
+    let much_later = start + Duration::from_secs(20);
+    board.hear(failed(one, &["s1"]), much_later);
+    note(&mut board, "long after", much_later);
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a process that has lost its own network and declares the endpoints dead.
+#[test]
+fn process_that_sees_all_endpoints_fail_is_not_believed() {
+    let (mut board, now) = board(services());
+    let [one, other] = [Session::next(), Session::next()];
+    board.hear(failed(one, &["s1", "s2", "s3-far"]), now);
+    board.hear(failed(other, &["s2", "s3-far"]), now);
+    insta::assert_debug_snapshot!(resting(&mut board, now));
+}
+
+/// Guards against failures that other processes are not told, are told twice, or that lie in the
+/// request.
+#[test]
+fn failures_are_told_once() {
+    let (mut board, now) = board(vec![instance("s1", "print", None)]);
+    let demand = demand("print", Need::Start, 0, None);
+    let mut results = Vec::new();
+    for ending in [Ending::Failed, Ending::Served, Ending::Lost, Ending::Failed] {
+        let choice = board.choose(&demand, now).expect("s1");
+        board.finish(&finish(&choice, 0, ending), now);
+        results.push((ending, board.survey().failed));
+    }
+    results.push((Ending::Abandoned, board.survey().failed));
+    insta::assert_debug_snapshot!(results);
+}
+
 proptest! {
     /// Guards against totals that drift from what the processes last told, over any sequence of
     /// messages and broken links.
@@ -377,7 +470,7 @@
                 last[peer] = None;
             } else {
                 let usages = vec![usage("s1", requests, &[(0, tokens)])];
-                board.hear(told(sessions[peer], usages));
+                board.hear(told(sessions[peer], usages), now);
                 last[peer] = Some(requests);
             }
             let expected: u32 = last.iter().flatten().sum();
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -189,7 +189,7 @@
             }
             Err(failure) => {
                 self.record.retried(&format!("prefill: {failure}"));
-                ticket.end(Ending::Failed);
+                ticket.end(Ending::Lost);
                 self.avoid.push(instance.id.clone());
                 return self.may_prefill_again().await.map(|()| None);
             }
@@ -242,13 +242,13 @@
                 }
             }
             Ok(Err(Failure::NotSent(detail))) => {
-                ticket.end(Ending::Failed);
+                ticket.end(Ending::Lost);
                 self.sends -= 1;
                 self.refused_connections += 1;
                 self.after_refused_connection(&detail)
             }
             Ok(Err(Failure::Lost(detail))) => {
-                ticket.end(Ending::Failed);
+                ticket.end(Ending::Lost);
                 self.may_have_run = true;
                 self.after_loss(&detail).await?
             }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -170,7 +170,7 @@
             ticket.end(if late {
                 Ending::Abandoned
             } else {
-                Ending::Failed
+                Ending::Lost
             });
             endpoint
         });
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -209,7 +209,7 @@
     };
     let terms = peers::Terms {
         survey: dispatcher.clone().recipient(),
-        usage: dispatcher.clone().recipient(),
+        digest: dispatcher.clone().recipient(),
         lost: dispatcher.clone().recipient(),
         audience: dispatcher.clone().recipient(),
     };
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -202,6 +202,6 @@
         | Frame::Done(_)
         | Frame::Fetch(_)
         | Frame::Document(_)
-        | Frame::Usage(_) => "control",
+        | Frame::Digest(_) => "control",
     }
 }
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -16,10 +16,10 @@
 use crate::{
     clock::Shared,
     directory::Feed,
-    dispatch::{Audience, PeerLost, PeerUsage, Survey},
+    dispatch::{Audience, PeerDigest, PeerLost, Survey},
     id::{Endpoint, Process},
     link::{self, Identity, Outbox, Peer, Session},
-    wire::{Frame, Usage},
+    wire::{Digest, Frame, Usage},
 };
 
 /// Interval at which changes are told. A prompt of a thousand tokens takes an engine about 12 ms,
@@ -33,8 +33,8 @@
 pub struct Terms {
     /// Tells the own work in progress.
     pub survey: Recipient<Survey>,
-    /// Receives the work of peers.
-    pub usage: Recipient<PeerUsage>,
+    /// Receives what peers tell.
+    pub digest: Recipient<PeerDigest>,
     /// Hears of links that are gone.
     pub lost: Recipient<PeerLost>,
     /// Hears how many peers are linked.
@@ -162,9 +162,11 @@
     }
 
     /// Tells what has changed, and everything over new links.
-    fn tell(&mut self, usages: Vec<Usage>) {
+    fn tell(&mut self, digest: Digest) {
         let now = self.config.clock.now();
-        let current: BTreeMap<Endpoint, Usage> = usages
+        let failed = digest.failed;
+        let current: BTreeMap<Endpoint, Usage> = digest
+            .usages
             .into_iter()
             .map(|usage| (usage.endpoint.clone(), usage))
             .collect();
@@ -185,14 +187,19 @@
         let silent = self
             .told_at
             .is_none_or(|told_at| now.saturating_duration_since(told_at) >= HEARTBEAT);
-        let due = silent || !changes.is_empty();
+        let due = silent || !changes.is_empty() || !failed.is_empty();
         for link in self.links.values_mut() {
             if !link.told {
                 link.told = true;
-                let everything = current.values().cloned().collect();
-                link.outbox.send(Frame::Usage(everything));
+                link.outbox.send(Frame::Digest(Digest {
+                    usages: current.values().cloned().collect(),
+                    failed: failed.clone(),
+                }));
             } else if due {
-                link.outbox.send(Frame::Usage(changes.clone()));
+                link.outbox.send(Frame::Digest(Digest {
+                    usages: changes.clone(),
+                    failed: failed.clone(),
+                }));
             }
         }
         if due {
@@ -211,8 +218,8 @@
                 return;
             }
             let survey = mesh.config.terms.survey.send(Survey).into_actor(mesh);
-            let told = survey.map(|usages: Result<_, MailboxError>, mesh, _| match usages {
-                Ok(usages) => mesh.tell(usages),
+            let told = survey.map(|digest: Result<_, MailboxError>, mesh, _| match digest {
+                Ok(digest) => mesh.tell(digest),
                 Err(error) => log::debug!(error:% = error; "the dispatcher has stopped"),
             });
             ctx.spawn(told);
@@ -290,10 +297,10 @@
     }
 
     fn arrived(&self, peer: &Peer, frame: Frame, _outbox: &Outbox) {
-        if let Frame::Usage(usages) = frame {
-            self.terms.usage.do_send(PeerUsage {
+        if let Frame::Digest(digest) = frame {
+            self.terms.digest.do_send(PeerDigest {
                 session: peer.session,
-                usages,
+                digest,
             });
         } else {
             log::warn!(peer:% = peer.hello.process; "gateway sent an unexpected frame");
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -161,7 +161,7 @@
     };
     let terms = Terms {
         survey: dispatcher.clone().recipient(),
-        usage: dispatcher.clone().recipient(),
+        digest: dispatcher.clone().recipient(),
         lost: dispatcher.clone().recipient(),
         audience: dispatcher.clone().recipient(),
     };
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -50,9 +50,8 @@
     Lookup(Lookup),
     /// Answers a lookup, agent to entry.
     Outcome(Outcome),
-    /// Work in progress at endpoints, gateway to gateway; also the heartbeat. Endpoints that are not
-    /// listed are as before.
-    Usage(Vec<Usage>),
+    /// What a gateway knows of endpoints, gateway to gateway; also the heartbeat.
+    Digest(Digest),
 }
 
 /// Who the peer is.
@@ -351,6 +350,16 @@
     Failed(Kind),
 }
 
+/// What a gateway knows of endpoints from its own requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Digest {
+    /// Work in progress. Endpoints that are not listed are as before.
+    pub usages: Vec<Usage>,
+    /// Endpoints that have failed since the last digest.
+    pub failed: Vec<Endpoint>,
+}
+
 /// Work that the sender has in progress at an endpoint. Sent as a tuple, because a gateway sends
 /// many of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -20,8 +20,8 @@
 
 pub use codec::{Error, FRAME_MAX, decode, encode};
 pub use imp::{
-    Cancel, Change, Chunk, Credit, Document, Done, End, Fail, Fetch, Frame, Generate, Hello,
-    Invoke, Load, Lookup, Message, Order, Outcome, PROTOCOL, Prompt, Recorded, Report, Role,
+    Cancel, Change, Chunk, Credit, Digest, Document, Done, End, Fail, Fetch, Frame, Generate,
+    Hello, Invoke, Load, Lookup, Message, Order, Outcome, PROTOCOL, Prompt, Recorded, Report, Role,
     Sampling, Submit, Usage, Verdict, Work,
 };
 
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -70,7 +70,10 @@
                 .map(|(rank, tokens)| (rank, Tokens::new(tokens)))
                 .collect(),
         });
-        let frame = Frame::Usage(usages.collect());
+        let frame = Frame::Digest(Digest {
+            usages: usages.collect(),
+            failed: vec!["e1".parse().expect("valid name")],
+        });
         prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
     }
 
