--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -41,7 +41,7 @@
 const DECODE_PREFILL_SCALE: f64 = 3_000.0;
 /// Cost of reading a shared token that another engine holds, besides the time for it: it takes the
 /// place of a part that others need, and that part is read again later.
-const AWAY_COST: f64 = 4.0;
+const AWAY_COST: f64 = 7.0;
 /// Cost of handing a KV cache from one engine to another, in prompt tokens: a second request.
 const TRANSFER_COST: f64 = 400.0;
 /// Consecutive errors of an endpoint after which other processes are told.
