--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -35,7 +35,7 @@
 const LESS_URGENT_PART: f64 = 0.5;
 /// Cost of reading a prompt token at a decode engine. It reads at half the speed, and each step with
 /// a piece of a prompt slows down all streams of the engine.
-const DECODE_PREFILL_COST: f64 = 9.0;
+const DECODE_PREFILL_COST: f64 = 14.0;
 /// Length of a prompt at which that cost is twice as high per token: a long prompt slows down the
 /// streams of a decode engine for longer than their callers wait.
 const DECODE_PREFILL_SCALE: f64 = 3_000.0;
