Guard the message by which a stopping agent asks its entries to send no more

Without the broadcast in link/hub.rs all tests stayed green; stopping_agent_asks_every_entry fails without it.

--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -16,6 +16,7 @@
     error::Kind,
     id::{self, Attempt, Incarnation, Revision},
     routing::Linked,
+    testing::on_virtual_time,
     unit::{Bytes, Tokens},
     wire::{self, Cancel as CancelFrame, Chunk, End, Frame},
 };
@@ -356,3 +357,27 @@
     socket.send(Message::binary(hello)).await.expect("send");
     assert_eq!(seen.recv().await.as_deref(), Some("opened entry at 7"));
 }
+
+/// Guards against a stopping agent that does not ask its entries to send no more, also those that
+/// connect while it stops, and against one that does not wait for their consent.
+#[test]
+fn stopping_agent_asks_every_entry() {
+    let seen = on_virtual_time(async {
+        let hub = Hub::spawn();
+        let (early, mut early_queue) = Outbox::channel();
+        let (late, mut late_queue) = Outbox::channel();
+        let [first, second] = [Session::next(), Session::next()];
+        hub.send(Joined(first, early)).await.expect("it runs");
+        let mut away = Box::pin(hub.send(GoAway));
+        assert!(futures_util::poll!(&mut away).is_pending());
+        hub.send(Joined(second, late)).await.expect("it runs");
+        let asked = [early_queue.try_recv(), late_queue.try_recv()];
+        for session in [first, second] {
+            assert!(futures_util::poll!(&mut away).is_pending());
+            hub.send(Acknowledged(session)).await.expect("it runs");
+        }
+        away.await.expect("it runs");
+        asked
+    });
+    insta::assert_debug_snapshot!(seen);
+}
