--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -112,7 +112,7 @@
         board.finish(&finish(&choice, 0, Ending::Served), now);
     }
     // Idle engines: a short prompt is read where it is decoded, which saves the transfer.
-    let choice = board.choose(&demand("lm", Need::Start, 40, None), now);
+    let choice = board.choose(&demand("lm", Need::Start, 20, None), now);
     assert_eq!(
         choice.expect("an engine").instance.stage,
         Some(Stage::Decode)
@@ -327,17 +327,17 @@
             choice.instance.id, choice.others
         ));
     };
-    board.hear(told(session, vec![usage("p1", 3, &[(0, 90_000)])]), now);
+    board.hear(told(session, vec![usage("p1", 3, &[(0, 120_000)])]), now);
     note(&mut board, "p1 is busy");
     board.hear(
         told(
             session,
-            vec![usage("p2", 3, &[(0, 95_000)]), usage("p1", 0, &[])],
+            vec![usage("p2", 3, &[(0, 190_000)]), usage("p1", 0, &[])],
         ),
         now,
     );
     note(&mut board, "p2 is busy");
-    board.hear(told(session, vec![usage("p1", 4, &[(0, 120_000)])]), now);
+    board.hear(told(session, vec![usage("p1", 4, &[(0, 220_000)])]), now);
     note(&mut board, "both are busy");
     board.forget_peer(session);
     note(&mut board, "the process has gone");
