Give dialing, the entry of a stand-in and the terms of a mesh one copy each; move formats apart

No change of behaviour, found by rereading the change as a whole: - link::dial returns a handle that closes its connection when dropped.

--- a/mulberrymill-bench/src/platform/endpoint.rs
+++ b/mulberrymill-bench/src/platform/endpoint.rs
@@ -26,6 +26,18 @@
     pub body: String,
 }
 
+/// Requests that an endpoint says it runs at once.
+const SLOTS: u32 = 4;
+
+/// The entry of an endpoint in the store.
+#[must_use]
+pub fn entry(address: SocketAddr, service: &str, slots: u32, state: &str) -> Value {
+    json!({
+        "service": service, "address": address.to_string(), "zone": "a", "version": "v1",
+        "slots": slots, "state": state, "coldLeftMs": 0, "seq": 1,
+    })
+}
+
 #[derive(Debug)]
 struct Shared {
     id: String,
@@ -76,10 +88,7 @@
     /// Its entry in the store.
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> Value {
-        json!({
-            "service": service, "address": self.address().to_string(), "zone": "a",
-            "version": "v1", "slots": 4, "state": state, "coldLeftMs": 0, "seq": 1,
-        })
+        entry(self.address(), service, SLOTS, state)
     }
 
     /// What it has received.
@@ -118,7 +127,7 @@
     });
     let mut response = HttpResponse::Ok();
     response.insert_header(("Server-Stamp", format!("stamp-of-{}", shared.id)));
-    response.insert_header(("Instance-Load", "1,0,4"));
+    response.insert_header(("Instance-Load", format!("1,0,{SLOTS}")));
     if let Some(id) = header("request-id") {
         response.insert_header(("Request-Id", id));
     }
--- a/mulberrymill-bench/src/platform/mod.rs
+++ b/mulberrymill-bench/src/platform/mod.rs
@@ -6,7 +6,7 @@
 mod endpoint;
 mod store;
 
-pub use endpoint::{Endpoint, Seen};
+pub use endpoint::{Endpoint, Seen, entry};
 pub use store::Store;
 
 pub use crate::port::Result;
--- a/mulberrymill-bench/src/soak/backend.rs
+++ b/mulberrymill-bench/src/soak/backend.rs
@@ -7,7 +7,6 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use futures_util::{StreamExt, stream};
 use rand::Rng;
-use serde_json::{Value, json};
 use tokio::time;
 
 use super::Result;
@@ -17,8 +16,10 @@
 pub(super) const EVENTS: u64 = 4;
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
-/// Longest time of a plain request, in milliseconds. Faults should meet some requests in progress.
-const WORK_MAX: u64 = 150;
+/// Longest time of a plain request. Faults should meet some requests in progress.
+const WORK_MAX: Duration = Duration::from_millis(150);
+/// Requests that an endpoint runs at once, more than there are clients.
+pub(super) const SLOTS: u32 = 64;
 
 /// A request that an endpoint has begun to run.
 #[derive(Clone, Debug)]
@@ -68,13 +69,6 @@
     pub(super) const fn address(&self) -> SocketAddr {
         self.port.address()
     }
-
-    pub(super) fn entry(address: SocketAddr, service: &str, state: &str) -> Value {
-        json!({
-            "service": service, "address": address.to_string(), "zone": "a", "version": "v1",
-            "slots": 64, "state": state, "coldLeftMs": 0, "seq": 1,
-        })
-    }
 }
 
 /// An event of the answer to a request.
@@ -106,10 +100,10 @@
     });
     let mut response = HttpResponse::Ok();
     response.insert_header(("Server-Stamp", shared.id.clone()));
-    response.insert_header(("Instance-Load", "1,0,64"));
+    response.insert_header(("Instance-Load", format!("1,0,{SLOTS}")));
     response.insert_header(("Request-Id", id.clone()));
     if !request.path().starts_with("/stream/") {
-        time::sleep(Duration::from_millis(rand::rng().random_range(0..WORK_MAX))).await;
+        time::sleep(WORK_MAX.mul_f64(rand::rng().random_range(0.0..1.0))).await;
         return response.body(id);
     }
     let last: u64 = header("last-event-id").parse().unwrap_or_default();
--- a/mulberrymill-bench/src/soak/check.rs
+++ b/mulberrymill-bench/src/soak/check.rs
@@ -79,10 +79,10 @@
             if run.at > sent.at + DEADLINE + LATE && !excused {
                 broken("late", what.clone());
             }
-            let left = |leave: &&Leave| {
+            let left = |leave: &Leave| {
                 leave.endpoint == run.endpoint && (leave.from..leave.until).contains(&run.at)
             };
-            if leaves.iter().find(left).is_some() {
+            if leaves.iter().any(left) {
                 broken("drain", what.clone());
             }
         }
--- a/mulberrymill-bench/src/soak/client.rs
+++ b/mulberrymill-bench/src/soak/client.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use tokio::time;
 
-use super::proxy::rng;
+use super::plan::rng;
 
 /// Time that a client waits for an answer.
 pub(super) const DEADLINE: Duration = Duration::from_millis(2_500);
--- a/mulberrymill-bench/src/soak/imp.rs
+++ b/mulberrymill-bench/src/soak/imp.rs
@@ -11,11 +11,14 @@
 
 use super::{
     Breach, Fault, Mode, Plan, Proxy, Result, Step,
-    backend::{Backend, Runs, lock},
+    backend::{Backend, Runs, SLOTS, lock},
     check::{self, Leave, Pause},
     client::{self, Shared},
 };
-use crate::{fleet::Process, platform::Store};
+use crate::{
+    fleet::Process,
+    platform::{self, Store},
+};
 
 /// Time after the end of all faults in which gateways recover. The bound of the platform is 8 s and
 /// more; requests are served much sooner.
@@ -80,7 +83,7 @@
     shared: Shared,
     leaves: RefCell<Vec<Leave>>,
     pauses: RefCell<Vec<Pause>>,
-    /// Ends of faults that may keep gateways from hearing of the store.
+    /// Times in which faults may keep gateways from hearing of the store.
     hindered: RefCell<Vec<(Instant, Instant)>>,
 }
 
@@ -213,7 +216,7 @@
 fn announce(soak: &Soak, number: usize, state: &str) {
     let (backend, proxy) = &soak.backends[number];
     let service = backend.id().split('-').next().unwrap_or_default();
-    let entry = Backend::entry(proxy.address(), service, state);
+    let entry = platform::entry(proxy.address(), service, SLOTS, state);
     soak.store.put(&format!("servers/{}", backend.id()), &entry);
 }
 
@@ -317,7 +320,7 @@
 async fn until_served(soak: &Soak) -> std::result::Result<(), Breach> {
     let pool = Pool::new();
     let end = time::Instant::now() + RECOVERY;
-    for (number, _) in soak.gateways.iter().enumerate() {
+    for number in 0..soak.gateways.len() {
         for kind in client::KINDS {
             loop {
                 let request = format!("probe-{:x}", soak.shared.sent.borrow().len());
--- a/mulberrymill-bench/src/soak/plan.rs
+++ b/mulberrymill-bench/src/soak/plan.rs
@@ -1,8 +1,8 @@
 use std::{fmt, time::Duration};
 
-use rand::{Rng, rngs::StdRng};
+use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
-use super::proxy::{Mode, rng};
+use super::Mode;
 
 /// Faults of a run; several of them overlap in most runs.
 const FAULTS: std::ops::RangeInclusive<usize> = 3..=9;
@@ -108,3 +108,9 @@
         _ => Mode::Silence,
     }
 }
+
+/// A generator that depends on a seed and a purpose, so that another use of random numbers in one
+/// part does not change the others.
+pub(super) fn rng(seed: u64, purpose: u64) -> StdRng {
+    StdRng::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(purpose))
+}
--- a/mulberrymill-bench/src/soak/proxy.rs
+++ b/mulberrymill-bench/src/soak/proxy.rs
@@ -1,7 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
 use futures_util::FutureExt;
-use rand::{SeedableRng as _, rngs::StdRng};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -163,9 +162,3 @@
         }
     }
 }
-
-/// A generator that depends on a seed and a purpose, so that another use of random numbers in one
-/// part does not change the others.
-pub(super) fn rng(seed: u64, purpose: u64) -> StdRng {
-    StdRng::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(purpose))
-}
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
-    Audience, Backlog, Choice, Demand, Ending, Finish, Need, PeerDigest, Progress,
+    Audience, Choice, Demand, Ending, Finish, Need, PeerDigest, Progress,
     alarm::{Alarms, Source},
     cost::{cost, home, others, unread},
     hearsay::Hearsay,
@@ -20,7 +20,6 @@
     invariant::{self, Point},
     link::Session,
     retry::{Budget as _, Ejector, Window},
-    unit::Tokens,
     wire::{Digest, Usage},
 };
 
@@ -64,21 +63,8 @@
             let known = old.remove(&instance.id);
             // A restart under the same id at another address knows nothing of the work before.
             let known = known.filter(|member| member.instance.address == instance.address);
-            let member = known.map_or_else(
-                || Member {
-                    instance: Arc::clone(&instance),
-                    own: 0,
-                    unread: Backlog::default(),
-                    report: None,
-                    rejections: 0,
-                    failures: 0,
-                    rest_until: None,
-                },
-                |member| Member {
-                    instance: Arc::clone(&instance),
-                    ..member
-                },
-            );
+            let mut member = known.unwrap_or_else(|| Member::new(Arc::clone(&instance)));
+            member.instance = Arc::clone(&instance);
             self.members.insert(instance.id.clone(), member);
         }
         let members = &self.members;
@@ -97,8 +83,8 @@
     ///
     /// Fails with [`Kind::NoEndpoint`] if no endpoint fits.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
-        let (endpoint, unread) = self.best(demand, now)?;
-        let others = others(&self.hearsay, &self.members[&endpoint], demand.rank, now).requests;
+        let (endpoint, at_home) = self.best(demand, now)?;
+        let unread = unread(demand, at_home);
         let Some(member) = self.members.get_mut(&endpoint) else {
             return Err(Error::new(Kind::Internal, "the chosen endpoint is unknown"));
         };
@@ -112,7 +98,7 @@
             rank: demand.rank,
             unread,
             own: member.own,
-            others,
+            others: others(&self.hearsay, member, demand.rank, now).requests,
             report_age: member
                 .report
                 .map(|report| now.saturating_duration_since(report.at)),
@@ -159,13 +145,16 @@
                 // An endpoint may fail a single request for a reason that lies in the request.
                 let telling = finish.ending == Ending::Lost || member.failures >= TELLING_FAILURES;
                 let pool = self.pool(&service);
-                if self.ejector.failed(endpoint, &[pool], now) {
+                if self
+                    .ejector
+                    .failed(endpoint, std::slice::from_ref(&pool), now)
+                {
                     log::warn!(endpoint:% = endpoint, service:% = service;
                         "endpoint is ejected after consecutive failures");
                 }
                 if telling {
                     self.untold.insert(endpoint.clone());
-                    self.raise(endpoint, None, now);
+                    self.raise(endpoint, None, &pool, now);
                 }
             }
             Ending::Replaced => {
@@ -196,17 +185,17 @@
     /// Takes in what another process tells.
     pub fn hear(&mut self, msg: PeerDigest, now: Instant) {
         for endpoint in &msg.digest.failed {
-            self.raise(endpoint, Some(msg.session), now);
+            if let Some(member) = self.members.get(endpoint) {
+                let pool = self.pool(&member.instance.service);
+                self.raise(endpoint, Some(msg.session), &pool, now);
+            }
         }
         self.hearsay.hear(msg.session, msg.digest.usages);
     }
 
-    fn raise(&mut self, endpoint: &Endpoint, source: Source, now: Instant) {
-        let Some(member) = self.members.get(endpoint) else {
-            return;
-        };
-        let pool = self.pool(&member.instance.service);
-        let Some(rest) = self.alarms.raise(endpoint, source, &pool, now) else {
+    /// Notes a failure of an endpoint in a pool, and lets the endpoint rest if others see it fail too.
+    fn raise(&mut self, endpoint: &Endpoint, source: Source, pool: &[Endpoint], now: Instant) {
+        let Some(rest) = self.alarms.raise(endpoint, source, pool, now) else {
             return;
         };
         // Random, so that one process finds out first whether the endpoint works again.
@@ -235,8 +224,8 @@
         budget.may_retry(now)
     }
 
-    /// The endpoint with the least cost, and the prompt tokens that it has to read.
-    fn best(&mut self, demand: &Demand, now: Instant) -> Result<(Endpoint, Tokens)> {
+    /// The endpoint with the least cost, and whether it is the home of the shared parts.
+    fn best(&mut self, demand: &Demand, now: Instant) -> Result<(Endpoint, bool)> {
         let fitting: Vec<&Member> = self
             .members
             .values()
@@ -266,15 +255,14 @@
                 let jitter = self.rng.random_range(1.0..1.05);
                 let others = others(&self.hearsay, member, demand.rank, now);
                 let cost = cost(member, demand, at_home, near, others) * jitter;
-                (cost, &member.instance.id)
+                (cost, &member.instance.id, at_home)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, endpoint)) = best else {
+        let chosen = best.map(|(_, endpoint, at_home)| (endpoint.clone(), at_home));
+        chosen.ok_or_else(|| {
             let detail = format!("no endpoint of {} can take the request", demand.service);
-            return Err(Error::new(Kind::NoEndpoint, detail));
-        };
-        let unread = unread(demand, homes.contains(endpoint));
-        Ok((endpoint.clone(), unread))
+            Error::new(Kind::NoEndpoint, detail)
+        })
     }
 
     fn services(&self) -> BTreeSet<Service> {
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -25,7 +25,7 @@
     pub(super) report: Option<Report>,
     /// Rejections since it last served a request.
     pub(super) rejections: u32,
-    /// Failures since then.
+    /// Failures since it last served a request.
     pub(super) failures: u32,
     pub(super) rest_until: Option<Instant>,
 }
@@ -40,6 +40,19 @@
 }
 
 impl Member {
+    /// An endpoint of which nothing else is known.
+    pub(super) fn new(instance: Arc<Instance>) -> Self {
+        Self {
+            instance,
+            own: 0,
+            unread: Backlog::default(),
+            report: None,
+            rejections: 0,
+            failures: 0,
+            rest_until: None,
+        }
+    }
+
     pub(super) fn reject(&mut self, now: Instant) {
         let rest = FIRST_REST * (1 << self.rejections.min(4));
         self.rest_until = Some(now + rest.min(LONGEST_REST));
@@ -68,7 +81,7 @@
         self.recent(now).map_or(0, |report| report.load.waiting)
     }
 
-    pub(super) fn recent(&self, now: Instant) -> Option<Report> {
+    fn recent(&self, now: Instant) -> Option<Report> {
         self.report
             .filter(|report| now.saturating_duration_since(report.at) < REPORT_MAX_AGE)
     }
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -207,13 +207,7 @@
         // Gateways take the plan from the store, never from each other.
         revision: watch::Sender::new(Revision::default()).subscribe(),
     };
-    let terms = peers::Terms {
-        survey: dispatcher.clone().recipient(),
-        digest: dispatcher.clone().recipient(),
-        lost: dispatcher.clone().recipient(),
-        audience: dispatcher.clone().recipient(),
-    };
-    let config = peers::Config::new(identity, Arc::clone(clock), terms);
+    let config = peers::Config::new(identity, Arc::clone(clock), dispatcher.into());
     let (mesh, listener) = peers::spawn(config, port);
     let follow = directory::follow(
         Rc::clone(roster) as Rc<dyn Reader>,
--- a/src/link/dialer.rs
+++ b/src/link/dialer.rs
@@ -24,24 +24,44 @@
 /// Longest time for a connection and its handshake.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
-/// Starts to keep a connection to the process at an address, until the handle ends the task.
+/// A connection that is kept, and made again when it breaks. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Dialer {
+    address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Dialer {
+    /// Where the other end listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Dialer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts to keep a connection to the process at an address.
 #[must_use]
 pub fn dial(
     address: SocketAddr,
     identity: Identity,
     clock: clock::Shared,
     sink: Rc<dyn Sink>,
-) -> AbortHandle {
-    task::spawn_local(run(address, identity, clock, sink)).abort_handle()
+) -> Dialer {
+    let task = task::spawn_local(run(address, identity, clock, sink));
+    Dialer {
+        address,
+        task: task.abort_handle(),
+    }
 }
 
 /// Keeps a connection until the task is aborted.
-pub(super) async fn run(
-    address: SocketAddr,
-    identity: Identity,
-    clock: clock::Shared,
-    sink: Rc<dyn Sink>,
-) {
+async fn run(address: SocketAddr, identity: Identity, clock: clock::Shared, sink: Rc<dyn Sink>) {
     let mut backoff = BACKOFF_MIN;
     loop {
         let started = clock.now();
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -17,7 +17,7 @@
 mod tests;
 
 pub use connection::SILENCE;
-pub use dialer::dial;
+pub use dialer::{Dialer, dial};
 pub use hub::{Acknowledged, Broadcast, Close, GoAway, Hub, Joined, Left};
 pub use imp::{Identity, Item, Outbox, Peer, Session, Sink};
 pub use listener::{Listener, Port};
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -9,11 +9,11 @@
 use actix::{
     Actor, ActorContext, Addr, AsyncContext, Context, Handler, Message, Recipient, ResponseFuture,
 };
-use tokio::{sync::oneshot, task::AbortHandle, time};
+use tokio::{sync::oneshot, time};
 
 use super::{
     Adopt, Announce, Cancel, Credit, Identity, Lookup, Outbox, Result, Send, Session, Sink, Submit,
-    dialer,
+    dialer::{Dialer, dial},
     route::{Arrived, Closed, Forwarder, Found, Leaving, Opened, Route, Up},
 };
 use crate::{
@@ -60,7 +60,7 @@
     /// take no new attempts, and close with their last one: a planned change cuts off no request.
     retired: Vec<Route>,
     sessions: HashMap<Session, Endpoint>,
-    seeds: Vec<AbortHandle>,
+    seeds: Vec<Dialer>,
 }
 
 /// No connection, so that nothing was sent.
@@ -97,7 +97,7 @@
     fn stopped(&mut self, _ctx: &mut Self::Context) {
         self.routes.clear();
         self.retired.clear();
-        self.drop_seeds();
+        self.seeds.clear();
     }
 }
 
@@ -109,23 +109,15 @@
             sink: Rc::clone(&self.config.sink),
         });
         let identity = self.config.identity.clone();
-        let dialing = dialer::run(address, identity, Arc::clone(&self.config.clock), sink);
-        let dialer = tokio::task::spawn_local(dialing).abort_handle();
-        Route::new(endpoint.clone(), address, dialer)
+        let dialer = dial(address, identity, Arc::clone(&self.config.clock), sink);
+        Route::new(endpoint.clone(), dialer)
     }
 
     /// Connects to an agent whose endpoint is not known yet.
-    fn dial_seed(&self, address: SocketAddr) -> AbortHandle {
+    fn dial_seed(&self, address: SocketAddr) -> Dialer {
         let identity = self.config.identity.clone();
         let clock = Arc::clone(&self.config.clock);
-        let dialing = dialer::run(address, identity, clock, Rc::clone(&self.config.sink));
-        tokio::task::spawn_local(dialing).abort_handle()
-    }
-
-    fn drop_seeds(&mut self) {
-        for seed in self.seeds.drain(..) {
-            seed.abort();
-        }
+        dial(address, identity, clock, Rc::clone(&self.config.sink))
     }
 
     fn route_of(&mut self, session: Session) -> Option<&mut Route> {
@@ -339,12 +331,12 @@
     type Result = ();
 
     fn handle(&mut self, Adopt(document): Adopt, ctx: &mut Self::Context) {
-        self.drop_seeds();
+        self.seeds.clear();
         let moved = |name: &Endpoint, route: &Route| {
             document
                 .endpoints
                 .get(name)
-                .is_none_or(|spec| spec.agent != route.address)
+                .is_none_or(|spec| spec.agent != route.address())
         };
         let gone = self
             .routes
--- a/src/link/route.rs
+++ b/src/link/route.rs
@@ -1,12 +1,9 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
 use actix::{Addr, Message};
-use tokio::{
-    sync::{mpsc, oneshot},
-    task::AbortHandle,
-};
+use tokio::sync::{mpsc, oneshot};
 
-use super::{Event, Outbox, Peer, Pool, Session, Sink};
+use super::{Dialer, Event, Outbox, Peer, Pool, Session, Sink};
 use crate::{
     id::{Attempt, Endpoint, Request},
     wire::{self, Frame, Outcome},
@@ -15,11 +12,10 @@
 /// The connection to one agent, and what waits on it.
 pub(super) struct Route {
     pub(super) endpoint: Endpoint,
-    pub(super) address: SocketAddr,
     pub(super) up: Option<Up>,
     /// The agent is leaving and was promised no further attempts on this connection.
     pub(super) leaving: bool,
-    dialer: AbortHandle,
+    dialer: Dialer,
     attempts: HashMap<Attempt, mpsc::UnboundedSender<Event>>,
     lookups: HashMap<Request, oneshot::Sender<Outcome>>,
 }
@@ -32,16 +28,14 @@
 
 impl Drop for Route {
     fn drop(&mut self) {
-        self.dialer.abort();
         self.lose();
     }
 }
 
 impl Route {
-    pub(super) fn new(endpoint: Endpoint, address: SocketAddr, dialer: AbortHandle) -> Self {
+    pub(super) fn new(endpoint: Endpoint, dialer: Dialer) -> Self {
         Self {
             endpoint,
-            address,
             up: None,
             leaving: false,
             dialer,
@@ -50,6 +44,11 @@
         }
     }
 
+    /// Where the agent listens.
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.dialer.address()
+    }
+
     pub(super) fn has_session(&self, session: Session) -> bool {
         self.up
             .as_ref()
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -1,6 +1,5 @@
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -10,13 +9,12 @@
     Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, MailboxError, Message, Recipient,
     WrapFuture,
 };
-use tokio::task::AbortHandle;
 
 use super::Roster;
 use crate::{
     clock::Shared,
     directory::Feed,
-    dispatch::{Audience, PeerDigest, PeerLost, Survey},
+    dispatch::{Audience, Dispatcher, PeerDigest, PeerLost, Survey},
     id::{Endpoint, Process},
     link::{self, Identity, Outbox, Peer, Session},
     unit::as_f64,
@@ -42,6 +40,17 @@
     pub audience: Recipient<Audience>,
 }
 
+impl From<&Addr<Dispatcher>> for Terms {
+    fn from(dispatcher: &Addr<Dispatcher>) -> Self {
+        Self {
+            survey: dispatcher.clone().recipient(),
+            digest: dispatcher.clone().recipient(),
+            lost: dispatcher.clone().recipient(),
+            audience: dispatcher.clone().recipient(),
+        }
+    }
+}
+
 /// What a mesh needs.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -67,25 +76,13 @@
 pub struct Mesh {
     config: Config,
     roster: Roster,
-    dialers: BTreeMap<Process, Dialer>,
+    dialers: BTreeMap<Process, link::Dialer>,
     links: BTreeMap<Session, Link>,
     /// What was told last, for each endpoint with work.
     told: BTreeMap<Endpoint, Usage>,
     told_at: Option<Instant>,
 }
 
-#[derive(Debug)]
-struct Dialer {
-    address: SocketAddr,
-    task: AbortHandle,
-}
-
-impl Drop for Dialer {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 #[derive(Debug)]
 struct Link {
     process: Process,
@@ -122,7 +119,7 @@
         let linked = self.roster.linked(own);
         for (process, address) in &linked {
             let known = self.dialers.get(process);
-            if process <= own || known.is_some_and(|dialer| dialer.address == *address) {
+            if process <= own || known.is_some_and(|dialer| dialer.address() == *address) {
                 continue;
             }
             log::info!(peer:% = process, address:% = address; "links to a gateway");
@@ -130,16 +127,12 @@
                 mesh: mesh.clone(),
                 terms: self.config.terms.clone(),
             };
-            let task = link::dial(
+            let dialer = link::dial(
                 *address,
                 self.config.identity.clone(),
                 Arc::clone(&self.config.clock),
                 Rc::new(sink),
             );
-            let dialer = Dialer {
-                address: *address,
-                task,
-            };
             self.dialers.insert(process.clone(), dialer);
         }
         // An entry can also be missing because the store was away. A link that works is kept.
@@ -191,18 +184,19 @@
             .is_none_or(|told_at| now.saturating_duration_since(told_at) >= HEARTBEAT);
         let due = silent || !changes.is_empty() || !failed.is_empty();
         for link in self.links.values_mut() {
-            if !link.told {
-                link.told = true;
-                link.outbox.send(Frame::Digest(Digest {
-                    usages: current.values().cloned().collect(),
-                    failed: failed.clone(),
-                }));
-            } else if due {
-                link.outbox.send(Frame::Digest(Digest {
-                    usages: changes.clone(),
-                    failed: failed.clone(),
-                }));
+            let first = !std::mem::replace(&mut link.told, true);
+            if !first && !due {
+                continue;
             }
+            let usages = if first {
+                current.values().cloned().collect()
+            } else {
+                changes.clone()
+            };
+            link.outbox.send(Frame::Digest(Digest {
+                usages,
+                failed: failed.clone(),
+            }));
         }
         if due {
             self.told_at = Some(now);
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -159,15 +159,9 @@
         zone,
         revision: watch::Sender::new(Revision::default()).subscribe(),
     };
-    let terms = Terms {
-        survey: dispatcher.clone().recipient(),
-        digest: dispatcher.clone().recipient(),
-        lost: dispatcher.clone().recipient(),
-        audience: dispatcher.clone().recipient(),
-    };
     let loopback = "127.0.0.1:0".parse().expect("an address");
     let port = Port::bind(loopback).await.expect("a free port");
-    let (mesh, listener) = spawn(Config::new(identity, clock, terms), port);
+    let (mesh, listener) = spawn(Config::new(identity, clock, Terms::from(&dispatcher)), port);
     Gateway {
         name: process(name),
         dispatcher,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod ingress;
 mod names;
+mod record;
 mod store;
 #[cfg(test)]
 mod tests;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,24 +5,23 @@
     Client,
     error::{ConnectError, SendRequestError},
 };
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use futures_util::{
     FutureExt, StreamExt,
     stream::{self},
 };
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tokio::time;
 
-use super::{Result, names};
+use super::{
+    Result, names,
+    record::{Batch, Committed, Granted, Page, Refused, Single, event, item, key, transaction},
+};
 use crate::{
     clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
-    store::{
-        self, Change, Commit, Compare, Event, Events, Future, Item, Lease, Path, Range, Reader,
-        Txn, Write,
-    },
+    store::{self, Commit, Events, Future, Item, Lease, Path, Range, Reader, Txn},
 };
 
 /// Limit of one call. A slow store answers within a fifth of a second.
@@ -52,43 +51,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Entry {
-    key: String,
-    #[serde(default)]
-    value: String,
-    rev: u64,
-    /// Revision at which the key was created.
-    #[serde(default, rename = "createRev")]
-    created: u64,
-    #[serde(default)]
-    removed: bool,
-}
-
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Entry>,
-    #[serde(default)]
-    truncated: bool,
-    #[serde(rename = "asOf")]
-    revision: u64,
-}
-
-#[derive(Deserialize)]
-struct Single {
-    #[serde(flatten)]
-    entry: Entry,
-    #[serde(rename = "asOf")]
-    revision: u64,
-}
-
-#[derive(Deserialize)]
-struct Batch {
-    events: Vec<Entry>,
-    #[serde(rename = "asOf")]
-    revision: u64,
-}
-
 impl Store {
     /// A client of the store at an address. `clock` measures the duration of calls. Connections are
     /// made when they are needed.
@@ -229,22 +191,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Committed {
-    rev: u64,
-}
-
-/// The present state of the compared keys.
-#[derive(Deserialize)]
-struct Refused {
-    items: Vec<Entry>,
-}
-
-#[derive(Deserialize)]
-struct Granted {
-    lease: i64,
-}
-
 impl store::Store for Store {
     fn commit(&self, txn: Txn) -> Future<'_, Commit> {
         async move {
@@ -316,35 +262,6 @@
     }
 }
 
-/// A transaction on the wire. The platform compares the last change of a key only, so a comparison
-/// with its creation holds for keys that are written once, as those of the authority are.
-fn transaction(txn: &Txn) -> Value {
-    let conditions = txn.compares.iter().map(|compare| {
-        let revision = match compare {
-            Compare::Absent(_) => 0,
-            Compare::Modified(_, revision) | Compare::Created(_, revision) => revision.get(),
-        };
-        json!({ "key": key(compare.path()), "rev": revision })
-    });
-    let puts = txn.writes.iter().filter_map(|write| match write {
-        Write::Put(path, value, lease) => Some(json!({
-            "key": key(path),
-            "value": STANDARD.encode(value),
-            "lease": lease.map_or(0, Lease::get),
-        })),
-        Write::Delete(_) => None,
-    });
-    let deletes = txn.writes.iter().filter_map(|write| match write {
-        Write::Delete(path) => Some(key(path)),
-        Write::Put(..) => None,
-    });
-    json!({
-        "precondition": conditions.collect::<Vec<_>>(),
-        "setKeys": puts.collect::<Vec<_>>(),
-        "deleteKeys": deletes.collect::<Vec<_>>(),
-    })
-}
-
 async fn send(call: awc::SendClientRequest) -> Result<(StatusCode, Bytes)> {
     let mut response = call.await.map_err(|error| {
         let executed = match &error {
@@ -378,48 +295,6 @@
     unavailable(&format!("the store answered {status}"))
 }
 
-/// The platform's key for a path.
-fn key(path: &Path) -> &str {
-    path.as_str().trim_start_matches('/')
-}
-
-fn path(key: &str) -> Option<Path> {
-    let path = format!("/{key}").parse();
-    path.inspect_err(|_| log::warn!(key = key; "key of the store is skipped: invalid name"))
-        .ok()
-}
-
-fn value(entry: &Entry) -> Option<Vec<u8>> {
-    let value = STANDARD.decode(&entry.value);
-    value
-        .inspect_err(|error| {
-            log::warn!(key = entry.key, error:% = error; "value of the store is skipped");
-        })
-        .ok()
-}
-
-fn item(entry: &Entry) -> Option<Item> {
-    Some(Item {
-        path: path(&entry.key)?,
-        value: value(entry)?,
-        created: Revision::new(entry.created),
-        modified: Revision::new(entry.rev),
-    })
-}
-
-fn event(entry: &Entry) -> Option<Event> {
-    let change = if entry.removed {
-        Change::Delete
-    } else {
-        Change::Put(value(entry)?)
-    };
-    Some(Event {
-        path: path(&entry.key)?,
-        change,
-        revision: Revision::new(entry.rev),
-    })
-}
-
 fn unavailable(detail: &str) -> Error {
     Error::new(Kind::StoreUnavailable, detail).with_executed(Executed::No)
 }
