Learn prefill rates and stream pauses from served requests

Cause: the cost of an endpoint rests on constants found on two sites (a prompt token at a decode engine costs 14, doubling at 3,000 tokens). They stand for two ratios that differ between deployments: how much slower decode engines prefill, and how much slack their streams have.

`forecast::Model` estimates both from the gateway's own requests: prompt tokens over the time until an answer begins, by stage and by engine; and the mean square of the pauses between events over the accepted pause. Old observations decay, so an estimate returns to its prior without traffic.

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -25,7 +25,7 @@
 const OUTAGE_HEARTBEATS: u32 = 2;
 
 /// Stage of generation in which an engine specializes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Stage {
     /// Processes prompts and transfers their KV cache to a decode engine.
     Prefill,
--- /dev/null
+++ b/src/forecast/imp.rs
@@ -0,0 +1,142 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use super::{Pace, average::Average};
+use crate::{
+    directory::{Instance, Stage},
+    id::{Endpoint, Service},
+    unit::{Rate, Tokens, as_f64},
+};
+
+/// Prefill rate assumed for engines that do not prefill at reduced speed, in tokens per second.
+const PREFILL_RATE_PRIOR: f64 = 60_000.0;
+/// Prefill rate assumed for decode engines, in tokens per second. They prefill in smaller chunks,
+/// between the tokens of their streams.
+const DECODE_PREFILL_RATE_PRIOR: f64 = 20_000.0;
+/// Prompt tokens after which observations of a stage outweigh the assumed rate.
+const STAGE_PRIOR_TOKENS: f64 = 200_000.0;
+/// Prompt tokens after which observations of one engine outweigh the rate of its stage.
+const ENGINE_PRIOR_TOKENS: f64 = 100_000.0;
+/// Observations with fewer prompt tokens say more about the network than about the engine.
+const OBSERVED_TOKENS_MIN: u64 = 1_000;
+/// Factor by which an estimated rate may differ from its prior. It bounds the effect of engines that
+/// report absurd progress.
+const RATE_RANGE: f64 = 8.0;
+/// Half-life of observations of the prefill rate.
+const RATE_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Pause pressure that is assumed without observations.
+const PRESSURE_PRIOR: f64 = 0.25;
+/// Number of pauses after which observations outweigh the assumed pressure.
+const PRESSURE_PRIOR_PAUSES: f64 = 200.0;
+/// Upper bound of the pause pressure, reached by streams that pause for twice the target.
+const PRESSURE_MAX: f64 = 4.0;
+/// Half-life of observed pauses, about the duration of a stream.
+const PRESSURE_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// The time that an engine took to begin its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// Prompt tokens to prefill before the answer: the request's own, and those queued before it.
+    pub tokens: Tokens,
+    /// Time from the selection of the engine to the first byte of its answer.
+    pub elapsed: Duration,
+}
+
+/// Estimates of engine performance, without I/O or a clock of its own.
+///
+/// An estimate without observations equals its prior, and returns to it when observations cease.
+#[derive(Clone, Debug, Default)]
+pub struct Model {
+    /// Seconds over prompt tokens.
+    stages: BTreeMap<(Service, Option<Stage>), Average>,
+    /// Seconds over prompt tokens.
+    engines: BTreeMap<Endpoint, Average>,
+    /// Squared relative pauses over pauses.
+    pauses: BTreeMap<Service, Average>,
+}
+
+impl Model {
+    /// Creates a model without observations.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records how long a successful answer took to begin.
+    pub fn record_prefill(&mut self, instance: &Instance, seen: Observation, now: Instant) {
+        if seen.tokens.get() < OBSERVED_TOKENS_MIN {
+            return;
+        }
+        let (seconds, tokens) = (seen.elapsed.as_secs_f64(), as_f64(seen.tokens.get()));
+        let stage = (instance.service.clone(), instance.stage);
+        let stages = self.stages.entry(stage);
+        stages
+            .or_insert_with(|| Average::new(RATE_HALF_LIFE, now))
+            .add(seconds, tokens, now);
+        let engines = self.engines.entry(instance.id.clone());
+        engines
+            .or_insert_with(|| Average::new(RATE_HALF_LIFE, now))
+            .add(seconds, tokens, now);
+    }
+
+    /// Records the pauses of a stream.
+    pub fn record_pace(&mut self, service: &Service, pace: Pace, now: Instant) {
+        if pace.pauses() > 0 {
+            let pauses = self.pauses.entry(service.clone());
+            pauses
+                .or_insert_with(|| Average::new(PRESSURE_HALF_LIFE, now))
+                .add(pace.squares(), f64::from(pace.pauses()), now);
+        }
+    }
+
+    /// Prompt tokens per second that the engines of a stage prefill, their waiting requests
+    /// included.
+    #[must_use]
+    pub fn stage_rate(&self, service: &Service, stage: Option<Stage>, now: Instant) -> Rate {
+        Rate::new(1.0 / self.stage_seconds(service, stage, now))
+    }
+
+    /// Prompt tokens per second that an engine prefills, its waiting requests included.
+    #[must_use]
+    pub fn engine_rate(&self, instance: &Instance, now: Instant) -> Rate {
+        let prior = self.stage_seconds(&instance.service, instance.stage, now);
+        let seconds = self.engines.get(&instance.id).map_or(prior, |seen| {
+            bounded(seen.ratio(prior, ENGINE_PRIOR_TOKENS, now), prior)
+        });
+        Rate::new(1.0 / seconds)
+    }
+
+    /// How close the streams of a service come to the longest accepted pause: the mean square of
+    /// each pause over its target, from 0 to 4. Around 1, delaying streams further makes them late.
+    #[must_use]
+    pub fn pause_pressure(&self, service: &Service, now: Instant) -> f64 {
+        let pressure = self.pauses.get(service).map_or(PRESSURE_PRIOR, |seen| {
+            seen.ratio(PRESSURE_PRIOR, PRESSURE_PRIOR_PAUSES, now)
+        });
+        pressure.min(PRESSURE_MAX)
+    }
+
+    /// Removes the engines for which `known` returns false.
+    pub fn retain(&mut self, known: impl Fn(&Endpoint) -> bool) {
+        self.engines.retain(|endpoint, _| known(endpoint));
+    }
+
+    /// Seconds per prompt token at the engines of a stage.
+    fn stage_seconds(&self, service: &Service, stage: Option<Stage>, now: Instant) -> f64 {
+        let prior = match stage {
+            Some(Stage::Decode) => DECODE_PREFILL_RATE_PRIOR.recip(),
+            Some(Stage::Prefill) | None => PREFILL_RATE_PRIOR.recip(),
+        };
+        let seen = self.stages.get(&(service.clone(), stage));
+        seen.map_or(prior, |seen| {
+            bounded(seen.ratio(prior, STAGE_PRIOR_TOKENS, now), prior)
+        })
+    }
+}
+
+fn bounded(estimate: f64, prior: f64) -> f64 {
+    estimate.clamp(prior / RATE_RANGE, prior * RATE_RANGE)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod edit;
 pub mod entry;
 pub mod error;
+pub mod forecast;
 pub mod forward;
 pub mod front;
 pub mod gate;
--- a/src/unit/imp.rs
+++ b/src/unit/imp.rs
@@ -337,3 +337,13 @@
 pub(crate) fn as_f64(number: u64) -> f64 {
     number as f64
 }
+
+/// Rounds an estimate to a count. Negative estimates become 0.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates"
+)]
+pub(crate) fn round(estimate: f64) -> u64 {
+    estimate.round() as u64
+}
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -16,8 +16,8 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use imp::as_f64;
 pub use imp::{Bytes, Error, Rate, Share, Tokens, Worth, period};
+pub(crate) use imp::{as_f64, round};
 
 /// Result of parsing a quantity.
 pub type Result<T> = std::result::Result<T, Error>;
