--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -1,8 +1,8 @@
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
-    Choose, Finish, LoadBalancer, MayRetry, Need, PeerCoverage, PeerDigest, PeerDisconnected,
-    Progress, SetInstances, TakeDigest, Ticket,
+    Choose, Finish, IsSilent, LoadBalancer, MayRetry, Need, PeerCoverage, PeerDigest,
+    PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket,
 };
 use crate::{clock::Shared, error::Result, id::Zone};
 
@@ -63,7 +63,7 @@
     fn handle(&mut self, Choose(demand): Choose, ctx: &mut Context<Self>) -> Self::Result {
         let now = self.clock.now();
         if demand.excluded.is_empty() && demand.need == Need::Start {
-            self.balancer.record_request(&demand.service, now);
+            self.balancer.record_request(&demand, now);
         }
         let choice = self.balancer.choose(&demand, now)?;
         let address = ctx.address();
@@ -96,6 +96,14 @@
     }
 }
 
+impl Handler<IsSilent> for Dispatcher {
+    type Result = MessageResult<IsSilent>;
+
+    fn handle(&mut self, msg: IsSilent, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.balancer.is_silent(&msg.endpoint, msg.since))
+    }
+}
+
 impl Handler<SetInstances> for Dispatcher {
     type Result = ();
 
--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -1,6 +1,6 @@
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use super::{
@@ -10,33 +10,34 @@
 };
 use crate::{
     directory::Stage,
+    forecast::Model,
     id::{Endpoint, Zone},
-    unit::{Tokens, as_f64},
+    unit::{Tokens, as_f64, round},
 };
 
 /// Prompt tokens waiting for prefill that are assumed for each request of a process that does not
 /// report its usage: about the mean of the tokens that requests leave to prefill.
 const PEER_PROMPT_TOKENS: f64 = 600.0;
-/// Cost of a request besides its prefill, in prompt tokens: it slows down the decode steps of the
-/// engine.
-const REQUEST_OVERHEAD_TOKENS: f64 = 100.0;
 /// Fraction of the less urgent backlog that a request waits for: an engine finishes the prefills
 /// that it has started.
 const LESS_URGENT_FRACTION: f64 = 0.5;
-/// Cost of a token prefilled at a decode engine, in prompt tokens. Prefill runs at half the speed
-/// there, and each step with a prefill chunk slows down all streams of the engine.
-const DECODE_PREFILL_FACTOR: f64 = 14.0;
-/// Prompt length at which the cost per token at a decode engine doubles: a long prompt slows down
-/// its streams for longer than their callers wait.
-const DECODE_PREFILL_SCALE_TOKENS: f64 = 3_000.0;
-/// Cost of prefilling a shared token that another engine has cached, in prompt tokens, besides the
-/// prefill itself: it evicts a cached prefix of other requests, which is prefilled again later.
+/// Cost of a request besides its prefill, in seconds: it slows down the decode steps of the engine.
+const REQUEST_OVERHEAD_SECONDS: f64 = 0.001_5;
+/// Cost of a second copy of a shared token, as a multiple of the time of its prefill: the copy evicts
+/// a cached prefix of other requests, which may have to be prefilled again later.
 const CACHE_EVICTION_FACTOR: f64 = 7.0;
-/// Cost of transferring a KV cache between engines, in prompt tokens: it takes a second request.
-const KV_TRANSFER_TOKENS: f64 = 400.0;
-/// Cost of an engine in another zone, in prompt tokens. It decides between endpoints with nearly
-/// the same load.
-const REMOTE_ZONE_TOKENS: f64 = 60.0;
+/// Time to start the transfer of a cached prefix between engines, in seconds.
+const KV_FETCH_SECONDS: f64 = 0.01;
+/// Tokens of a cached prefix that are transferred per second.
+const KV_FETCH_TOKENS_PER_SECOND: f64 = 1_000_000.0;
+/// Slowdown of a prefill at decode engines, compared with prefill engines, above which they keep no
+/// prefixes.
+const HOME_SLOWDOWN_MAX: f64 = 6.0;
+/// Cost of transferring a KV cache between engines, in seconds: it takes a second request.
+const KV_TRANSFER_SECONDS: f64 = 0.006;
+/// Cost of an engine in another zone, in seconds. It decides between endpoints with nearly the same
+/// load.
+const REMOTE_ZONE_SECONDS: f64 = 0.001;
 /// Cost of an endpoint of a plain service in another zone, in requests.
 const REMOTE_ZONE_REQUESTS: f64 = 0.5;
 
@@ -73,68 +74,186 @@
     }
 }
 
-/// The engine of a stage that is preferred for requests with the same affinity hash. Uses
-/// rendezvous hashing: when an engine is added or removed, only the requests that it serves move.
-pub(super) fn affinity_endpoint<'a>(
-    members: &[&'a Member],
-    stage: Option<Stage>,
+/// The engine that keeps a shared prefix. Uses rendezvous hashing with weights: when an engine is
+/// added or removed, or when weights change, only the prefixes that this concerns move.
+pub(super) fn home<'a>(
+    members: impl Iterator<Item = (&'a Endpoint, f64)>,
     affinity: u64,
 ) -> Option<&'a Endpoint> {
-    let weight = |endpoint: &Endpoint| {
+    let score = |endpoint: &Endpoint, weight: f64| {
         let mut hasher = DefaultHasher::new();
         (affinity, endpoint).hash(&mut hasher);
-        hasher.finish()
+        // The upper 53 bits, as a number between 0 and 1 that is neither.
+        let uniform = (as_f64(hasher.finish() >> 11) + 0.5) / as_f64(1 << 53);
+        -weight / uniform.ln()
     };
     members
-        .iter()
-        .filter(|member| member.instance.stage == stage)
-        .map(|member| &member.instance.id)
-        .max_by_key(|endpoint| weight(endpoint))
+        .filter(|(_, weight)| *weight > 0.0)
+        .map(|(endpoint, weight)| (score(endpoint, weight), endpoint))
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, endpoint)| endpoint)
 }
 
-/// Estimates the time to first token at an endpoint, in prompt tokens that an engine prefills in
-/// that time. For a plain service the cost is the number of requests per slot.
-pub(super) fn cost(
-    member: &Member,
-    demand: &Demand,
-    has_affinity: bool,
-    preferred_zone: &Zone,
-    peers: PeerLoad,
-) -> f64 {
-    let is_remote = member.instance.zone != *preferred_zone;
-    let in_flight = f64::from(member.in_flight);
-    if demand.prompt.get() == 0 {
-        let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
-        return (in_flight + peers.requests + 1.0 + zone) / f64::from(member.instance.slots.max(1));
+/// What a request would meet at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Placement {
+    /// Cost of the request at this endpoint, for its caller and for the other requests there, in
+    /// seconds. For a plain service it is the number of requests per slot.
+    pub(super) cost: f64,
+    /// Prompt tokens of the request to prefill.
+    pub(super) prefill: Tokens,
+    /// Prompt tokens to prefill until the endpoint answers, including those of the request.
+    pub(super) tokens_ahead: Tokens,
+    /// Whether the shared prefix is transferred from the engine that keeps it.
+    pub(super) fetches: bool,
+    /// Expected time until the endpoint answers; zero for a plain service.
+    pub(super) forecast: Duration,
+}
+
+/// An endpoint that may be selected, and what the peers do there.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    pub(super) member: &'a Member,
+    pub(super) peers: PeerLoad,
+}
+
+impl Candidate<'_> {
+    /// Requests in flight, of all processes.
+    fn requests(&self) -> f64 {
+        f64::from(self.member.in_flight) + self.peers.requests
     }
-    let prompt = as_f64(prefill_tokens(demand, has_affinity).get());
-    let eviction = if has_affinity || demand.need == Need::Decode {
-        0.0
-    } else {
-        as_f64(demand.shared_prefix.get()) * CACHE_EVICTION_FACTOR
-    };
-    let (urgent, less_urgent) = member.backlog.split(demand.rank);
-    let queued = as_f64(urgent)
-        + peers.urgent_tokens
-        + (as_f64(less_urgent) + peers.less_urgent_tokens) * LESS_URGENT_FRACTION;
-    let (prefill, transfer) = match (member.instance.stage, demand.need) {
-        (_, Need::Decode) => (0.0, 0.0),
-        (Some(Stage::Prefill), _) => (prompt, KV_TRANSFER_TOKENS),
-        (Some(Stage::Decode), _) => {
-            let slowdown = 1.0 + prompt / DECODE_PREFILL_SCALE_TOKENS;
-            (prompt * DECODE_PREFILL_FACTOR * slowdown, 0.0)
+}
+
+/// What is known of all endpoints of a service while a request is placed.
+pub(super) struct Conditions<'a> {
+    model: &'a Model,
+    /// Time to prefill a token at a prefill engine, in seconds.
+    prefill_seconds: f64,
+    pause_pressure: f64,
+    preferred_zone: &'a Zone,
+    home: Option<&'a Endpoint>,
+    now: Instant,
+}
+
+impl<'a> Conditions<'a> {
+    /// Collects the conditions for a request. `candidates` are all endpoints that may serve it.
+    pub(super) fn new(
+        model: &'a Model,
+        candidates: &[Candidate<'a>],
+        demand: &Demand,
+        preferred_zone: &'a Zone,
+        now: Instant,
+    ) -> Self {
+        let seconds = |stage| 1.0 / model.stage_rate(&demand.service, stage, now).get();
+        let prefill_seconds = seconds(Some(Stage::Prefill));
+        let pause_pressure = model.pause_pressure(&demand.service, now);
+        let decode_weight = {
+            let engines = candidates
+                .iter()
+                .filter(|candidate| candidate.member.instance.stage == Some(Stage::Decode));
+            let (count, requests) = engines.fold((0.0, 0.0), |(count, requests), engine| {
+                (count + 1.0, requests + engine.requests())
+            });
+            let streams: f64 = if count > 0.0 { requests / count } else { 0.0 };
+            let slowdown =
+                seconds(Some(Stage::Decode)) / prefill_seconds * (1.0 + streams * pause_pressure);
+            home_weight(slowdown)
+        };
+        let prefills =
+            |candidate: &Candidate<'_>| candidate.member.instance.stage != Some(Stage::Decode);
+        let any_prefills = candidates.iter().any(prefills);
+        let home = demand.affinity.and_then(|affinity| {
+            let weights = candidates.iter().map(|candidate| {
+                let weight = if !any_prefills || prefills(candidate) {
+                    1.0
+                } else {
+                    decode_weight
+                };
+                (&candidate.member.instance.id, weight)
+            });
+            home(weights, affinity)
+        });
+        Self {
+            model,
+            prefill_seconds,
+            pause_pressure,
+            preferred_zone,
+            home,
+            now,
         }
-        (None, _) => (prompt, 0.0),
-    };
-    let prefill_factor = match member.instance.stage {
-        Some(Stage::Decode) => DECODE_PREFILL_FACTOR,
-        _ => 1.0,
-    };
-    let zone = if is_remote { REMOTE_ZONE_TOKENS } else { 0.0 };
-    queued * prefill_factor
-        + prefill
-        + eviction
-        + transfer
-        + (in_flight + peers.requests) * REQUEST_OVERHEAD_TOKENS
-        + zone
+    }
+
+    /// The engine that keeps the shared prefix of the request.
+    pub(super) const fn home(&self) -> Option<&'a Endpoint> {
+        self.home
+    }
+
+    /// Estimates what a request would meet at an endpoint.
+    pub(super) fn place(&self, candidate: &Candidate<'_>, demand: &Demand) -> Placement {
+        let member = candidate.member;
+        let instance = &member.instance;
+        let is_remote = instance.zone != *self.preferred_zone;
+        let requests = candidate.requests();
+        if demand.prompt == Tokens::ZERO {
+            let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
+            return Placement {
+                cost: (requests + 1.0 + zone) / f64::from(instance.slots.max(1)),
+                prefill: Tokens::ZERO,
+                tokens_ahead: Tokens::ZERO,
+                fetches: false,
+                forecast: Duration::ZERO,
+            };
+        }
+        let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
+        let is_home = self.home == Some(&instance.id);
+        let shared = as_f64(demand.shared_prefix.get());
+        let fetch_seconds = KV_FETCH_SECONDS + shared / KV_FETCH_TOKENS_PER_SECOND;
+        let misses = !is_home && self.home.is_some() && demand.need != Need::Decode;
+        let fetches = misses && fetch_seconds < shared * seconds;
+        let fetch = if fetches { fetch_seconds } else { 0.0 };
+        let eviction = if misses {
+            shared * self.prefill_seconds * CACHE_EVICTION_FACTOR
+        } else {
+            0.0
+        };
+        let prefill = prefill_tokens(demand, is_home || fetches);
+        let (urgent, less_urgent) = member.backlog.split(demand.rank);
+        let queued = as_f64(urgent)
+            + candidate.peers.urgent_tokens
+            + (as_f64(less_urgent) + candidate.peers.less_urgent_tokens) * LESS_URGENT_FRACTION;
+        let wait = queued * seconds;
+        let own = as_f64(prefill.get()) * seconds;
+        let transfer = match instance.stage {
+            Some(Stage::Prefill) => KV_TRANSFER_SECONDS,
+            Some(Stage::Decode) | None => 0.0,
+        };
+        // Every stream that runs at the engine is delayed by the prefill.
+        let delayed_streams = match instance.stage {
+            Some(Stage::Prefill) => 0.0,
+            Some(Stage::Decode) | None => own * requests * self.pause_pressure,
+        };
+        let zone = if is_remote { REMOTE_ZONE_SECONDS } else { 0.0 };
+        let forecast = wait + own + fetch + transfer;
+        Placement {
+            cost: forecast
+                + delayed_streams
+                + eviction
+                + requests * REQUEST_OVERHEAD_SECONDS
+                + zone,
+            prefill,
+            tokens_ahead: Tokens::new(round(queued)) + prefill,
+            fetches,
+            forecast: Duration::from_secs_f64(forecast),
+        }
+    }
+}
+
+/// Share of the prefixes that a decode engine keeps, relative to a prefill engine, if a prefill
+/// costs `slowdown` times as much there. Rounded, so that processes with slightly different
+/// estimates agree on the home of each prefix.
+fn home_weight(slowdown: f64) -> f64 {
+    if slowdown > HOME_SLOWDOWN_MAX {
+        return 0.0;
+    }
+    0.5_f64.powf(slowdown.max(1.0).log2().round())
 }
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -1,21 +1,23 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
     Choice, Demand, Ending, Finish, Need, PeerCoverage, PeerDigest, Progress,
-    cost::{affinity_endpoint, cost, peer_load, prefill_tokens},
+    cost::{Candidate, Conditions, Placement, peer_load},
     failure::{FailureReports, Reporter},
     member::{Member, Report},
     peer_load::PeerLoads,
+    urgency::Urgency,
 };
 use crate::{
     directory::{Instance, Stage},
     error::{Error, Kind, Result},
+    forecast::{Model, Observation},
     id::{Endpoint, Service, Zone},
     invariant::{self, Invariant},
     link::Session,
@@ -27,6 +29,10 @@
 /// unreachable or closes a connection early is reported at once.
 const REPORTED_FAILURES_MIN: u32 = 2;
 
+/// Longest period after which a refused caller is asked to come back, as a fraction of the time to
+/// its deadline, so that enough time is left to serve it then.
+const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
+
 /// The state of all endpoints and the selection among them, without I/O or a clock of its own.
 #[derive(Debug)]
 pub struct LoadBalancer {
@@ -36,6 +42,8 @@
     ejector: Ejector,
     budgets: BTreeMap<Service, WindowBudget>,
     peer_loads: PeerLoads,
+    model: Model,
+    urgency: Urgency,
     failure_reports: FailureReports,
     /// Failed endpoints that have not been reported to peers yet.
     unreported_failures: BTreeSet<Endpoint>,
@@ -52,6 +60,8 @@
             ejector: Ejector::new(),
             budgets: BTreeMap::new(),
             peer_loads: PeerLoads::default(),
+            model: Model::new(),
+            urgency: Urgency::default(),
             failure_reports: FailureReports::default(),
             unreported_failures: BTreeSet::new(),
         }
@@ -72,6 +82,7 @@
         let known = |endpoint: &Endpoint| members.contains_key(endpoint);
         self.ejector.retain(known);
         self.failure_reports.retain(known);
+        self.model.retain(known);
         self.unreported_failures.retain(known);
         for service in self.services() {
             self.ejector.limit_ejections(&self.pool(&service), now);
@@ -84,8 +95,21 @@
     ///
     /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
-        let (endpoint, has_affinity) = self.select(demand, now)?;
-        let prefill = prefill_tokens(demand, has_affinity);
+        let rank = self.urgency.rank(demand, now);
+        let demand = &Demand {
+            rank,
+            ..demand.clone()
+        };
+        let Selection {
+            endpoint,
+            home,
+            placement,
+        } = self.select(demand, now)?;
+        check_forecast(demand, placement.forecast)?;
+        let prefill = placement.prefill;
+        let fetch_from = home
+            .and_then(|home| self.members.get(&home))
+            .map(|home| home.instance.address);
         let Some(member) = self.members.get_mut(&endpoint) else {
             return Err(Error::new(Kind::Internal, "the chosen endpoint is unknown"));
         };
@@ -98,6 +122,10 @@
             instance: Arc::clone(&member.instance),
             rank: demand.rank,
             prefill_tokens: prefill,
+            tokens_ahead: placement.tokens_ahead,
+            fetch_from,
+            forecast: placement.forecast,
+            selected_at: now,
             own_requests: member.in_flight,
             peer_requests: peer_load(&self.peer_loads, member, demand.rank, now).requests,
             report_age: member
@@ -106,10 +134,12 @@
         })
     }
 
-    /// Counts a first attempt towards the retry budget of its service.
-    pub fn record_request(&mut self, service: &Service, now: Instant) {
-        let budget = self.budgets.entry(service.clone()).or_default();
+    /// Counts the first attempt of a request towards the retry budget of its service, and its prompt
+    /// towards the lengths that are usual in its class.
+    pub fn record_request(&mut self, demand: &Demand, now: Instant) {
+        let budget = self.budgets.entry(demand.service.clone()).or_default();
         budget.record(now);
+        self.urgency.record(demand, now);
     }
 
     /// Handles the start of an answer: removes the prompt from the backlog of the endpoint and
@@ -117,6 +147,12 @@
     pub fn progress(&mut self, progress: &Progress, now: Instant) {
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
             member.backlog.subtract(progress.rank, progress.prompt);
+            member.last_answer = Some(now);
+            if let Some((tokens, selected_at)) = progress.prefill {
+                let elapsed = now.saturating_duration_since(selected_at);
+                let seen = Observation { tokens, elapsed };
+                self.model.record_prefill(&member.instance, seen, now);
+            }
             if let Some(load) = progress.load {
                 member.report = Some(Report {
                     load,
@@ -127,6 +163,16 @@
         }
     }
 
+    /// Returns whether an endpoint has answered no request since an instant. An endpoint that is not
+    /// listed any more is silent.
+    #[must_use]
+    pub fn is_silent(&self, endpoint: &Endpoint, since: Instant) -> bool {
+        let member = self.members.get(endpoint);
+        member
+            .and_then(|member| member.last_answer)
+            .is_none_or(|last| last <= since)
+    }
+
     /// Ends a request that [`LoadBalancer::choose`] placed and updates the health of its endpoint.
     pub fn finish(&mut self, finish: &Finish, now: Instant) {
         let endpoint = &finish.endpoint;
@@ -136,6 +182,12 @@
         member.in_flight = member.in_flight.saturating_sub(1);
         member.backlog.subtract(finish.rank, finish.prompt);
         let service = member.instance.service.clone();
+        if let Some(mut pace) = finish.pace {
+            if finish.ending != Ending::Served {
+                pace.break_off(now);
+            }
+            self.model.record_pace(&service, pace, now);
+        }
         match finish.ending {
             Ending::Served => {
                 member.record_success();
@@ -238,8 +290,8 @@
         budget.may_retry(now)
     }
 
-    /// Returns the endpoint with the lowest cost, and whether it has affinity to the request.
-    fn select(&mut self, demand: &Demand, now: Instant) -> Result<(Endpoint, bool)> {
+    /// Returns the endpoint with the lowest cost.
+    fn select(&mut self, demand: &Demand, now: Instant) -> Result<Selection> {
         let eligible: Vec<&Member> = self
             .members
             .values()
@@ -264,24 +316,31 @@
         } else {
             healthy
         };
-        let affine: BTreeSet<&Endpoint> = [Some(Stage::Prefill), Some(Stage::Decode), None]
+        let candidates: Vec<Candidate<'_>> = candidates
             .into_iter()
-            .filter_map(|stage| affinity_endpoint(&candidates, stage, demand.affinity?))
+            .map(|member| Candidate {
+                member,
+                peers: peer_load(&self.peer_loads, member, demand.rank, now),
+            })
             .collect();
         let preferred_zone = demand.preferred_zone.as_ref().unwrap_or(&self.zone);
+        let conditions = Conditions::new(&self.model, &candidates, demand, preferred_zone, now);
         let best = candidates
             .iter()
-            .map(|member| {
-                let has_affinity = affine.contains(&member.instance.id);
+            .map(|candidate| {
                 // Jitter keeps processes that see the same load from all selecting the same
                 // endpoint.
                 let jitter = self.rng.random_range(1.0..1.05);
-                let peers = peer_load(&self.peer_loads, member, demand.rank, now);
-                let cost = cost(member, demand, has_affinity, preferred_zone, peers) * jitter;
-                (cost, &member.instance.id, has_affinity)
+                let placement = conditions.place(candidate, demand);
+                let endpoint = &candidate.member.instance.id;
+                (placement.cost * jitter, endpoint, placement)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0));
-        let selected = best.map(|(_, endpoint, has_affinity)| (endpoint.clone(), has_affinity));
+        let selected = best.map(|(_, endpoint, placement)| Selection {
+            endpoint: endpoint.clone(),
+            home: conditions.home().filter(|_| placement.fetches).cloned(),
+            placement,
+        });
         selected.ok_or_else(|| {
             let detail = format!("no endpoint of {} can take the request", demand.service);
             Error::new(Kind::NoEndpoint, detail)
@@ -304,6 +363,35 @@
     }
 }
 
+/// Refuses a request that even the best endpoint is not expected to answer in time, so that its
+/// caller learns at once that it has to come back later. Without this, requests wait in the engines
+/// in order of arrival until they are too late, and under overload none is served in time.
+fn check_forecast(demand: &Demand, forecast: Duration) -> Result<()> {
+    let excess = forecast.saturating_sub(demand.remaining);
+    // A request that has been sent before may be half done, so it is tried to the end.
+    let first = demand.need == Need::Start && demand.excluded.is_empty();
+    if !first || excess.is_zero() {
+        return Ok(());
+    }
+    let longest = demand.remaining.mul_f64(RETRY_AFTER_FRACTION_MAX);
+    metrics::counter!("forecast_refusals_total", "service" => demand.service.to_string())
+        .increment(1);
+    let detail = format!(
+        "not run: an answer is expected after {} ms, the deadline is in {} ms",
+        forecast.as_millis(),
+        demand.remaining.as_millis()
+    );
+    Err(Error::new(Kind::Overloaded, detail).with_retry_after(excess.min(longest)))
+}
+
+/// The endpoint that is selected for a request.
+struct Selection {
+    endpoint: Endpoint,
+    /// The engine from which the shared prefix is transferred.
+    home: Option<Endpoint>,
+    placement: Placement,
+}
+
 fn is_eligible(member: &Member, demand: &Demand) -> bool {
     let instance = &member.instance;
     instance.service == demand.service
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -27,6 +27,8 @@
     /// Failures since the last request that was served.
     pub(super) failures: u32,
     pub(super) backoff_until: Option<Instant>,
+    /// When it last began to answer a request.
+    pub(super) last_answer: Option<Instant>,
 }
 
 /// A load report of an endpoint.
@@ -49,6 +51,7 @@
             rejections: 0,
             failures: 0,
             backoff_until: None,
+            last_answer: None,
         }
     }
 
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -1,4 +1,8 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix::Message;
 
@@ -6,6 +10,7 @@
 use crate::{
     directory::Instance,
     error::Result,
+    forecast::Pace,
     id::{Endpoint, Service, Zone},
     link::Session,
     unit::Tokens,
@@ -41,6 +46,8 @@
     /// Hash of the shared prefix. Requests with the same hash prefer the same engine, which has the
     /// prefix cached.
     pub affinity: Option<u64>,
+    /// Time until the deadline of the request.
+    pub remaining: Duration,
     /// Endpoints to exclude, because they have failed or rejected this request.
     pub excluded: Vec<Endpoint>,
     /// Zone that holds the KV cache, preferred over the zone of the process.
@@ -58,10 +65,21 @@
 pub struct Choice {
     /// Directory record of the endpoint.
     pub instance: Arc<Instance>,
-    /// Priority rank of the request, 0 is the most urgent.
+    /// Priority rank of the request at the endpoint, 0 is the most urgent. Within a configured rank
+    /// it differs by the size of requests.
     pub rank: u8,
     /// Prompt tokens that the endpoint has to prefill for the request.
     pub prefill_tokens: Tokens,
+    /// Prompt tokens that the endpoint is expected to prefill before it answers, including those of
+    /// the request itself.
+    pub tokens_ahead: Tokens,
+    /// Engine that is expected to have the shared prefix cached, if the selected one has not. Its
+    /// copy is transferred, which is faster than a second prefill.
+    pub fetch_from: Option<SocketAddr>,
+    /// Expected time until the endpoint answers; zero for a plain service.
+    pub forecast: Duration,
+    /// When the endpoint was selected.
+    pub selected_at: Instant,
     /// Requests of this process in flight there, including this one.
     pub own_requests: u32,
     /// Requests of peer processes in flight there: what the peers report, else an estimate from the
@@ -94,6 +112,9 @@
     pub prompt: Tokens,
     /// Load that the endpoint sent with the answer, if any.
     pub load: Option<Load>,
+    /// Prompt tokens that were ahead of a successful answer, and when the endpoint was selected;
+    /// `None` for an answer that says nothing about the speed of the endpoint.
+    pub prefill: Option<(Tokens, Instant)>,
 }
 
 /// How a request ended at an endpoint.
@@ -125,6 +146,8 @@
     pub prompt: Tokens,
     /// Outcome, which updates the health of the endpoint.
     pub ending: Ending,
+    /// Pauses of the stream, if the request was answered with one.
+    pub pace: Option<Pace>,
 }
 
 /// Asks whether the retry budget of a service allows another attempt, and counts it if so.
@@ -132,6 +155,16 @@
 #[rtype(result = "bool")]
 pub struct MayRetry(pub Service);
 
+/// Asks whether an endpoint has answered no request of this process since an instant.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "bool")]
+pub struct IsSilent {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Start of the silence.
+    pub since: Instant,
+}
+
 /// Asks for the digest for peers: the usage of each endpoint with requests of this process in
 /// flight, and the endpoints that failed since the last digest.
 #[derive(Clone, Copy, Debug, Message)]
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -15,12 +15,13 @@
 #[cfg(test)]
 mod tests;
 mod ticket;
+mod urgency;
 
 pub use actor::{Config, Dispatcher, spawn};
 pub use backlog::Backlog;
 pub use imp::LoadBalancer;
 pub use message::{
-    Choice, Choose, Demand, Ending, Finish, Load, MayRetry, Need, PeerCoverage, PeerDigest,
-    PeerDisconnected, Progress, SetInstances, TakeDigest,
+    Choice, Choose, Demand, Ending, Finish, IsSilent, Load, MayRetry, Need, PeerCoverage,
+    PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest,
 };
 pub use ticket::Ticket;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock::System,
     directory::{Instance, Stage},
+    forecast::Pace,
     id::{Endpoint, Zone},
     link::Session,
     testing::with_paused_time,
@@ -40,6 +41,7 @@
         prompt: Tokens::new(prompt),
         shared_prefix: Tokens::new(prompt / 2),
         affinity,
+        remaining: Duration::from_mins(1),
         excluded: Vec::new(),
         preferred_zone: None,
     }
@@ -51,6 +53,7 @@
         rank: choice.rank,
         prompt: Tokens::new(prompt),
         ending,
+        pace: None,
     }
 }
 
@@ -164,6 +167,180 @@
     );
 }
 
+/// Reports streams of the engines whose events arrive at this pause, if 200 ms are accepted.
+fn report_streams(balancer: &mut LoadBalancer, pause: Duration, now: Instant) {
+    for _ in 0..50 {
+        let decode = demand("lm", Need::Decode, 100, None);
+        let choice = balancer.choose(&decode, now).expect("a decode engine");
+        let deadline = now + Duration::from_mins(1);
+        let mut pace = Pace::new(Duration::from_millis(200), deadline);
+        (0..50).for_each(|event| pace.record(now + pause * event));
+        let mut finish = finish(&choice, 0, Ending::Served);
+        finish.pace = Some(pace);
+        balancer.finish(&finish, now);
+    }
+}
+
+/// Counts the requests that go to decode engines in a burst of long prompts, while each decode
+/// engine runs ten streams.
+fn prompts_at_decode_engines(pause: Duration) -> usize {
+    let (mut balancer, now) = balancer(engines());
+    report_streams(&mut balancer, pause, now);
+    choices(
+        &mut balancer,
+        &demand("lm", Need::Decode, 100, None),
+        20,
+        now,
+    );
+    let burst = demand("lm", Need::Start, 8_000, None);
+    let chosen = choices(&mut balancer, &burst, 30, now);
+    chosen.iter().filter(|id| id.starts_with('d')).count()
+}
+
+/// Guards against decode engines that idle while prompts wait for prefill engines, and against
+/// prompts that make the streams of decode engines late. The load is a burst of long prompts.
+#[test]
+fn decode_engines_take_prompts_as_far_as_their_streams_allow() {
+    let pauses = [10, 50, 100, 200, 400].map(Duration::from_millis);
+    let counts = pauses.map(|pause| (pause, prompts_at_decode_engines(pause)));
+    insta::assert_debug_snapshot!(counts);
+}
+
+/// Guards against a shared prefix that is prefilled again, or that waits in the queue of the engine
+/// that has it cached, while another engine could take a copy. The load is one popular prefix.
+#[test]
+fn shared_prefix_is_copied_from_a_busy_engine() {
+    let (mut balancer, now) = balancer(engines());
+    let mut demand = demand("lm", Need::Start, 8_000, Some(7));
+    demand.shared_prefix = Tokens::new(6_000);
+    let home = balancer.choose(&demand, now).expect("an engine");
+    let chosen: Vec<_> = (0..40)
+        .map(|_| balancer.choose(&demand, now).expect("an engine"))
+        .collect();
+    let (at_home, copies): (Vec<_>, Vec<_>) = chosen
+        .iter()
+        .partition(|choice| choice.instance.id == home.instance.id);
+    assert!(at_home.iter().all(|choice| choice.fetch_from.is_none()));
+    let source = Some(home.instance.address);
+    assert!(copies.iter().all(|choice| choice.fetch_from == source));
+    let prefilled = copies.iter().map(|choice| choice.prefill_tokens.get());
+    insta::assert_debug_snapshot!((at_home.len(), copies.len(), prefilled.max()));
+}
+
+/// Counts the prefixes of 600 that each engine keeps, if streams pause for this time.
+fn homes(pause: Duration) -> Vec<(String, usize)> {
+    let (mut balancer, now) = balancer(engines());
+    report_streams(&mut balancer, pause, now);
+    choices(
+        &mut balancer,
+        &demand("lm", Need::Decode, 100, None),
+        20,
+        now,
+    );
+    let mut counts = std::collections::BTreeMap::new();
+    for affinity in 0..600 {
+        let mut demand = demand("lm", Need::Start, 8_000, Some(affinity));
+        demand.shared_prefix = Tokens::new(7_900);
+        let choice = balancer.choose(&demand, now).expect("an engine");
+        *counts.entry(choice.instance.id.to_string()).or_default() += 1;
+        balancer.finish(&finish(&choice, 100, Ending::Served), now);
+    }
+    counts.into_iter().collect()
+}
+
+/// Guards against prefixes that crowd the memory of the prefill engines while that of the decode
+/// engines is free, and against decode engines that keep prefixes which they had better not prefill.
+#[test]
+fn prefixes_are_kept_by_all_engines_that_can_prefill_them() {
+    let pauses = [10, 400].map(Duration::from_millis);
+    insta::assert_debug_snapshot!(pauses.map(|pause| (pause, homes(pause))));
+}
+
+/// Describes what becomes of a request while peers have this many tokens waiting at each engine.
+fn fate(waiting: &[(&str, u64)], remaining: Duration) -> String {
+    let (mut balancer, now) = balancer(engines());
+    let usages = waiting
+        .iter()
+        .map(|(engine, tokens)| usage(engine, 1, &[(0, *tokens)]));
+    balancer.apply_peer_digest(usage_digest(Session::next(), usages.collect()), now);
+    let mut demand = demand("lm", Need::Start, 4_000, None);
+    demand.remaining = remaining;
+    match balancer.choose(&demand, now) {
+        Ok(choice) => format!("sent to {}", choice.instance.id),
+        Err(error) => format!("{}, retry after {:?}", error.kind(), error.retry_after()),
+    }
+}
+
+/// Guards against requests that wait in engines until their deadline although all queues are known
+/// to be too long, and against the refusal of a request that one engine can serve. The load is an
+/// overload of all engines.
+#[test]
+fn requests_are_refused_only_if_every_forecast_misses_the_deadline() {
+    let queue = |tokens| ["p1", "p2", "d1", "d2"].map(|engine| (engine, tokens));
+    let one_free = [("p1", 900_000), ("p2", 900_000), ("d1", 900_000)];
+    let second = Duration::from_secs(1);
+    insta::assert_debug_snapshot!([
+        ("idle", fate(&[], second)),
+        ("short queues", fate(&queue(20_000), second)),
+        ("long queues", fate(&queue(900_000), second)),
+        (
+            "long queues, far deadline",
+            fate(&queue(900_000), second * 60)
+        ),
+        ("one engine is free", fate(&one_free, second)),
+    ]);
+}
+
+/// Guards against a class whose largest requests are never served because smaller ones overtake
+/// them, and against configured ranks that change their order.
+#[test]
+fn large_requests_precede_others_of_their_rank_only() {
+    let (mut balancer, now) = balancer(engines());
+    for rank in 0..3 {
+        for prompt in [1_000, 1_500, 2_000, 2_500, 9_000] {
+            let mut typical = demand("lm", Need::Start, prompt, None);
+            typical.rank = rank;
+            balancer.record_request(&typical, now);
+        }
+    }
+    // Each with the rank at the engines of a large and of a small request. The last one is that of a
+    // large request after a rank was seen with which there are too many to split them.
+    let mut ranks = Vec::new();
+    for rank in [0, 1, 2, 4, 9] {
+        let mut of = |prompt| {
+            let mut demand = demand("lm", Need::Start, prompt, None);
+            demand.rank = rank;
+            balancer.choose(&demand, now).expect("an engine").rank
+        };
+        ranks.push((rank, of(9_000), of(1_000)));
+    }
+    let mut least_urgent = demand("lm", Need::Start, 1_000, None);
+    least_urgent.rank = 9;
+    balancer.record_request(&least_urgent, now);
+    let choice = balancer.choose(&demand("lm", Need::Start, 9_000, None), now);
+    ranks.push((1, choice.expect("an engine").rank, 0));
+    insta::assert_debug_snapshot!(ranks);
+}
+
+/// Guards against a busy endpoint being taken for a dead one.
+#[test]
+fn endpoint_that_answers_others_is_not_silent() {
+    let (mut balancer, now) = balancer(services());
+    let endpoint: Endpoint = "s1".parse().expect("a valid name");
+    let later = now + Duration::from_secs(1);
+    assert!(balancer.is_silent(&endpoint, now));
+    let answer = Progress {
+        endpoint: endpoint.clone(),
+        rank: 0,
+        prompt: Tokens::ZERO,
+        load: None,
+        prefill: None,
+    };
+    balancer.progress(&answer, later);
+    assert!(!balancer.is_silent(&endpoint, now));
+    assert!(balancer.is_silent(&endpoint, later));
+}
+
 /// Guards against requests to endpoints that are draining, were already tried, or have failed.
 #[test]
 fn ineligible_endpoints_are_skipped() {
@@ -228,6 +405,7 @@
             waiting: 4,
             slots: 4,
         }),
+        prefill: None,
     };
     balancer.progress(&busy, now);
     let demand = demand("print", Need::Start, 0, None);
@@ -246,10 +424,11 @@
     let granted =
         |balancer: &mut LoadBalancer| (0..40).filter(|_| balancer.may_retry(&print, now)).count();
     let without_requests = granted(&mut balancer);
-    let models = "lm".parse().expect("a valid name");
+    let models = demand("lm", Need::Start, 1_000, None);
     (0..100).for_each(|_| balancer.record_request(&models, now));
     let after_others = granted(&mut balancer);
-    (0..100).for_each(|_| balancer.record_request(&print, now));
+    let prints = demand("print", Need::Start, 0, None);
+    (0..100).for_each(|_| balancer.record_request(&prints, now));
     let after_same = granted(&mut balancer);
     insta::assert_debug_snapshot!([without_requests, after_others, after_same]);
 }
@@ -409,6 +588,7 @@
             rank: 1,
             prompt: Tokens::ZERO,
             ending: Ending::Abandoned,
+            pace: None,
         };
         balancer.finish(&finish, now);
     }
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -1,7 +1,9 @@
+use std::time::{Duration, Instant};
+
 use actix::Recipient;
 
 use super::{Choice, Ending, Finish, Load, Progress};
-use crate::unit::Tokens;
+use crate::{forecast::Pace, unit::Tokens};
 
 /// The permit to send a request to the selected endpoint.
 ///
@@ -16,6 +18,7 @@
     progress: Recipient<Progress>,
     finish: Recipient<Finish>,
     ending: Ending,
+    pace: Option<Pace>,
 }
 
 impl Ticket {
@@ -30,6 +33,7 @@
             progress,
             finish,
             ending: Ending::Abandoned,
+            pace: None,
         }
     }
 
@@ -40,17 +44,32 @@
     }
 
     /// Reports that the endpoint has begun to answer, which means that its prefill is done. `load`
-    /// is the load that the endpoint sent with the answer, if any.
-    pub fn record_first_response(&mut self, load: Option<Load>) {
+    /// is the load that the endpoint sent with the answer, if any. Only a successful answer tells
+    /// how fast the endpoint is; a rejection may come without any work.
+    pub fn record_first_response(&mut self, load: Option<Load>, succeeded: bool) {
         let prompt = std::mem::replace(&mut self.pending_prefill, Tokens::ZERO);
         self.progress.do_send(Progress {
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
             prompt,
             load,
+            prefill: succeeded.then_some((self.choice.tokens_ahead, self.choice.selected_at)),
         });
     }
 
+    /// Starts to record the pauses of a stream whose caller accepts pauses of up to `target` and
+    /// waits until `deadline`.
+    pub const fn start_stream(&mut self, target: Duration, deadline: Instant) {
+        self.pace = Some(Pace::new(target, deadline));
+    }
+
+    /// Records the arrival of an event of the stream.
+    pub fn record_event(&mut self, now: Instant) {
+        if let Some(pace) = &mut self.pace {
+            pace.record(now);
+        }
+    }
+
     /// Ends the request at this endpoint with the given outcome.
     pub fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -64,6 +83,7 @@
             rank: self.choice.rank,
             prompt: self.pending_prefill,
             ending: self.ending,
+            pace: self.pace,
         });
     }
 }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,4 +1,5 @@
 use std::{
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -14,7 +15,7 @@
 use crate::{
     clock::Shared,
     directory::Stage,
-    dispatch::{Choose, Demand, Ending, MayRetry, Need, Ticket},
+    dispatch::{Choice, Choose, Demand, Ending, IsSilent, MayRetry, Need, Ticket},
     error::{Error, Executed, Kind},
     id::{Endpoint, Service, Zone},
     invariant::{self, Invariant},
@@ -33,6 +34,8 @@
 const ATTEMPT_TIMEOUT_TARGETS: u32 = 4;
 /// Lower bound of that timeout. Shorter timeouts repeat work in every burst.
 const ATTEMPT_TIMEOUT_MIN: Duration = Duration::from_millis(600);
+/// Time after which an engine without an answer counts as silent, as a multiple of the forecast.
+const SILENT_FORECASTS: u32 = 4;
 /// Upper bound of that timeout, as a fraction of the time to the deadline.
 const ATTEMPT_TIMEOUT_FRACTION: f64 = 0.6;
 /// Wait beyond the deadline for a response; the endpoint may still respond in this time.
@@ -53,6 +56,8 @@
     pub choose: Recipient<Choose>,
     /// Grants retries within the retry budget of the service.
     pub may_retry: Recipient<MayRetry>,
+    /// Tells busy endpoints from silent ones.
+    pub is_silent: Recipient<IsSilent>,
     /// Sends attempts to endpoints.
     pub upstream: Rc<dyn Upstream>,
     /// Time source of deadlines and latencies.
@@ -70,12 +75,7 @@
         return Err(Error::new(Kind::NoEndpoint, "the route has no service"));
     };
     let timeout = call.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let log = RequestLog::new(
-        call.id.clone(),
-        route.name.clone(),
-        call.arrived,
-        Arc::clone(&ports.clock),
-    );
+    let log = RequestLog::new(&call, route.name.clone(), Arc::clone(&ports.clock));
     let mut exchange = Exchange {
         deadline: call.arrived + timeout,
         call: Rc::new(call),
@@ -145,6 +145,7 @@
                 return Err(self.give_up("the deadline has passed"));
             }
             let ticket = self.choose(need, None).await?;
+            self.log.placed(ticket.choice());
             let prefills = ticket.choice().instance.stage == Some(Stage::Prefill);
             let (ticket, step) = if prefills {
                 need = Need::PrefillAndDecode;
@@ -171,34 +172,40 @@
     ) -> Result<Option<(Ticket, Step)>> {
         let instance = Arc::clone(&ticket.choice().instance);
         let attempt = self.new_attempt(&ticket, Step::Prefill, resume_after);
-        let outcome = time::timeout(self.remaining(), self.ports.upstream.send(attempt)).await;
-        let outcome =
-            outcome.unwrap_or_else(|_elapsed| Err(SendError::Lost("too late".to_owned())));
+        let limit = silent_after(ticket.choice().forecast);
+        let sent = self.ports.upstream.send(attempt);
+        let outcome = self.wait_for_answer(ticket.choice(), sent, limit).await;
         let handle = match outcome {
-            Ok(EndpointResponse {
+            Some(Ok(EndpointResponse {
                 cache: Some(handle),
                 load,
                 ..
-            }) => {
+            })) => {
                 let mut ticket = ticket;
-                ticket.record_first_response(load);
+                ticket.record_first_response(load, true);
                 ticket.end(Ending::Served);
                 handle
             }
-            Ok(response) => {
-                let ending = ending_of(&response, true);
+            Some(Ok(response)) => {
                 self.log
                     .retried(&format!("prefill: status {}", response.status));
-                ticket.end(ending);
+                ticket.end(self.ending_of(&response, true));
                 self.excluded.push(instance.id.clone());
                 return self.check_prefill_retry().await.map(|()| None);
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
                 ticket.end(Ending::Lost);
                 self.excluded.push(instance.id.clone());
                 return self.check_prefill_retry().await.map(|()| None);
             }
+            None => {
+                self.log.retried("prefill: no answer in time");
+                let ending = self.ending_of_timeout(ticket.choice()).await;
+                ticket.end(ending);
+                self.excluded.push(instance.id.clone());
+                return self.check_prefill_retry().await.map(|()| None);
+            }
         };
         let cache = KvCache {
             source: instance.address,
@@ -215,6 +222,9 @@
 
     /// Fails unless the retry budget allows another attempt after a failed prefill.
     async fn check_prefill_retry(&mut self) -> Result<()> {
+        if self.remaining() <= RETRY_TIME_MIN {
+            return Err(self.give_up("the deadline has passed"));
+        }
         if self.spend_retry_budget().await? {
             return Ok(());
         }
@@ -236,32 +246,36 @@
         self.log.sent(ticket.choice(), what);
         self.sends += 1;
         let attempt = self.new_attempt(&ticket, step, resume_after);
-        let sent = time::timeout(self.attempt_timeout(), self.ports.upstream.send(attempt)).await;
+        let sent = self.ports.upstream.send(attempt);
+        let outcome = self
+            .wait_for_answer(ticket.choice(), sent, self.attempt_timeout())
+            .await;
         let id = ticket.choice().instance.id.clone();
-        let decision = match sent {
-            Ok(Ok(response)) => {
-                ticket.record_first_response(response.load);
+        let decision = match outcome {
+            Some(Ok(response)) => {
+                ticket.record_first_response(response.load, response.status < 300);
                 match self.classify(&response).await? {
                     None => return Ok(Some(Accepted { response, ticket })),
                     Some(decision) => {
-                        ticket.end(ending_of(&response, false));
+                        ticket.end(self.ending_of(&response, false));
                         decision
                     }
                 }
             }
-            Ok(Err(SendError::NotSent(detail))) => {
+            Some(Err(SendError::NotSent(detail))) => {
                 ticket.end(Ending::Lost);
                 self.sends -= 1;
                 self.refused_connections += 1;
                 self.after_refused_connection(&detail)
             }
-            Ok(Err(SendError::Lost(detail))) => {
+            Some(Err(SendError::Lost(detail))) => {
                 ticket.end(Ending::Lost);
                 self.may_have_run = true;
                 self.after_possible_execution(&detail).await?
             }
-            Err(_elapsed) => {
-                ticket.end(Ending::Failed);
+            None => {
+                let ending = self.ending_of_timeout(ticket.choice()).await;
+                ticket.end(ending);
                 self.may_have_run = true;
                 self.after_possible_execution("no answer in time").await?
             }
@@ -307,6 +321,64 @@
         timeout.min(remaining.mul_f64(ATTEMPT_TIMEOUT_FRACTION))
     }
 
+    /// Waits for an answer until the deadline, or for `limit` if the endpoint is silent: if it has
+    /// answered no request since it was selected. Otherwise it is only busy, and a second attempt
+    /// would add work and wait again. Returns `None` without an answer.
+    async fn wait_for_answer(
+        &self,
+        choice: &Choice,
+        sent: impl Future<Output = std::result::Result<EndpointResponse, SendError>>,
+        limit: Duration,
+    ) -> Option<std::result::Result<EndpointResponse, SendError>> {
+        let mut sent = pin!(sent);
+        let mut limit = limit;
+        loop {
+            let remaining = self.remaining() + DEADLINE_GRACE;
+            match time::timeout(limit.min(remaining), sent.as_mut()).await {
+                Ok(answer) => return Some(answer),
+                Err(_elapsed) if limit >= remaining => return None,
+                Err(_elapsed) => {}
+            }
+            if self.is_silent(choice).await {
+                return None;
+            }
+            limit = ATTEMPT_TIMEOUT_MIN;
+        }
+    }
+
+    /// Returns whether the endpoint has answered no request since it was selected.
+    async fn is_silent(&self, choice: &Choice) -> bool {
+        let asked = self.ports.is_silent.send(IsSilent {
+            endpoint: choice.instance.id.clone(),
+            since: choice.selected_at,
+        });
+        // Without the dispatcher the process is stopping.
+        asked.await.unwrap_or(false)
+    }
+
+    /// How an attempt without an answer ended: as a failure if the endpoint is silent for much longer
+    /// than expected. Otherwise the request waited in its queue until the deadline.
+    async fn ending_of_timeout(&self, choice: &Choice) -> Ending {
+        let waited = self.ports.clock.now() - choice.selected_at;
+        if waited >= silent_after(choice.forecast) && self.is_silent(choice).await {
+            Ending::Failed
+        } else {
+            Ending::Abandoned
+        }
+    }
+
+    /// How the attempt ended at its endpoint, judged by the head of the response.
+    fn ending_of(&self, response: &EndpointResponse, prefill: bool) -> Ending {
+        match response.execution {
+            // The deadline passed in the queue of the endpoint, which is not full.
+            Execution::Rejected if self.remaining() <= RETRY_TIME_MIN => Ending::Abandoned,
+            Execution::Rejected => Ending::Rejected,
+            Execution::Replaced => Ending::Replaced,
+            Execution::MayHaveRun if response.status >= 500 || prefill => Ending::Failed,
+            Execution::MayHaveRun => Ending::Served,
+        }
+    }
+
     async fn after_possible_execution(&mut self, why: &str) -> Result<Decision> {
         let allowed = self.route.kind.is_repeatable() && self.sends < self.route.attempts;
         if allowed && self.remaining() > RETRY_TIME_MIN && self.spend_retry_budget().await? {
@@ -378,6 +450,7 @@
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
             shared_prefix: generation.map_or(Tokens::ZERO, |generation| generation.shared),
             affinity: generation.and_then(|generation| generation.affinity),
+            remaining: self.remaining(),
             excluded: self.excluded.clone(),
             preferred_zone,
         };
@@ -389,6 +462,9 @@
                 // have run it.
                 if self.may_have_run {
                     Error::new(Kind::EndpointLost, error.detail())
+                } else if error.kind() == Kind::Overloaded {
+                    // The dispatcher knows when to come back.
+                    error
                 } else {
                     error.with_retry_after(
                         self.remaining()
@@ -404,7 +480,8 @@
             call: Rc::clone(&self.call),
             instance: Arc::clone(&ticket.choice().instance),
             remaining: self.remaining(),
-            rank: self.route.rank,
+            rank: ticket.choice().rank,
+            fetch_from: ticket.choice().fetch_from,
             step,
             resume_after,
         }
@@ -446,14 +523,10 @@
     }
 }
 
-/// How the attempt ended at its endpoint, judged by the head of the response.
-fn ending_of(response: &EndpointResponse, prefill: bool) -> Ending {
-    match response.execution {
-        Execution::Rejected => Ending::Rejected,
-        Execution::Replaced => Ending::Replaced,
-        Execution::MayHaveRun if response.status >= 500 || prefill => Ending::Failed,
-        Execution::MayHaveRun => Ending::Served,
-    }
+/// Time without an answer after which an endpoint counts as silent, if an answer was expected after
+/// `forecast`.
+fn silent_after(forecast: Duration) -> Duration {
+    (forecast * SILENT_FORECASTS).max(ATTEMPT_TIMEOUT_MIN)
 }
 
 fn dispatcher_stopped(error: MailboxError) -> Error {
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -117,6 +117,8 @@
     pub rank: u8,
     /// The part to execute.
     pub step: Step,
+    /// Engine that transfers its copy of the shared prefix to the endpoint.
+    pub fetch_from: Option<SocketAddr>,
     /// The last event that was received, if a stream is resumed.
     pub resume_after: Option<EventId>,
 }
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -1,9 +1,11 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::Call;
 use crate::{
     clock::Shared,
     dispatch::Choice,
     id::{self, Endpoint},
+    unit::Tokens,
 };
 
 /// Collects the outcome of a request. Logs it and records the latency metrics when dropped, so that
@@ -15,6 +17,10 @@
     clock: Shared,
     arrived: Instant,
     answered_at: Option<Instant>,
+    prompt: Option<Tokens>,
+    /// Expected time until the first engine answers, and the prompt tokens that it has to prefill
+    /// until then.
+    forecast: Option<(Duration, Tokens)>,
     endpoint: Option<Endpoint>,
     sends: u32,
     status: u16,
@@ -22,18 +28,15 @@
 }
 
 impl RequestLog {
-    pub(super) fn new(
-        call: Option<id::Call>,
-        route: id::Route,
-        arrived: Instant,
-        clock: Shared,
-    ) -> Self {
+    pub(super) fn new(call: &Call, route: id::Route, clock: Shared) -> Self {
         Self {
-            call,
+            call: call.id.clone(),
             route,
             clock,
-            arrived,
+            arrived: call.arrived,
             answered_at: None,
+            prompt: call.generation.map(|generation| generation.prompt),
+            forecast: None,
             endpoint: None,
             sends: 0,
             status: 0,
@@ -41,6 +44,12 @@
         }
     }
 
+    /// Notes the forecast of the first selection.
+    pub(super) fn placed(&mut self, choice: &Choice) {
+        self.forecast
+            .get_or_insert((choice.forecast, choice.tokens_ahead));
+    }
+
     /// Counts an attempt at the chosen endpoint. `what` names the executed step.
     pub(super) fn sent(&mut self, choice: &Choice, what: &str) {
         self.sends += 1;
@@ -83,7 +92,10 @@
         metrics::histogram!("request_seconds", "route" => route).record(total.as_secs_f64());
         log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
             endpoint:% = OrDash(self.endpoint.as_ref()), sends = self.sends,
-            status = self.status, first_ms:? = first.map(|first| first.as_millis()),
+            status = self.status, prompt:? = self.prompt.map(Tokens::get),
+            forecast_ms:? = self.forecast.map(|(time, _)| time.as_millis()),
+            tokens_ahead:? = self.forecast.map(|(_, tokens)| tokens.get()),
+            first_ms:? = first.map(|first| first.as_millis()),
             total_ms = total.as_millis(), outcome = self.outcome; "request finished");
     }
 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -21,8 +21,14 @@
 
 /// Builds the response to the caller, with a body that is relayed from the endpoint.
 pub(super) fn relay_response(mut exchange: Exchange, accepted: Accepted) -> Response {
-    let Accepted { response, ticket } = accepted;
+    let Accepted {
+        response,
+        mut ticket,
+    } = accepted;
     let streams = exchange.route.kind.is_stream() && response.status < 300;
+    if streams {
+        start_pace(&exchange, &mut ticket);
+    }
     exchange.log.answered(response.status);
     let relay = BodyRelay {
         splitter: streams.then(EventSplitter::default),
@@ -52,6 +58,13 @@
     }
 }
 
+/// Starts to record the pauses of a stream, if its route limits them.
+fn start_pace(exchange: &Exchange, ticket: &mut Ticket) {
+    if let Some(target) = exchange.route.event_gap {
+        ticket.start_stream(target, exchange.deadline);
+    }
+}
+
 /// Relays the body of a response, and resumes a stream that breaks if its route allows that.
 struct BodyRelay {
     exchange: Exchange,
@@ -80,6 +93,9 @@
                         None => bytes,
                     };
                     if !ready.is_empty() {
+                        if let Some(ticket) = &mut self.ticket {
+                            ticket.record_event(self.exchange.ports.clock.now());
+                        }
                         return Ok(Some(ready));
                     }
                 }
@@ -200,7 +216,9 @@
             splitter.restart();
         }
         self.body = Some(accepted.response.body);
-        self.ticket = Some(accepted.ticket);
+        let mut ticket = accepted.ticket;
+        start_pace(&self.exchange, &mut ticket);
+        self.ticket = Some(ticket);
         Ok(())
     }
 }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
 use proptest::prelude::*;
+use tokio::time;
 
 use super::*;
 use crate::{
     clock::{Clock, System},
     directory::{Instance, Stage},
-    dispatch::{self, SetInstances},
+    dispatch::{self, Dispatcher, Progress, SetInstances},
     route::{self, Route, Target},
     testing::with_paused_time,
     unit::Tokens,
@@ -155,10 +156,13 @@
     stages.iter().enumerate().map(instance).collect()
 }
 
-/// Runs one request, and describes what the caller and the endpoints received.
-async fn outcome(acts: &[Act], stages: &[Option<Stage>], route: Arc<Route>, call: Call) -> String {
-    let script = Rc::new(Script::default());
-    script.acts.borrow_mut().extend(acts);
+/// A dispatcher of scripted endpoints, and the ports that use it.
+struct Rig {
+    dispatcher: actix::Addr<Dispatcher>,
+    ports: Ports,
+}
+
+async fn ports(script: &Rc<Script>, stages: &[Option<Stage>]) -> Rig {
     let dispatcher = dispatch::spawn(dispatch::Config::new(
         System::shared(),
         "a".parse().expect("a valid name"),
@@ -167,12 +171,25 @@
     dispatcher.send(instances).await.expect("it runs");
     let ports = Ports {
         choose: dispatcher.clone().recipient(),
-        may_retry: dispatcher.recipient(),
-        upstream: Rc::clone(&script) as Rc<dyn Upstream>,
+        may_retry: dispatcher.clone().recipient(),
+        is_silent: dispatcher.clone().recipient(),
+        upstream: Rc::clone(script) as Rc<dyn Upstream>,
         clock: System::shared(),
     };
+    Rig { dispatcher, ports }
+}
+
+/// Runs one request, and describes what the caller and the endpoints received.
+async fn outcome(acts: &[Act], stages: &[Option<Stage>], route: Arc<Route>, call: Call) -> String {
+    let script = Rc::new(Script::default());
+    script.acts.borrow_mut().extend(acts);
+    let rig = ports(&script, stages).await;
+    describe(start(call, route, rig.ports), &script).await
+}
+
+async fn describe(answer: impl Future<Output = Result<Response>>, script: &Script) -> String {
     let begin = System.now();
-    let mut text = match start(call, route, ports).await {
+    let mut text = match answer.await {
         Ok(answer) => {
             let mut text = format!("{} ", answer.status);
             let mut body = answer.body;
@@ -361,6 +378,42 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, STAGED, Some(4_000)));
 }
 
+/// Guards against a second prefill of a prompt that only waits in the queue of a busy engine, and
+/// against waiting until the deadline for an engine that answers nobody.
+#[test]
+fn only_silent_engines_are_given_up() {
+    let one_engine = [Some(Stage::Prefill), Some(Stage::Decode)];
+    let route = route(route::Kind::ResumableStream, 2);
+    let [silent, busy] = [false, true].map(|answers_others| {
+        with_paused_time(async {
+            let script = Rc::new(Script::default());
+            let acts = [Act::Hang, Act::Stream(EVENTS)];
+            script.acts.borrow_mut().extend(acts);
+            let ports = ports(&script, &one_engine).await;
+            if answers_others {
+                let progress = Progress {
+                    endpoint: "e0".parse().expect("a valid name"),
+                    rank: 0,
+                    prompt: Tokens::ZERO,
+                    load: None,
+                    prefill: None,
+                };
+                let dispatcher = ports.dispatcher.clone();
+                actix_rt::spawn(async move {
+                    time::sleep(Duration::from_millis(300)).await;
+                    dispatcher.do_send(progress);
+                });
+            }
+            describe(
+                start(call(Some(4_000)), Arc::clone(&route), ports.ports),
+                &script,
+            )
+            .await
+        })
+    });
+    insta::assert_debug_snapshot!([("silent", silent), ("busy", busy)]);
+}
+
 /// Guards against a KV cache that stays in its engine because no engine is available for the decode
 /// step.
 #[test]
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -149,6 +149,7 @@
             stopping: stopping_receiver,
             choose: dispatcher.clone().recipient(),
             may_retry: dispatcher.clone().recipient(),
+            is_silent: dispatcher.clone().recipient(),
             clock: Arc::clone(&clock),
             metrics: metrics.clone(),
         },
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -18,7 +18,7 @@
 use super::{Result, serve};
 use crate::{
     clock::Shared,
-    dispatch::{Choose, MayRetry},
+    dispatch::{Choose, IsSilent, MayRetry},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
     id,
@@ -74,6 +74,8 @@
     pub choose: Recipient<Choose>,
     /// Grants retries within the retry budget of the service.
     pub may_retry: Recipient<MayRetry>,
+    /// Tells busy endpoints from silent ones.
+    pub is_silent: Recipient<IsSilent>,
     /// Time source of arrival times, deadlines and latencies.
     pub clock: Shared,
     /// Renders the metrics of this process.
@@ -164,6 +166,7 @@
         let ports = Ports {
             choose: config.choose.clone(),
             may_retry: config.may_retry.clone(),
+            is_silent: config.is_silent.clone(),
             upstream: config.protocol.upstream(),
             clock: Arc::clone(&config.clock),
         };
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -184,6 +184,7 @@
             prompt: Tokens::new(1_000),
             shared_prefix: Tokens::ZERO,
             affinity: None,
+            remaining: Duration::from_mins(1),
             excluded: Vec::new(),
             preferred_zone: None,
         };
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -131,6 +131,9 @@
             )?;
         }
     }
+    if let Some(source) = attempt.fetch_from {
+        set(names::KV_FETCH, source.to_string())?;
+    }
     if let Some(last) = attempt.resume_after {
         set(names::LAST_EVENT_ID, last.to_string())?;
     }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -45,6 +45,8 @@
 pub(super) const REQUEST_PRIORITY: &str = "request-priority";
 /// `prefill` if an engine is to run only the prefill stage.
 pub(super) const SERVING_STAGE: &str = "serving-stage";
+/// Address of an engine from which the shared parts of a prompt are copied.
+pub(super) const KV_FETCH: &str = "kv-fetch";
 /// Location of the KV cache of a request, as `address/handle`.
 pub(super) const KV_SOURCE: &str = "kv-source";
 
@@ -56,7 +58,7 @@
     KV_SOURCE,
     "kv-hold",
     "kv-backup",
-    "kv-fetch",
+    KV_FETCH,
     "pin-ms",
     "expect-version",
     DEADLINE_MS,
