Skip interim responses and bound the framing of chunked bodies

Cause 1: the client of the endpoints took the first head for the final one. An endpoint that sent `103 Early Hints` and then its answer had the 103 passed on as the answer, with a chunked body of nothing, and the connection of the caller was out of step. Interim responses are now skipped, up to eight; one with a body, a switch of protocols and any more than that are malformed.

Cause 2: the decoder skips chunk extensions, leading zeros of a chunk size and trailers without a limit, so an endpoint that sends them without end was read at full speed until the deadline. At most 16 KiB may now lie between two parts of a body.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -6,7 +6,7 @@
 };
 
 use actix_http::{
-    Method, RequestHeadType, ResponseHead,
+    Method, RequestHeadType, ResponseHead, StatusCode,
     body::BodySize,
     h1::{ClientCodec, Message, MessageType},
 };
@@ -47,6 +47,13 @@
 /// Longest response head, in bytes.
 const RESPONSE_HEAD_MAX: usize = 64 << 10;
 
+/// Interim responses (status 100 to 199) that are skipped before the final one. Servers send one or
+/// two.
+const INTERIM_RESPONSES_MAX: u32 = 8;
+/// Longest framing between two parts of a chunked body, in bytes: the size line of a chunk with its
+/// extensions, or the trailers.
+const CHUNK_FRAMING_MAX: usize = 16 << 10;
+
 /// Starts a task that opens a connection, sends `pending`, and then serves further requests from
 /// the pool.
 pub(super) fn spawn(address: SocketAddr, pending: PendingRequest, idle: IdleConnections) {
@@ -155,6 +162,7 @@
         let mut write = pin!(async move { writer.write_all(&encoded).await });
         let mut written = false;
         let mut responder = pending.responder;
+        let mut interim_responses = 0;
         let head = loop {
             let read = tokio::select! {
                 result = write.as_mut(), if !written => {
@@ -167,7 +175,9 @@
             let head = match read {
                 Ok(None) => continue,
                 Ok(Some(0)) => Err(Error::new(Kind::Lost, "closed before the answer")),
-                Ok(Some(_)) => decode_head(&mut self.codec, &mut self.buffer),
+                Ok(Some(_)) => {
+                    decode_final_head(&mut self.codec, &mut self.buffer, &mut interim_responses)
+                }
                 Err(error) => Err(Error::new(Kind::Lost, error.to_string())),
             };
             match head {
@@ -253,6 +263,31 @@
     Ok(head)
 }
 
+/// Decodes the head of the final response, and skips the interim responses before it.
+fn decode_final_head(
+    codec: &mut ClientCodec,
+    buffer: &mut BytesMut,
+    interim_responses: &mut u32,
+) -> Result<Option<ResponseHead>> {
+    while let Some(head) = decode_head(codec, buffer)? {
+        if !head.status.is_informational() {
+            return Ok(Some(head));
+        }
+        *interim_responses += 1;
+        let detail = if head.status == StatusCode::SWITCHING_PROTOCOLS {
+            "switched the protocol without being asked to"
+        } else if codec.message_type() != MessageType::None {
+            "an interim response has a body"
+        } else if *interim_responses > INTERIM_RESPONSES_MAX {
+            "too many interim responses"
+        } else {
+            continue;
+        };
+        return Err(Error::new(Kind::Malformed, detail));
+    }
+    Ok(None)
+}
+
 /// Whether the body has no length and is delimited by the end of the connection. The codec treats
 /// such a response as one without a body.
 fn ends_with_connection(head: &ResponseHead, head_only: bool) -> bool {
@@ -299,8 +334,22 @@
     (mut write, written): (Pin<&mut W>, &mut bool),
     sender: &mpsc::Sender<BodyPart>,
 ) -> Result<bool> {
+    let mut framing = 0;
     loop {
+        let received = buffer.len();
         let (chunk, ended) = decode_chunks(codec, buffer)?;
+        // Bytes that are decoded without a part of the body are framing.
+        framing = if chunk.is_empty() {
+            framing + received - buffer.len()
+        } else {
+            0
+        };
+        if !ended && framing + buffer.len() > CHUNK_FRAMING_MAX {
+            return Err(Error::new(
+                Kind::Malformed,
+                "the framing of a chunk is too long",
+            ));
+        }
         if !chunk.is_empty() && sender.send(BodyPart::Chunk(chunk)).await.is_err() {
             return Ok(false);
         }
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -101,6 +101,17 @@
         Self::new(parts)
     }
 
+    /// A body without end whose next part is always ready.
+    #[cfg(test)]
+    pub(crate) fn endless(part: &'static str) -> Self {
+        let (sender, parts) = mpsc::channel(2);
+        tokio::task::spawn_local(async move {
+            let part = || BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+            while sender.send(part()).await.is_ok() {}
+        });
+        Self::new(parts)
+    }
+
     /// Returns the next bytes, or `None` at the end of a complete body.
     ///
     /// # Errors
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -7,7 +7,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, mpsc},
-    task,
+    task, time,
 };
 
 use super::*;
@@ -153,6 +153,84 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Guards against an interim response being passed on as the final one, which leaves the connection
+/// of the caller out of step, and against reading interim responses without end.
+#[test]
+fn interim_responses_are_skipped() {
+    const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a.css>\r\n\r\n";
+    const CONTINUE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+    let with_length = String::from_utf8_lossy(WITH_LENGTH);
+    let chunked = String::from_utf8_lossy(CHUNKED);
+    let cases = [
+        ("103 before a length", format!("{HINTS}{with_length}")),
+        ("103 before chunks", format!("{HINTS}{chunked}")),
+        ("100 and 103", format!("{CONTINUE}{HINTS}{with_length}")),
+        ("103 and nothing else", HINTS.to_owned()),
+        (
+            "103 with a body",
+            format!("HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nlabel{with_length}"),
+        ),
+        (
+            "unrequested protocol",
+            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nlabel".to_owned(),
+        ),
+        ("interim responses only", HINTS.repeat(2_000)),
+        (
+            "answer after too many",
+            format!("{}{with_length}", HINTS.repeat(200)),
+        ),
+    ];
+    let outcomes = actix::System::new().block_on(async move {
+        let mut outcomes = Vec::new();
+        for (name, response) in cases {
+            let response: &'static [u8] = response.leak().as_bytes();
+            let (address, mut requests) = endpoint(response, Afterwards::KeepOpen).await;
+            let client = Client::new();
+            let limit = Duration::from_millis(500);
+            let first = time::timeout(limit, outcome(&client, address)).await;
+            let first = first.unwrap_or_else(|_elapsed| "waits for the final response".to_owned());
+            let second = time::timeout(limit, outcome(&client, address)).await;
+            requests.recv().await.expect("a request");
+            let reused = second.is_ok() && requests.recv().await == Some(1);
+            outcomes.push(format!("{name}: {first}; connection reused: {reused}"));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against reading the framing of a chunked body without end, which takes processor time for
+/// bytes that can be no response.
+#[test]
+fn endless_chunk_framing_is_an_error() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nlabel\r\n";
+    const ENDLESS: usize = 1 << 20;
+    let cases = [
+        (
+            "chunk extension",
+            format!("{HEAD}5;{}", "x".repeat(ENDLESS)),
+        ),
+        ("chunk size", format!("{HEAD}{}", "0".repeat(ENDLESS))),
+        (
+            "trailers",
+            format!("{HEAD}0\r\n{}", "x: y\r\n".repeat(ENDLESS / 6)),
+        ),
+    ];
+    let outcomes = actix::System::new().block_on(async move {
+        let mut outcomes = Vec::new();
+        for (name, response) in cases {
+            let response: &'static [u8] = response.leak().as_bytes();
+            let (address, _requests) = endpoint(response, Afterwards::KeepOpen).await;
+            let outcome =
+                time::timeout(Duration::from_secs(5), outcome(&Client::new(), address)).await;
+            let outcome = outcome.unwrap_or_else(|_elapsed| "still reading".to_owned());
+            outcomes.push(format!("{name}: {outcome}"));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against opening a connection for each request, and against reusing a connection that
 /// holds bytes beyond its response.
 #[test]
