End a body that never ends at its deadline, and name the failure

Cause 1: the relay of a body waits for its next part with a timeout of the time that is left. A timeout of zero returns a part that is ready, so a body without end whose parts are always ready was relayed past the deadline. The deadline is now checked before each part. The test uses a clock that advances whenever it is read; before, 20,000 parts were relayed without an end.

Cause 2: when no endpoint is left for a retry, the error named only that ("no endpoint of s1 can take the request"). It now begins with why the last attempt failed ("reset; no endpoint of ...").

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -87,6 +87,7 @@
         sends: 0,
         refused_connections: 0,
         may_have_run: false,
+        last_failure: None,
     };
     let resume_after = exchange.call.resume_after;
     match exchange.obtain_response(resume_after).await {
@@ -125,6 +126,8 @@
     sends: u32,
     refused_connections: u32,
     may_have_run: bool,
+    /// Why the last attempt failed.
+    last_failure: Option<String>,
 }
 
 impl Exchange {
@@ -380,6 +383,7 @@
     }
 
     async fn after_possible_execution(&mut self, why: &str) -> Result<Decision> {
+        self.last_failure = Some(why.to_owned());
         let allowed = self.route.kind.is_repeatable() && self.sends < self.route.attempts;
         if allowed && self.remaining() > RETRY_TIME_MIN && self.spend_retry_budget().await? {
             self.log.retried(why);
@@ -461,7 +465,8 @@
                 // The dispatcher reports the request as not executed, but an earlier attempt may
                 // have run it.
                 if self.may_have_run {
-                    Error::new(Kind::EndpointLost, error.detail())
+                    let failure = self.last_failure.as_deref().unwrap_or("no answer");
+                    Error::new(Kind::EndpointLost, format!("{failure}; {}", error.detail()))
                 } else if error.kind() == Kind::Overloaded {
                     // The dispatcher knows when to come back.
                     error
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -133,6 +133,10 @@
     /// Reads the next bytes from the endpoint, within the deadline and the stall timeout.
     async fn read(&mut self) -> Result<Option<Bytes>> {
         let remaining = self.exchange.remaining();
+        if remaining.is_zero() {
+            // A timeout of zero would still return a part that is ready.
+            return Err(self.past_deadline());
+        }
         let resumable = self.splitter.is_some() && self.exchange.route.kind.is_repeatable();
         let limit = if resumable {
             remaining.min(STALL_TIMEOUT)
@@ -146,14 +150,15 @@
             Ok(read) => read.map_err(|error| {
                 Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
             }),
-            Err(_elapsed) if limit == remaining => Err(Error::new(
-                Kind::Deadline,
-                "the answer is not complete in time",
-            )),
+            Err(_elapsed) if limit == remaining => Err(self.past_deadline()),
             Err(_elapsed) => Err(Error::new(Kind::EndpointLost, "the stream has stalled")),
         }
     }
 
+    fn past_deadline(&self) -> Error {
+        Error::new(Kind::Deadline, "the answer is not complete in time")
+    }
+
     /// Ends the attempt after the complete body, or fails if the stream ended within an event.
     fn complete(&mut self) -> Result<()> {
         let between = self
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -1,5 +1,10 @@
 use std::{
-    cell::RefCell, collections::VecDeque, fmt::Write as _, rc::Rc, sync::Arc, time::Duration,
+    cell::RefCell,
+    collections::VecDeque,
+    fmt::Write as _,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
 };
 
 use actix_web::http::{Method, header::HeaderMap};
@@ -10,9 +15,10 @@
 
 use super::*;
 use crate::{
-    clock::{Clock, System},
+    clock::{Clock, Manual, System},
     directory::{Instance, Stage},
     dispatch::{self, Dispatcher, Progress, SetInstances},
+    error::Kind,
     route::{self, Route, Target},
     testing::with_paused_time,
     unit::Tokens,
@@ -36,6 +42,8 @@
     Lose,
     /// Accepts the request and never responds.
     Hang,
+    /// Sends a body without end, as fast as it is read.
+    Flood,
 }
 
 /// Endpoints that follow one common script, whichever of them is chosen. Records what they receive.
@@ -78,6 +86,7 @@
                     Execution::MayHaveRun,
                     Body::scripted(chunks, Some(Ok(()))),
                 ),
+                Act::Flood => (200, Execution::MayHaveRun, Body::endless("label")),
                 Act::Refuse => return Err(SendError::NotSent("refused".to_owned())),
                 Act::Lose => return Err(SendError::Lost("reset".to_owned())),
                 Act::Hang => std::future::pending().await,
@@ -414,6 +423,62 @@
     insta::assert_debug_snapshot!([("silent", silent), ("busy", busy)]);
 }
 
+/// A clock that advances by a millisecond whenever it is read, like real time while a process is
+/// busy.
+#[derive(Debug)]
+struct Busy(Manual);
+
+impl Clock for Busy {
+    fn now(&self) -> Instant {
+        self.0.advance(Duration::from_millis(1));
+        self.0.now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.0.wall()
+    }
+}
+
+/// Guards against a body without end that is relayed past the deadline, because its next part is
+/// always ready and no timer is ever checked.
+#[test]
+fn endless_body_ends_at_the_deadline() {
+    const PARTS_MAX: usize = 20_000;
+    let kinds = [route::Kind::Idempotent, route::Kind::ResumableStream];
+    let ends = kinds.map(|kind| {
+        actix::System::new().block_on(async {
+            let script = Rc::new(Script::default());
+            script.acts.borrow_mut().push_back(Act::Flood);
+            let mut ports = ports(&script, PLAIN).await.ports;
+            let clock = Arc::new(Busy(Manual::new()));
+            let mut call = call(None);
+            call.arrived = clock.now();
+            ports.clock = clock;
+            let answer = start(call, route(kind, 1), ports).await.expect("a head");
+            let last = answer
+                .body
+                .take(PARTS_MAX)
+                .map(|part| part.err())
+                .collect::<Vec<_>>();
+            last.await.pop().flatten().map(|error| error.kind())
+        })
+    });
+    assert_eq!(ends, [Some(Kind::Deadline); 2]);
+}
+
+/// Guards against an error that hides why the endpoints failed.
+#[test]
+fn error_names_the_failure_of_the_last_endpoint() {
+    let error = with_paused_time(async {
+        let script = Rc::new(Script::default());
+        script.acts.borrow_mut().extend([Act::Lose, Act::Lose]);
+        let ports = ports(&script, &[None]).await.ports;
+        let answer = start(call(None), route(route::Kind::Idempotent, 3), ports).await;
+        answer.expect_err("the only endpoint fails").to_string()
+    });
+    insta::assert_snapshot!(error);
+}
+
 /// Guards against a KV cache that stays in its engine because no engine is available for the decode
 /// step.
 #[test]
