Log when the prefill step of a request was complete

The line of a finished request has prefill_ms, so that a late first event can be attributed to the prefill engine or to the decode engine.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -185,6 +185,7 @@
                 ..
             })) => {
                 let mut ticket = ticket;
+                self.log.prefilled();
                 ticket.record_first_response(load, true);
                 ticket.end(Ending::Served);
                 handle
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -16,6 +16,8 @@
     route: id::Route,
     clock: Shared,
     arrived: Instant,
+    /// When the first prefill step at an engine of its own was complete.
+    prefilled_at: Option<Instant>,
     answered_at: Option<Instant>,
     prompt: Option<Tokens>,
     /// Expected time until the first engine answers, and the prompt tokens that it has to prefill
@@ -34,6 +36,7 @@
             route,
             clock,
             arrived: call.arrived,
+            prefilled_at: None,
             answered_at: None,
             prompt: call.generation.map(|generation| generation.prompt),
             forecast: None,
@@ -50,6 +53,11 @@
             .get_or_insert((choice.forecast, choice.tokens_ahead));
     }
 
+    /// Notes the end of a prefill step.
+    pub(super) fn prefilled(&mut self) {
+        self.prefilled_at.get_or_insert(self.clock.now());
+    }
+
     /// Counts an attempt at the chosen endpoint. `what` names the executed step.
     pub(super) fn sent(&mut self, choice: &Choice, what: &str) {
         self.sends += 1;
@@ -95,6 +103,7 @@
             status = self.status, prompt:? = self.prompt.map(Tokens::get),
             forecast_ms:? = self.forecast.map(|(time, _)| time.as_millis()),
             tokens_ahead:? = self.forecast.map(|(_, tokens)| tokens.get()),
+            prefill_ms:? = self.prefilled_at.map(|at| (at - self.arrived).as_millis()),
             first_ms:? = first.map(|first| first.as_millis()),
             total_ms = total.as_millis(), outcome = self.outcome; "request finished");
     }
