Read endpoint changes as often as the drain notice demands

Two thirds come from the watch of the endpoints: heartbeats of 66 endpoints wake it at once, so each gateway calls again after the fixed delay of 500 ms, a quarter of a drain notice of two seconds.

The delay is now a third of the drain notice of the settings, at most one second, which is half of the time in which endpoints register again after an outage. Ruled out: longer waits of the watch, since no watch of endpoints waits at all, and a silent connection would be noticed later.

`heartbeats_are_received_in_batches` counts calls under heartbeats: 20 in ten seconds with 500 ms, 10 with one second, and no change is received later than the delay.

--- a/src/directory/follow.rs
+++ b/src/directory/follow.rs
@@ -14,9 +14,6 @@
     store::{Event, Item, Path, Reader},
 };
 
-/// Delay after each batch of a watch, so that the heartbeats of many endpoints are received in one
-/// call. A quarter of the two seconds within which a draining endpoint must be detected.
-const BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Delay before the first retry after a failed call.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 /// Maximum delay between retries, and so until a recovered store is detected.
@@ -57,16 +54,21 @@
 /// Starts a task that follows all keys with `prefix`: it reads them, then watches for changes.
 /// After a failure, or when the store has compacted the revision at which the watch starts, it
 /// reads all keys again.
+///
+/// After each batch of changes it waits for `batch_delay`, so that frequent changes of many keys, such
+/// as heartbeats, are received in one call. A change is received later by this time at most.
 #[must_use]
 pub fn follow(
     store: Rc<dyn Reader>,
     prefix: Path,
+    batch_delay: Duration,
     clock: clock::Shared,
     sink: UpdateSink,
 ) -> AbortHandle {
     let follower = Follower {
         store,
         prefix,
+        batch_delay,
         clock,
         sink,
         availability: None,
@@ -77,6 +79,7 @@
 struct Follower {
     store: Rc<dyn Reader>,
     prefix: Path,
+    batch_delay: Duration,
     clock: clock::Shared,
     sink: UpdateSink,
     availability: Option<Availability>,
@@ -118,7 +121,7 @@
             let quiet = batch.is_empty();
             (self.sink)(Update::Changes(batch));
             if !quiet {
-                time::sleep(BATCH_DELAY).await;
+                time::sleep(self.batch_delay).await;
             }
         }
     }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -9,7 +9,7 @@
 
 use super::*;
 use crate::{
-    clock::System,
+    clock::{Clock as _, System},
     error::{Error, Kind, Result},
     id::Revision,
     route::Plan,
@@ -201,6 +201,7 @@
         let task = follow(
             Rc::new(client.clone()),
             "/endpoints/".parse().expect("a valid path"),
+            Duration::from_millis(500),
             System::shared(),
             Box::new(move |update| {
                 sink.borrow_mut().push(match update {
@@ -231,3 +232,46 @@
     });
     insta::assert_debug_snapshot!(lines);
 }
+
+/// Counts the batches that a follower receives in ten seconds while an endpoint writes a heartbeat
+/// every 100 ms, and returns the longest time from a write until it was received.
+fn batches_of_heartbeats(batch_delay: Duration) -> (usize, Duration) {
+    with_paused_time(async {
+        let store = Memory::new(System::shared());
+        let written = Rc::new(RefCell::new(System.now()));
+        let received = Rc::new(RefCell::new(Vec::new()));
+        let (sink, last_write) = (Rc::clone(&received), Rc::clone(&written));
+        let task = follow(
+            Rc::new(store.client()),
+            "/endpoints/".parse().expect("a valid path"),
+            batch_delay,
+            System::shared(),
+            Box::new(move |update| {
+                if let Update::Changes(events) = update {
+                    // All but the last event were written 100 ms apart before it.
+                    let oldest = Duration::from_millis(100) * events.len().saturating_sub(1) as u32;
+                    sink.borrow_mut()
+                        .push(System.now() - *last_write.borrow() + oldest);
+                }
+            }),
+        );
+        for _ in 0..100 {
+            *written.borrow_mut() = System.now();
+            write(&store, "e1").await;
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        task.abort();
+        let ages = received.take();
+        (ages.len(), ages.into_iter().max().unwrap_or_default())
+    })
+}
+
+/// Guards against calls to the store that grow with the number of heartbeats, and against changes
+/// that are received later than the drain notice allows.
+#[test]
+fn heartbeats_are_received_in_batches() {
+    let delays = [500, 1_000].map(Duration::from_millis);
+    let results = delays.map(|delay| (delay, batches_of_heartbeats(delay)));
+    assert!(results.iter().all(|(delay, (_, age))| age <= delay));
+    insta::assert_debug_snapshot!(results);
+}
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -18,6 +18,14 @@
     store::{Path, Reader, Store},
 };
 
+/// Delay after each batch of changes of the plan or of the list of gateways.
+const BATCH_DELAY: Duration = Duration::from_millis(500);
+/// Upper bound of the delay after each batch of endpoint changes. It is half of the time in which
+/// endpoints register again after an outage of the store, so that they are found in that time.
+const ENDPOINT_BATCH_DELAY_MAX: Duration = Duration::from_secs(1);
+/// Fraction of the drain notice that this delay may take; the rest is for the call itself and for
+/// requests on their way to the endpoint.
+const ENDPOINT_BATCH_DELAY_FRACTION: u32 = 3;
 /// Interval at which endpoints are removed whose grace period has ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the process's grace period that is left after the responses in progress have ended.
@@ -113,6 +121,7 @@
     let follow_plan = directory::follow(
         Rc::clone(&adapter.store),
         adapter.plan_path,
+        BATCH_DELAY,
         Arc::clone(&clock),
         Box::new(move |update| active_plan.apply(update)),
     );
@@ -128,6 +137,7 @@
     let follow_endpoints = directory::follow(
         adapter.store,
         adapter.endpoints_prefix,
+        (settings.drain_notice / ENDPOINT_BATCH_DELAY_FRACTION).min(ENDPOINT_BATCH_DELAY_MAX),
         Arc::clone(&clock),
         Box::new({
             let publisher = Rc::clone(&publisher);
@@ -214,6 +224,7 @@
     let follow = directory::follow(
         Rc::clone(store) as Rc<dyn Reader>,
         gateways.clone(),
+        BATCH_DELAY,
         Arc::clone(clock),
         Box::new(move |update| mesh.do_send(peers::GatewaysChanged(update))),
     );
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -17,6 +17,8 @@
 /// Default stop delay. The load balancer checks readiness once a second and stops sending
 /// requests after two negative answers.
 const STOP_DELAY_DEFAULT: Duration = Duration::from_millis(2_500);
+/// Default drain notice.
+const DRAIN_NOTICE_DEFAULT: Duration = Duration::from_secs(2);
 /// Default time from the stop signal until the process is killed.
 const GRACE_DEFAULT: Duration = Duration::from_secs(8);
 
@@ -38,6 +40,9 @@
     pub store: SocketAddr,
     /// Interval at which endpoints write to the store; 1.2 s by default.
     pub heartbeat: Duration,
+    /// Time from the announcement in the store that an endpoint leaves until it must get no more
+    /// requests; 2 s by default. A longer time costs fewer calls to the store.
+    pub drain_notice: Duration,
     /// Time for which a stopping gateway still accepts requests; 2.5 s by default.
     pub stop_delay: Duration,
     /// Time from the stop signal until the process is killed; 8 s by default.
@@ -74,6 +79,7 @@
             "peers",
             "store",
             "heartbeat",
+            "drain_notice",
             "stop_delay",
             "grace",
             "log",
@@ -93,6 +99,12 @@
             ParsedDuration(HEARTBEAT_DEFAULT),
             Reader::text,
         );
+        let drain_notice = r.optional(
+            &fields,
+            "drain_notice",
+            ParsedDuration(DRAIN_NOTICE_DEFAULT),
+            Reader::text,
+        );
         let stop_delay = r.optional(
             &fields,
             "stop_delay",
@@ -114,6 +126,7 @@
             peers: peers?,
             store: store?,
             heartbeat: heartbeat?.0,
+            drain_notice: drain_notice?.0,
             stop_delay: stop_delay?.0,
             grace: grace?.0,
             log: log?,
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -86,6 +86,7 @@
         ("{{portRange.0}}", "7380"),
         ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
         ("{{heartbeatMs}}", "1200"),
+        ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
     ];
     let text = values
