Allow for placements that peers have not reported yet

Digests are 100 ms apart, so gateways that see the same load select the same engine. Each engine now gets a random cost of up to 30 ms, the work that peers may have placed there unseen; the relative jitter of 5% does nothing for an idle engine.

With it the cost of another zone rises to 4 ms, since KV caches travel further too, and the factor of a second copy of a prefix to 12.

--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -25,7 +25,7 @@
 const REQUEST_OVERHEAD_SECONDS: f64 = 0.001_5;
 /// Cost of a second copy of a shared token, as a multiple of the time of its prefill: the copy evicts
 /// a cached prefix of other requests, which may have to be prefilled again later.
-const CACHE_EVICTION_FACTOR: f64 = 7.0;
+const CACHE_EVICTION_FACTOR: f64 = 12.0;
 /// Time to start the transfer of a cached prefix between engines, in seconds.
 const KV_FETCH_SECONDS: f64 = 0.01;
 /// Tokens of a cached prefix that are transferred per second.
@@ -35,9 +35,8 @@
 const HOME_SLOWDOWN_MAX: f64 = 6.0;
 /// Cost of transferring a KV cache between engines, in seconds: it takes a second request.
 const KV_TRANSFER_SECONDS: f64 = 0.006;
-/// Cost of an engine in another zone, in seconds. It decides between endpoints with nearly the same
-/// load.
-const REMOTE_ZONE_SECONDS: f64 = 0.001;
+/// Cost of an engine in another zone, in seconds: requests and KV caches travel further.
+const REMOTE_ZONE_SECONDS: f64 = 0.004;
 /// Cost of an endpoint of a plain service in another zone, in requests.
 const REMOTE_ZONE_REQUESTS: f64 = 0.5;
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -22,6 +22,7 @@
     invariant::{self, Invariant},
     link::Session,
     retry::{Budget as _, Ejector, WindowBudget},
+    unit::Tokens,
     wire::{Digest, Usage},
 };
 
@@ -29,6 +30,9 @@
 /// unreachable or closes a connection early is reported at once.
 const REPORTED_FAILURES_MIN: u32 = 2;
 
+/// Prompts that peers may have placed at an engine since their last digest, in seconds of its work:
+/// about a third of the interval between digests.
+const UNSEEN_WORK_SECONDS: f64 = 0.03;
 /// Longest period after which a refused caller is asked to come back, as a fraction of the time to
 /// its deadline, so that enough time is left to serve it then.
 const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
@@ -329,11 +333,16 @@
             .iter()
             .map(|candidate| {
                 // Jitter keeps processes that see the same load from all selecting the same
-                // endpoint.
+                // endpoint until they hear of each other.
                 let jitter = self.rng.random_range(1.0..1.05);
+                let unseen = if demand.prompt == Tokens::ZERO {
+                    0.0
+                } else {
+                    self.rng.random_range(0.0..UNSEEN_WORK_SECONDS)
+                };
                 let placement = conditions.place(candidate, demand);
                 let endpoint = &candidate.member.instance.id;
-                (placement.cost * jitter, endpoint, placement)
+                (placement.cost * jitter + unseen, endpoint, placement)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0));
         let selected = best.map(|(_, endpoint, placement)| Selection {
