--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -249,7 +249,7 @@
             Box::new(move |update| {
                 if let Update::Changes(events) = update {
                     // All but the last event were written 100 ms apart before it.
-                    let oldest = Duration::from_millis(100) * events.len().saturating_sub(1) as u32;
+                    let oldest = Duration::from_millis(100 * (events.len().max(1) as u64 - 1));
                     sink.borrow_mut()
                         .push(System.now() - *last_write.borrow() + oldest);
                 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -135,7 +135,7 @@
         let remaining = self.exchange.remaining();
         if remaining.is_zero() {
             // A timeout of zero would still return a part that is ready.
-            return Err(self.past_deadline());
+            return Err(past_deadline());
         }
         let resumable = self.splitter.is_some() && self.exchange.route.kind.is_repeatable();
         let limit = if resumable {
@@ -150,15 +150,11 @@
             Ok(read) => read.map_err(|error| {
                 Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
             }),
-            Err(_elapsed) if limit == remaining => Err(self.past_deadline()),
+            Err(_elapsed) if limit == remaining => Err(past_deadline()),
             Err(_elapsed) => Err(Error::new(Kind::EndpointLost, "the stream has stalled")),
         }
     }
 
-    fn past_deadline(&self) -> Error {
-        Error::new(Kind::Deadline, "the answer is not complete in time")
-    }
-
     /// Ends the attempt after the complete body, or fails if the stream ended within an event.
     fn complete(&mut self) -> Result<()> {
         let between = self
@@ -227,3 +223,7 @@
         Ok(())
     }
 }
+
+fn past_deadline() -> Error {
+    Error::new(Kind::Deadline, "the answer is not complete in time")
+}
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -458,7 +458,7 @@
             let last = answer
                 .body
                 .take(PARTS_MAX)
-                .map(|part| part.err())
+                .map(std::result::Result::err)
                 .collect::<Vec<_>>();
             last.await.pop().flatten().map(|error| error.kind())
         })
