Refuse a request only if every engine's forecast misses its deadline

Cause: the forecast of the cheapest engine decided, and the cost also counts what a placement does to others. Another engine could have answered in time. Engines that can do so now go first.

Ruled out: comparing with the smallest forecast only when refusing, which would accept the request and then send it to the engine that misses.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -294,7 +294,7 @@
         budget.may_retry(now)
     }
 
-    /// Returns the endpoint with the lowest cost.
+    /// Returns the endpoint with the lowest cost among those that can answer in time.
     fn select(&mut self, demand: &Demand, now: Instant) -> Result<Selection> {
         let eligible: Vec<&Member> = self
             .members
@@ -342,10 +342,17 @@
                 };
                 let placement = conditions.place(candidate, demand);
                 let endpoint = &candidate.member.instance.id;
-                (placement.cost * jitter + unseen, endpoint, placement)
+                let misses = placement.forecast > demand.remaining;
+                (
+                    misses,
+                    placement.cost * jitter + unseen,
+                    endpoint,
+                    placement,
+                )
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        let selected = best.map(|(_, endpoint, placement)| Selection {
+            // An engine that can answer in time precedes a cheaper one that cannot.
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let selected = best.map(|(_, _, endpoint, placement)| Selection {
             endpoint: endpoint.clone(),
             home: conditions.home().filter(|_| placement.fetches).cloned(),
             placement,
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -677,4 +677,45 @@
             prop_assert!((choice.peer_requests - f64::from(expected)).abs() < f64::EPSILON);
         }
     }
+
+    /// Guards against the refusal of a request that some engine is expected to answer in time, and
+    /// against a refused request that stays counted, after any history of placements.
+    #[test]
+    fn only_hopeless_requests_are_refused(
+        history in proptest::collection::vec((100_u64..60_000, 0_u8..3, any::<bool>()), 0..60),
+        waiting in proptest::collection::vec(0_u64..400_000, 4),
+        prompt in 100_u64..40_000,
+        remaining in 1_u64..8_000,
+    ) {
+        let (mut balancer, now) = balancer(engines());
+        let names = ["p1", "p2", "d1", "d2"];
+        let usages = names.iter().zip(&waiting);
+        let usages = usages.map(|(engine, tokens)| usage(engine, 2, &[(1, *tokens)])).collect();
+        balancer.apply_peer_digest(usage_digest(Session::next(), usages), now);
+        for (prompt, rank, ends) in history {
+            let mut demand = demand("lm", Need::Start, prompt, None);
+            demand.rank = rank;
+            let choice = balancer.choose(&demand, now).expect("a minute is left");
+            if ends {
+                let prefill = choice.prefill_tokens.get();
+                balancer.finish(&finish(&choice, prefill, Ending::Served), now);
+            }
+        }
+        let mut request = demand("lm", Need::Start, prompt, None);
+        request.remaining = Duration::from_millis(remaining);
+        let before = balancer.take_digest();
+        let Err(error) = balancer.choose(&request, now) else { return Ok(()) };
+        prop_assert_eq!(error.kind(), crate::error::Kind::Overloaded);
+        prop_assert!(error.retry_after().is_some_and(|period| period < request.remaining));
+        prop_assert_eq!(balancer.take_digest(), before);
+        for engine in names {
+            let mut only = request.clone();
+            only.remaining = Duration::from_mins(60);
+            only.excluded = names.iter().filter(|name| **name != engine)
+                .map(|name| name.parse().expect("a valid name")).collect();
+            let choice = balancer.choose(&only, now).expect("the engine is eligible");
+            prop_assert!(choice.forecast > request.remaining, "{engine}: {:?}", choice.forecast);
+            balancer.finish(&finish(&choice, choice.prefill_tokens.get(), Ending::Abandoned), now);
+        }
+    }
 }
