Measure the progress of a stream in events

Cause: the stall timeout of a resumable stream began again with every read, so an endpoint that sent a byte now and then, but no complete event, kept its stream until the deadline. The timeout now counts from the last complete event; comments that keep a slow stream alive are events.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
@@ -35,6 +35,7 @@
         resume_after: exchange.call.resume_after,
         status: response.status,
         remaining_bytes: response.length,
+        last_progress: exchange.ports.clock.now(),
         exchange,
         body: Some(response.body),
         ticket: Some(ticket),
@@ -75,6 +76,8 @@
     status: u16,
     /// Bytes still to be read, if the length is known.
     remaining_bytes: Option<u64>,
+    /// When the last complete event arrived, or the head of the response.
+    last_progress: Instant,
 }
 
 impl BodyRelay {
@@ -93,8 +96,9 @@
                         None => bytes,
                     };
                     if !ready.is_empty() {
+                        self.last_progress = self.exchange.ports.clock.now();
                         if let Some(ticket) = &mut self.ticket {
-                            ticket.record_event(self.exchange.ports.clock.now());
+                            ticket.record_event(self.last_progress);
                         }
                         return Ok(Some(ready));
                     }
@@ -139,7 +143,9 @@
         }
         let resumable = self.splitter.is_some() && self.exchange.route.kind.is_repeatable();
         let limit = if resumable {
-            remaining.min(STALL_TIMEOUT)
+            // Counted in events, since a stalled endpoint may still send a byte now and then.
+            let silent = self.exchange.ports.clock.now() - self.last_progress;
+            remaining.min(STALL_TIMEOUT.saturating_sub(silent))
         } else {
             remaining
         };
@@ -216,6 +222,7 @@
         if let Some(splitter) = &mut self.splitter {
             splitter.restart();
         }
+        self.last_progress = self.exchange.ports.clock.now();
         self.body = Some(accepted.response.body);
         let mut ticket = accepted.ticket;
         start_pace(&self.exchange, &mut ticket);
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -44,6 +44,8 @@
     Hang,
     /// Sends a body without end, as fast as it is read.
     Flood,
+    /// Sends this part of a stream every 400 ms.
+    Dribble(&'static str),
 }
 
 /// Endpoints that follow one common script, whichever of them is chosen. Records what they receive.
@@ -86,6 +88,10 @@
                     Execution::MayHaveRun,
                     Body::scripted(chunks, Some(Ok(()))),
                 ),
+                Act::Dribble(part) => {
+                    let interval = Duration::from_millis(400);
+                    (200, Execution::MayHaveRun, Body::dribbling(part, interval))
+                }
                 Act::Flood => (200, Execution::MayHaveRun, Body::endless("label")),
                 Act::Refuse => return Err(SendError::NotSent("refused".to_owned())),
                 Act::Lose => return Err(SendError::Lost("reset".to_owned())),
@@ -466,6 +472,21 @@
     assert_eq!(ends, [Some(Kind::Deadline); 2]);
 }
 
+/// Guards against a stalled stream that is kept because a byte arrives now and then, and against
+/// giving up a slow stream whose events are complete.
+#[test]
+fn progress_of_streams_is_measured_in_events() {
+    let cases: [(&str, &[Act]); 2] = [
+        ("bytes only", &[Act::Dribble("x"), Act::Stream(EVENTS)]),
+        (
+            "slow events",
+            &[Act::Dribble(": slow\n\n"), Act::Stream(EVENTS)],
+        ),
+    ];
+    let route = route(route::Kind::ResumableStream, 2);
+    insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
+}
+
 /// Guards against an error that hides why the endpoints failed.
 #[test]
 fn error_names_the_failure_of_the_last_endpoint() {
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -112,6 +112,19 @@
         Self::new(parts)
     }
 
+    /// A body without end that sends this part at an interval.
+    #[cfg(test)]
+    pub(crate) fn dribbling(part: &'static str, interval: std::time::Duration) -> Self {
+        let (sender, parts) = mpsc::channel(2);
+        tokio::task::spawn_local(async move {
+            let part = || BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+            while sender.send(part()).await.is_ok() {
+                tokio::time::sleep(interval).await;
+            }
+        });
+        Self::new(parts)
+    }
+
     /// Returns the next bytes, or `None` at the end of a complete body.
     ///
     /// # Errors
