--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -513,6 +513,21 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, &only_prefill, Some(4_000)));
 }
 
+/// Guards against an event, or an event id, that is kept in memory without end.
+#[test]
+fn endless_events_are_errors() {
+    let starts = ["data: ", "id: 1", "x", ""];
+    let ends = starts.map(|start| {
+        let mut splitter = EventSplitter::default();
+        let first = splitter.push(start.as_bytes());
+        first.expect("the event is short so far");
+        let part = "x".repeat(64 << 10);
+        let end = (0..64).find_map(|_| splitter.push(part.as_bytes()).err());
+        end.map(|error| error.to_string())
+    });
+    insta::assert_debug_snapshot!(ends);
+}
+
 proptest! {
     /// Guards against bytes that are lost, changed or held back depending on how the stream is
     /// divided into reads.
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -199,6 +199,32 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Guards against a response head that is read, and kept in memory, without end.
+#[test]
+fn endless_heads_are_errors() {
+    const ENDLESS: usize = 1 << 20;
+    let cases = [
+        (
+            "status line",
+            format!("HTTP/1.1 200 {}", "x".repeat(ENDLESS)),
+        ),
+        (
+            "header name",
+            format!("HTTP/1.1 200 OK\r\n{}", "x".repeat(ENDLESS)),
+        ),
+        (
+            "header value",
+            format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(ENDLESS)),
+        ),
+        (
+            "headers",
+            format!("HTTP/1.1 200 OK\r\n{}", "x: y\r\n".repeat(ENDLESS / 6)),
+        ),
+        ("no protocol", "x".repeat(ENDLESS)),
+    ];
+    insta::assert_debug_snapshot!(outcomes_of(cases));
+}
+
 /// Guards against reading the framing of a chunked body without end, which takes processor time for
 /// bytes that can be no response.
 #[test]
@@ -216,7 +242,12 @@
             format!("{HEAD}0\r\n{}", "x: y\r\n".repeat(ENDLESS / 6)),
         ),
     ];
-    let outcomes = actix::System::new().block_on(async move {
+    insta::assert_debug_snapshot!(outcomes_of(cases));
+}
+
+/// Describes the result of one request to an endpoint that sends each of these responses.
+fn outcomes_of<const N: usize>(cases: [(&str, String); N]) -> Vec<String> {
+    actix::System::new().block_on(async move {
         let mut outcomes = Vec::new();
         for (name, response) in cases {
             let response: &'static [u8] = response.leak().as_bytes();
@@ -227,8 +258,7 @@
             outcomes.push(format!("{name}: {outcome}"));
         }
         outcomes
-    });
-    insta::assert_debug_snapshot!(outcomes);
+    })
 }
 
 /// Guards against opening a connection for each request, and against reusing a connection that
