--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -21,22 +21,22 @@
 /// Fraction of the less urgent backlog that a request waits for: an engine finishes the prefills
 /// that it has started.
 const LESS_URGENT_FRACTION: f64 = 0.5;
-/// Cost of a request besides its prefill, in seconds: it slows down the decode steps of the engine.
-const REQUEST_OVERHEAD_SECONDS: f64 = 0.001_5;
+/// Cost of a request besides its prefill: it slows down the decode steps of the engine.
+const REQUEST_OVERHEAD: Duration = Duration::from_micros(1_500);
 /// Cost of a second copy of a shared token, as a multiple of the time of its prefill: the copy evicts
 /// a cached prefix of other requests, which may have to be prefilled again later.
 const CACHE_EVICTION_FACTOR: f64 = 12.0;
-/// Time to start the transfer of a cached prefix between engines, in seconds.
-const KV_FETCH_SECONDS: f64 = 0.01;
+/// Time to start the transfer of a cached prefix between engines.
+const KV_FETCH_SETUP: Duration = Duration::from_millis(10);
 /// Tokens of a cached prefix that are transferred per second.
-const KV_FETCH_TOKENS_PER_SECOND: f64 = 1_000_000.0;
+const KV_FETCH_RATE: f64 = 1_000_000.0;
 /// Slowdown of a prefill at decode engines, compared with prefill engines, above which they keep no
 /// prefixes.
 const HOME_SLOWDOWN_MAX: f64 = 6.0;
-/// Cost of transferring a KV cache between engines, in seconds: it takes a second request.
-const KV_TRANSFER_SECONDS: f64 = 0.006;
-/// Cost of an engine in another zone, in seconds: requests and KV caches travel further.
-const REMOTE_ZONE_SECONDS: f64 = 0.004;
+/// Cost of transferring a KV cache between engines: it takes a second request.
+const KV_TRANSFER: Duration = Duration::from_millis(6);
+/// Cost of an engine in another zone: requests and KV caches travel further.
+const REMOTE_ZONE: Duration = Duration::from_millis(4);
 /// Cost of an endpoint of a plain service in another zone, in requests.
 const REMOTE_ZONE_REQUESTS: f64 = 0.5;
 
@@ -146,18 +146,9 @@
         let seconds = |stage| 1.0 / model.stage_rate(&demand.service, stage, now).get();
         let prefill_seconds = seconds(Some(Stage::Prefill));
         let pause_pressure = model.pause_pressure(&demand.service, now);
-        let decode_weight = {
-            let engines = candidates
-                .iter()
-                .filter(|candidate| candidate.member.instance.stage == Some(Stage::Decode));
-            let (count, requests) = engines.fold((0.0, 0.0), |(count, requests), engine| {
-                (count + 1.0, requests + engine.requests())
-            });
-            let streams: f64 = if count > 0.0 { requests / count } else { 0.0 };
-            let slowdown =
-                seconds(Some(Stage::Decode)) / prefill_seconds * (1.0 + streams * pause_pressure);
-            home_weight(slowdown)
-        };
+        let delays = requests_per_decode_engine(candidates) * pause_pressure;
+        let decode_slowdown = seconds(Some(Stage::Decode)) / prefill_seconds * (1.0 + delays);
+        let decode_weight = home_weight(decode_slowdown);
         let prefills =
             |candidate: &Candidate<'_>| candidate.member.instance.stage != Some(Stage::Decode);
         let any_prefills = candidates.iter().any(prefills);
@@ -206,7 +197,7 @@
         let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
         let is_home = self.home == Some(&instance.id);
         let shared = as_f64(demand.shared_prefix.get());
-        let fetch_seconds = KV_FETCH_SECONDS + shared / KV_FETCH_TOKENS_PER_SECOND;
+        let fetch_seconds = KV_FETCH_SETUP.as_secs_f64() + shared / KV_FETCH_RATE;
         let misses = !is_home && self.home.is_some() && demand.need != Need::Decode;
         let fetches = misses && fetch_seconds < shared * seconds;
         let fetch = if fetches { fetch_seconds } else { 0.0 };
@@ -223,7 +214,7 @@
         let wait = queued * seconds;
         let own = as_f64(prefill.get()) * seconds;
         let transfer = match instance.stage {
-            Some(Stage::Prefill) => KV_TRANSFER_SECONDS,
+            Some(Stage::Prefill) => KV_TRANSFER.as_secs_f64(),
             Some(Stage::Decode) | None => 0.0,
         };
         // Every stream that runs at the engine is delayed by the prefill.
@@ -231,14 +222,18 @@
             Some(Stage::Prefill) => 0.0,
             Some(Stage::Decode) | None => own * requests * self.pause_pressure,
         };
-        let zone = if is_remote { REMOTE_ZONE_SECONDS } else { 0.0 };
+        let zone = if is_remote {
+            REMOTE_ZONE
+        } else {
+            Duration::ZERO
+        };
         let forecast = wait + own + fetch + transfer;
         Placement {
             cost: forecast
                 + delayed_streams
                 + eviction
-                + requests * REQUEST_OVERHEAD_SECONDS
-                + zone,
+                + requests * REQUEST_OVERHEAD.as_secs_f64()
+                + zone.as_secs_f64(),
             prefill,
             tokens_ahead: Tokens::new(round(queued)) + prefill,
             fetches,
@@ -247,6 +242,17 @@
     }
 }
 
+/// Mean number of requests in flight at a decode engine; 0 without one.
+fn requests_per_decode_engine(candidates: &[Candidate<'_>]) -> f64 {
+    let engines = candidates
+        .iter()
+        .filter(|candidate| candidate.member.instance.stage == Some(Stage::Decode));
+    let (engines, requests) = engines.fold((0.0, 0.0), |(engines, requests), engine| {
+        (engines + 1.0, requests + engine.requests())
+    });
+    requests / f64::max(engines, 1.0)
+}
+
 /// Share of the prefixes that a decode engine keeps, relative to a prefill engine, if a prefill
 /// costs `slowdown` times as much there. Rounded, so that processes with slightly different
 /// estimates agree on the home of each prefix.
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -30,9 +30,9 @@
 /// unreachable or closes a connection early is reported at once.
 const REPORTED_FAILURES_MIN: u32 = 2;
 
-/// Prompts that peers may have placed at an engine since their last digest, in seconds of its work:
-/// about a third of the interval between digests.
-const UNSEEN_WORK_SECONDS: f64 = 0.03;
+/// Work that peers may have placed at an engine since their last digest: about a third of the
+/// interval between digests.
+const UNSEEN_WORK: Duration = Duration::from_millis(30);
 /// Longest period after which a refused caller is asked to come back, as a fraction of the time to
 /// its deadline, so that enough time is left to serve it then.
 const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
@@ -97,11 +97,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible.
+    /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible, and [`Kind::Overloaded`] if a first
+    /// attempt is not expected to be answered before its deadline at any of them.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
-        let rank = self.urgency.rank(demand, now);
+        // Backlogs, of this process and of its peers, are by the rank at the engines.
         let demand = &Demand {
-            rank,
+            rank: self.urgency.rank(demand, now),
             ..demand.clone()
         };
         let Selection {
@@ -333,12 +334,12 @@
             .iter()
             .map(|candidate| {
                 // Jitter keeps processes that see the same load from all selecting the same
-                // endpoint until they hear of each other.
+                // endpoint before the next digest.
                 let jitter = self.rng.random_range(1.0..1.05);
                 let unseen = if demand.prompt == Tokens::ZERO {
                     0.0
                 } else {
-                    self.rng.random_range(0.0..UNSEEN_WORK_SECONDS)
+                    self.rng.random_range(0.0..UNSEEN_WORK.as_secs_f64())
                 };
                 let placement = conditions.place(candidate, demand);
                 let endpoint = &candidate.member.instance.id;
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -55,7 +55,8 @@
 }
 
 /// Selects an endpoint and counts the request as in flight there. Fails with
-/// [`Kind::NoEndpoint`](crate::error::Kind::NoEndpoint) if no endpoint is eligible.
+/// [`Kind::NoEndpoint`](crate::error::Kind::NoEndpoint) if no endpoint is eligible, and with
+/// [`Kind::Overloaded`](crate::error::Kind::Overloaded) if none is expected to answer in time.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "Result<Ticket>")]
 pub struct Choose(pub Demand);
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -44,7 +44,7 @@
     }
 
     /// Reports that the endpoint has begun to answer, which means that its prefill is done. `load`
-    /// is the load that the endpoint sent with the answer, if any. Only a successful answer tells
+    /// is the load that the endpoint sent with the answer, if any. Only a successful answer shows
     /// how fast the endpoint is; a rejection may come without any work.
     pub fn record_first_response(&mut self, load: Option<Load>, succeeded: bool) {
         let prompt = std::mem::replace(&mut self.pending_prefill, Tokens::ZERO);
