Do not take the pause of a slow caller for a stalled stream

Cause: since progress counts in events, the stall timeout ran on while the caller did not read. After a pause of more than a second, a stream whose next event was not complete yet was resumed at another endpoint, although the first one was sound. The timeout now begins when the caller waits for the next event.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -35,7 +35,7 @@
         resume_after: exchange.call.resume_after,
         status: response.status,
         remaining_bytes: response.length,
-        last_progress: exchange.ports.clock.now(),
+        waiting_since: exchange.ports.clock.now(),
         exchange,
         body: Some(response.body),
         ticket: Some(ticket),
@@ -76,13 +76,15 @@
     status: u16,
     /// Bytes still to be read, if the length is known.
     remaining_bytes: Option<u64>,
-    /// When the last complete event arrived, or the head of the response.
-    last_progress: Instant,
+    /// When the caller began to wait for the next complete event, or when a resumed stream began.
+    waiting_since: Instant,
 }
 
 impl BodyRelay {
     /// Reads until bytes can be passed on. Returns `None` at the end of a complete body.
     async fn next(&mut self) -> Result<Option<Bytes>> {
+        // The time that a slow caller takes between reads is no silence of the endpoint.
+        self.waiting_since = self.exchange.ports.clock.now();
         loop {
             match self.read().await {
                 Ok(Some(bytes)) => {
@@ -96,9 +98,8 @@
                         None => bytes,
                     };
                     if !ready.is_empty() {
-                        self.last_progress = self.exchange.ports.clock.now();
                         if let Some(ticket) = &mut self.ticket {
-                            ticket.record_event(self.last_progress);
+                            ticket.record_event(self.exchange.ports.clock.now());
                         }
                         return Ok(Some(ready));
                     }
@@ -144,7 +145,7 @@
         let resumable = self.splitter.is_some() && self.exchange.route.kind.is_repeatable();
         let limit = if resumable {
             // Counted in events, since a stalled endpoint may still send a byte now and then.
-            let silent = self.exchange.ports.clock.now() - self.last_progress;
+            let silent = self.exchange.ports.clock.now() - self.waiting_since;
             remaining.min(STALL_TIMEOUT.saturating_sub(silent))
         } else {
             remaining
@@ -222,7 +223,7 @@
         if let Some(splitter) = &mut self.splitter {
             splitter.restart();
         }
-        self.last_progress = self.exchange.ports.clock.now();
+        self.waiting_since = self.exchange.ports.clock.now();
         self.body = Some(accepted.response.body);
         let mut ticket = accepted.ticket;
         start_pace(&self.exchange, &mut ticket);
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -44,8 +44,8 @@
     Hang,
     /// Sends a body without end, as fast as it is read.
     Flood,
-    /// Sends this part of a stream every 400 ms.
-    Dribble(&'static str),
+    /// Sends one of these parts of a stream every 400 ms, in turn.
+    Dribble(&'static [&'static str]),
 }
 
 /// Endpoints that follow one common script, whichever of them is chosen. Records what they receive.
@@ -88,9 +88,9 @@
                     Execution::MayHaveRun,
                     Body::scripted(chunks, Some(Ok(()))),
                 ),
-                Act::Dribble(part) => {
+                Act::Dribble(parts) => {
                     let interval = Duration::from_millis(400);
-                    (200, Execution::MayHaveRun, Body::dribbling(part, interval))
+                    (200, Execution::MayHaveRun, Body::dribbling(parts, interval))
                 }
                 Act::Flood => (200, Execution::MayHaveRun, Body::endless("label")),
                 Act::Refuse => return Err(SendError::NotSent("refused".to_owned())),
@@ -477,16 +477,36 @@
 #[test]
 fn progress_of_streams_is_measured_in_events() {
     let cases: [(&str, &[Act]); 2] = [
-        ("bytes only", &[Act::Dribble("x"), Act::Stream(EVENTS)]),
+        ("bytes only", &[Act::Dribble(&["x"]), Act::Stream(EVENTS)]),
         (
             "slow events",
-            &[Act::Dribble(": slow\n\n"), Act::Stream(EVENTS)],
+            &[Act::Dribble(&[": slow\n\n"]), Act::Stream(EVENTS)],
         ),
     ];
     let route = route(route::Kind::ResumableStream, 2);
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
 }
 
+/// Guards against taking an endpoint for a stalled one after its caller has not read for a while.
+#[test]
+fn slow_caller_does_not_stall_its_stream() {
+    let received = with_paused_time(async {
+        let script = Rc::new(Script::default());
+        let acts = [Act::Dribble(&[": a", "b\n", "\n"]), Act::Stream(EVENTS)];
+        script.acts.borrow_mut().extend(acts);
+        let ports = ports(&script, PLAIN).await.ports;
+        let route = route(route::Kind::ResumableStream, 2);
+        let answer = start(call(Some(100)), route, ports).await.expect("a head");
+        let mut body = answer.body;
+        for _ in 0..2 {
+            body.next().await.expect("an event").expect("it is whole");
+            time::sleep(Duration::from_millis(1_100)).await;
+        }
+        script.received.borrow().join(", ")
+    });
+    assert_eq!(received, "whole");
+}
+
 /// Guards against an error that hides why the endpoints failed.
 #[test]
 fn error_names_the_failure_of_the_last_endpoint() {
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -112,13 +112,19 @@
         Self::new(parts)
     }
 
-    /// A body without end that sends this part at an interval.
+    /// A body without end that sends these parts in turn, one at an interval.
     #[cfg(test)]
-    pub(crate) fn dribbling(part: &'static str, interval: std::time::Duration) -> Self {
+    pub(crate) fn dribbling(
+        parts_in_turn: &'static [&'static str],
+        interval: std::time::Duration,
+    ) -> Self {
         let (sender, parts) = mpsc::channel(2);
         tokio::task::spawn_local(async move {
-            let part = || BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
-            while sender.send(part()).await.is_ok() {
+            for part in parts_in_turn.iter().cycle() {
+                let part = BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+                if sender.send(part).await.is_err() {
+                    return;
+                }
                 tokio::time::sleep(interval).await;
             }
         });
