--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -181,17 +181,18 @@
     }
 }
 
-/// Counts the requests that go to decode engines in a burst of long prompts, while each decode
-/// engine runs ten streams.
-fn prompts_at_decode_engines(pause: Duration) -> usize {
+/// A balancer whose decode engines each run ten streams with this pause between events.
+fn balancer_with_streams(pause: Duration) -> (LoadBalancer, Instant) {
     let (mut balancer, now) = balancer(engines());
     report_streams(&mut balancer, pause, now);
-    choices(
-        &mut balancer,
-        &demand("lm", Need::Decode, 100, None),
-        20,
-        now,
-    );
+    let stream = demand("lm", Need::Decode, 100, None);
+    choices(&mut balancer, &stream, 20, now);
+    (balancer, now)
+}
+
+/// Counts the requests that go to decode engines in a burst of long prompts.
+fn prompts_at_decode_engines(pause: Duration) -> usize {
+    let (mut balancer, now) = balancer_with_streams(pause);
     let burst = demand("lm", Need::Start, 8_000, None);
     let chosen = choices(&mut balancer, &burst, 30, now);
     chosen.iter().filter(|id| id.starts_with('d')).count()
@@ -229,14 +230,7 @@
 
 /// Counts the prefixes of 600 that each engine keeps, if streams pause for this time.
 fn homes(pause: Duration) -> Vec<(String, usize)> {
-    let (mut balancer, now) = balancer(engines());
-    report_streams(&mut balancer, pause, now);
-    choices(
-        &mut balancer,
-        &demand("lm", Need::Decode, 100, None),
-        20,
-        now,
-    );
+    let (mut balancer, now) = balancer_with_streams(pause);
     let mut counts = std::collections::BTreeMap::new();
     for affinity in 0..600 {
         let mut demand = demand("lm", Need::Start, 8_000, Some(affinity));
--- a/src/forecast/imp.rs
+++ b/src/forecast/imp.rs
@@ -16,11 +16,11 @@
 /// between the tokens of their streams.
 const DECODE_PREFILL_RATE_PRIOR: f64 = 20_000.0;
 /// Prompt tokens after which observations of a stage outweigh the assumed rate.
-const STAGE_PRIOR_TOKENS: f64 = 200_000.0;
+const STAGE_PRIOR: Tokens = Tokens::new(200_000);
 /// Prompt tokens after which observations of one engine outweigh the rate of its stage.
-const ENGINE_PRIOR_TOKENS: f64 = 100_000.0;
+const ENGINE_PRIOR: Tokens = Tokens::new(100_000);
 /// Observations with fewer prompt tokens say more about the network than about the engine.
-const OBSERVED_TOKENS_MIN: u64 = 1_000;
+const OBSERVED_MIN: Tokens = Tokens::new(1_000);
 /// Factor by which an estimated rate may differ from its prior. It bounds the effect of engines that
 /// report absurd progress.
 const RATE_RANGE: f64 = 8.0;
@@ -67,7 +67,7 @@
 
     /// Records how long a successful answer took to begin.
     pub fn record_prefill(&mut self, instance: &Instance, seen: Observation, now: Instant) {
-        if seen.tokens.get() < OBSERVED_TOKENS_MIN {
+        if seen.tokens < OBSERVED_MIN {
             return;
         }
         let (seconds, tokens) = (seen.elapsed.as_secs_f64(), as_f64(seen.tokens.get()));
@@ -104,7 +104,7 @@
     pub fn engine_rate(&self, instance: &Instance, now: Instant) -> Rate {
         let prior = self.stage_seconds(&instance.service, instance.stage, now);
         let seconds = self.engines.get(&instance.id).map_or(prior, |seen| {
-            bounded(seen.ratio(prior, ENGINE_PRIOR_TOKENS, now), prior)
+            bounded(seen.ratio(prior, as_f64(ENGINE_PRIOR.get()), now), prior)
         });
         Rate::new(1.0 / seconds)
     }
@@ -132,7 +132,7 @@
         };
         let seen = self.stages.get(&(service.clone(), stage));
         seen.map_or(prior, |seen| {
-            bounded(seen.ratio(prior, STAGE_PRIOR_TOKENS, now), prior)
+            bounded(seen.ratio(prior, as_f64(STAGE_PRIOR.get()), now), prior)
         })
     }
 }
