Measure how long work for a departed caller goes on

The HTTP server for callers runs on connections of our own, which note when the end of the input was read; caller_departure_seconds is the time until the request is dropped (first hypothesis). upstream_cancellations_total tells how far a canceled request had got (second). timer_delay_seconds tells a late process from a departure that is ignored (third).

actix-server and actix-service, which actix-web is built on, become direct dependencies: HttpServer does not take connections of another type.

--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -28,6 +28,8 @@
 const ENDPOINT_BATCH_DELAY_FRACTION: u32 = 3;
 /// Interval at which endpoints are removed whose grace period has ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay of a timer from which on a line is logged.
+const TIMER_DELAY_MIN: Duration = Duration::from_millis(250);
 /// Part of the process's grace period that is left after the responses in progress have ended.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
@@ -183,7 +185,7 @@
     let mut tasks = vec![
         follow_plan,
         follow_endpoints,
-        tokio::task::spawn_local(run_expiry(publisher)).abort_handle(),
+        tokio::task::spawn_local(run_expiry(publisher, clock)).abort_handle(),
         tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
     ];
     tasks.extend(follow_gateways);
@@ -264,10 +266,25 @@
     }
 }
 
-async fn run_expiry(publisher: Rc<RefCell<EndpointPublisher>>) {
+async fn run_expiry(publisher: Rc<RefCell<EndpointPublisher>>, clock: Shared) {
     let mut ticks = time::interval(EXPIRY_INTERVAL);
+    let mut last = clock.now();
     loop {
         ticks.tick().await;
+        let now = clock.now();
+        record_timer_delay(
+            now.saturating_duration_since(last)
+                .saturating_sub(EXPIRY_INTERVAL),
+        );
+        last = now;
         publisher.borrow_mut().expire();
     }
 }
+
+/// Records by how much a timer fired late: all work of the process waits for as long.
+fn record_timer_delay(delay: Duration) {
+    metrics::histogram!("timer_delay_seconds").record(delay.as_secs_f64());
+    if delay >= TIMER_DELAY_MIN {
+        log::warn!(delay_ms = delay.as_millis(); "process was suspended, or short of processor time");
+    }
+}
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -7,15 +7,18 @@
 };
 
 use actix::Recipient;
+use actix_http::{HttpService, Protocol as HttpVersion};
+use actix_service::{ServiceFactoryExt, fn_service, map_config};
 use actix_web::{
     App, HttpRequest, HttpServer,
-    dev::{Server as Running, ServerHandle},
+    dev::{AppConfig, Server as Running, ServerHandle},
     web::{self, Bytes},
 };
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::sync::watch;
+use socket2::{Domain, Socket, Type};
+use tokio::{net::TcpStream, sync::watch};
 
-use super::{Result, serve};
+use super::{Result, connection::Connection, serve};
 use crate::{
     clock::Shared,
     dispatch::{Choose, IsSilent, MayRetry},
@@ -32,6 +35,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
 /// Limit of concurrent connections of callers.
 const CONNECTIONS_MAX: usize = 3_000;
+/// Connections of callers that the kernel keeps until they are accepted.
+const BACKLOG: i32 = 1_024;
 /// Threads that serve callers; a host of the platform has only a part of one core.
 const WORKERS: usize = 1;
 
@@ -162,36 +167,70 @@
 
 fn bind_callers(config: Config, stop_timeout: Duration) -> Result<(ServerHandle, SocketAddr)> {
     let listen = config.listen;
-    let server = HttpServer::new(move || {
-        let ports = Ports {
-            choose: config.choose.clone(),
-            may_retry: config.may_retry.clone(),
-            is_silent: config.is_silent.clone(),
-            upstream: config.protocol.upstream(),
-            clock: Arc::clone(&config.clock),
-        };
-        let context = Context {
-            config: config.clone(),
-            ports,
-        };
-        App::new()
-            .app_data(web::Data::new(context))
-            .default_service(web::to(serve::request))
-    })
-    .workers(WORKERS)
-    .max_connections(CONNECTIONS_MAX)
-    .keep_alive(IDLE_TIMEOUT)
-    .client_request_timeout(HEAD_TIMEOUT)
-    // A caller that closes its side of the connection cancels its request.
-    .h1_allow_half_closed(false)
-    // Nagle's algorithm would delay an event until the previous one is acknowledged.
-    .tcp_nodelay(true)
-    .shutdown_timeout(stop_timeout.as_secs())
-    .disable_signals()
-    .bind(listen)
-    .map_err(|error| cannot_listen(listen, error))?;
-    let address = server.addrs().first().copied().unwrap_or(listen);
-    Ok((spawn(server.run()), address))
+    let listener = bind_listener(listen).map_err(|error| cannot_listen(listen, error))?;
+    let address = listener.local_addr().unwrap_or(listen);
+    let builder = actix_server::Server::build()
+        .workers(WORKERS)
+        .max_concurrent_connections(CONNECTIONS_MAX)
+        .shutdown_timeout(stop_timeout.as_secs())
+        .disable_signals();
+    let stop_signal = builder.graceful_shutdown_signal();
+    let serve_callers = move || {
+        let app = App::new()
+            .app_data(web::Data::new(new_context(&config)))
+            .default_service(web::to(serve::request));
+        let clock = Arc::clone(&config.clock);
+        let stop_signal = stop_signal.clone();
+        let http = HttpService::build()
+            .graceful_shutdown_signal(move || {
+                let signal = stop_signal.clone();
+                async move { signal.notified().await }
+            })
+            .keep_alive(IDLE_TIMEOUT)
+            .client_request_timeout(HEAD_TIMEOUT)
+            // A caller that closes its side of the connection cancels its request.
+            .h1_allow_half_closed(false)
+            .local_addr(address)
+            .finish(map_config(app, |()| AppConfig::default()));
+        fn_service(move |stream: TcpStream| {
+            let clock = Arc::clone(&clock);
+            async move {
+                // Nagle's algorithm would delay an event until the previous one is acknowledged.
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!(error:% = error; "connection was lost before it was served");
+                }
+                let peer = stream.peer_addr().ok();
+                Ok((Connection::new(stream, clock), HttpVersion::Http1, peer))
+            }
+        })
+        .and_then(http)
+    };
+    let builder = builder
+        .listen("callers", listener, serve_callers)
+        .map_err(|error| cannot_listen(listen, error))?;
+    Ok((spawn(builder.run()), address))
+}
+
+fn bind_listener(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+fn new_context(config: &Config) -> Context {
+    let ports = Ports {
+        choose: config.choose.clone(),
+        may_retry: config.may_retry.clone(),
+        is_silent: config.is_silent.clone(),
+        upstream: config.protocol.upstream(),
+        clock: Arc::clone(&config.clock),
+    };
+    Context {
+        config: config.clone(),
+        ports,
+    }
 }
 
 fn bind_control(config: &Config) -> Result<(ServerHandle, SocketAddr)> {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A [`Protocol`] decodes the requests; [`forward`](crate::forward) sends them to endpoints.
 
+mod connection;
 mod imp;
 mod serve;
 
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -77,7 +77,10 @@
 ) -> Option<(PendingRequest, TcpStream)> {
     let opened = tokio::select! {
         opened = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)) => opened,
-        () = pending.responder.closed() => return None,
+        () = pending.responder.closed() => {
+            record_cancellation(Phase::Connecting);
+            return None;
+        }
     };
     let opened = opened.unwrap_or_else(|_elapsed| Err(ErrorKind::TimedOut.into()));
     metrics::counter!("upstream_connections_total").increment(1);
@@ -102,6 +105,30 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// How far a request had got when it was canceled.
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    Connecting,
+    Sending,
+    Waiting,
+    Answering,
+}
+
+impl Phase {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Connecting => "connecting",
+            Self::Sending => "sending",
+            Self::Waiting => "waiting",
+            Self::Answering => "answering",
+        }
+    }
+}
+
+fn record_cancellation(phase: Phase) {
+    metrics::counter!("upstream_cancellations_total", "phase" => phase.as_str()).increment(1);
+}
+
 /// Reports an error to the caller of [`Client::send`](super::Client::send), unless it has gone.
 fn send_error(responder: oneshot::Sender<Result<Response>>, error: Error) {
     if let Err(Err(error)) = responder.send(Err(error)) {
@@ -170,7 +197,10 @@
                     result.map(|()| None)
                 }
                 read = reader.read_buf(&mut self.buffer) => read.map(Some),
-                () = responder.closed() => return false,
+                () = responder.closed() => {
+                    record_cancellation(if written { Phase::Waiting } else { Phase::Sending });
+                    return false;
+                }
             };
             let head = match read {
                 Ok(None) => continue,
@@ -193,6 +223,7 @@
         let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
         let body = Body::new(parts);
         if responder.send(Ok(Response { head, body })).is_err() {
+            record_cancellation(Phase::Waiting);
             return false;
         }
         if until_close {
@@ -214,7 +245,11 @@
         )
         .await;
         let reusable = match outcome {
-            Ok(complete) => complete && written && codec.keep_alive(),
+            Ok(true) => written && codec.keep_alive(),
+            Ok(false) => {
+                record_cancellation(Phase::Answering);
+                false
+            }
             Err(error) => {
                 // The reader may have dropped the body at the same time.
                 if sender.send(BodyPart::Failed(error)).await.is_err() {
@@ -308,11 +343,11 @@
     loop {
         let chunk = buffer.split().freeze();
         if !chunk.is_empty() && sender.send(BodyPart::Chunk(chunk)).await.is_err() {
-            return;
+            return record_cancellation(Phase::Answering);
         }
         let read = tokio::select! {
             read = reader.read_buf(buffer) => read,
-            () = sender.closed() => return,
+            () = sender.closed() => return record_cancellation(Phase::Answering),
         };
         let part = match read {
             Ok(0) => BodyPart::End,
