Run both servers for callers on one listener

The gateway and the entry bind their servers for callers through the new slice listener, whose connections measure the departure of callers.

--- a/src/front/imp.rs
+++ b/src/front/imp.rs
@@ -7,7 +7,7 @@
 
 use actix::Recipient;
 use actix_web::{
-    App, HttpRequest, HttpResponse, HttpServer, Resource,
+    App, HttpRequest, HttpResponse, Resource,
     dev::ServerHandle,
     web::{self, ServiceConfig},
 };
@@ -19,13 +19,15 @@
     clock,
     config::Document,
     error::{Error, Kind},
-    link,
+    link, listener,
     relay::Relay,
     spread::View,
 };
 
 /// Timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Timeout of a graceful shutdown, after which responses in progress are aborted.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_hours(1);
 /// Open connections per worker thread.
@@ -117,24 +119,18 @@
 ///
 /// Fails if the address cannot be bound.
 pub fn bind(config: Config) -> Result<Server> {
-    let (listen, workers) = (config.listen, config.workers);
-    let failed = |error: std::io::Error| {
-        Error::new(Kind::Internal, format!("cannot listen on {listen}")).with_source(error)
+    let parameters = listener::Config {
+        address: config.listen,
+        workers: config.workers,
+        connections_max: MAX_CONNECTIONS_PER_WORKER,
+        head_timeout: HEAD_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+        stop_timeout: SHUTDOWN_TIMEOUT,
+        clock: Arc::clone(&config.clock),
     };
     let context = web::Data::new(config);
-    let server = HttpServer::new(move || App::new().app_data(context.clone()).configure(routes))
-        .workers(workers)
-        .max_connections(MAX_CONNECTIONS_PER_WORKER)
-        .client_request_timeout(HEAD_TIMEOUT)
-        .h1_allow_half_closed(false)
-        // Nagle's algorithm would delay a streamed token until the previous one is acknowledged.
-        .tcp_nodelay(true)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT.as_secs())
-        .disable_signals()
-        .bind(listen)
-        .map_err(failed)?;
-    let address = server.addrs().first().copied().unwrap_or(listen);
-    let running = server.run();
+    let new_app = move || App::new().app_data(context.clone()).configure(routes);
+    let (running, address) = listener::bind(parameters, new_app)?;
     let handle = running.handle();
     actix_rt::spawn(running);
     Ok(Server { address, handle })
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -7,24 +7,21 @@
 };
 
 use actix::Recipient;
-use actix_http::{HttpService, Protocol as HttpVersion};
-use actix_service::{ServiceFactoryExt, fn_service, map_config};
 use actix_web::{
     App, HttpRequest, HttpServer,
-    dev::{AppConfig, Server as Running, ServerHandle},
+    dev::{Server as Running, ServerHandle},
     web::{self, Bytes},
 };
 use metrics_exporter_prometheus::PrometheusHandle;
-use socket2::{Domain, Socket, Type};
-use tokio::{net::TcpStream, sync::watch};
+use tokio::sync::watch;
 
-use super::{Result, connection::Connection, serve};
+use super::{Result, serve};
 use crate::{
     clock::Shared,
     dispatch::{Choose, IsSilent, MayRetry},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
-    id,
+    id, listener,
     route::Plan,
 };
 
@@ -35,8 +32,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
 /// Limit of concurrent connections of callers.
 const CONNECTIONS_MAX: usize = 3_000;
-/// Connections of callers that the kernel keeps until they are accepted.
-const BACKLOG: i32 = 1_024;
 /// Threads that serve callers; a host of the platform has only a part of one core.
 const WORKERS: usize = 1;
 
@@ -166,57 +161,22 @@
 }
 
 fn bind_callers(config: Config, stop_timeout: Duration) -> Result<(ServerHandle, SocketAddr)> {
-    let listen = config.listen;
-    let listener = bind_listener(listen).map_err(|error| cannot_listen(listen, error))?;
-    let address = listener.local_addr().unwrap_or(listen);
-    let builder = actix_server::Server::build()
-        .workers(WORKERS)
-        .max_concurrent_connections(CONNECTIONS_MAX)
-        .shutdown_timeout(stop_timeout.as_secs())
-        .disable_signals();
-    let stop_signal = builder.graceful_shutdown_signal();
-    let serve_callers = move || {
-        let app = App::new()
+    let parameters = listener::Config {
+        address: config.listen,
+        workers: WORKERS,
+        connections_max: CONNECTIONS_MAX,
+        head_timeout: HEAD_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+        stop_timeout,
+        clock: Arc::clone(&config.clock),
+    };
+    let new_app = move || {
+        App::new()
             .app_data(web::Data::new(new_context(&config)))
-            .default_service(web::to(serve::request));
-        let clock = Arc::clone(&config.clock);
-        let stop_signal = stop_signal.clone();
-        let http = HttpService::build()
-            .graceful_shutdown_signal(move || {
-                let signal = stop_signal.clone();
-                async move { signal.notified().await }
-            })
-            .keep_alive(IDLE_TIMEOUT)
-            .client_request_timeout(HEAD_TIMEOUT)
-            // A caller that closes its side of the connection cancels its request.
-            .h1_allow_half_closed(false)
-            .local_addr(address)
-            .finish(map_config(app, |()| AppConfig::default()));
-        fn_service(move |stream: TcpStream| {
-            let clock = Arc::clone(&clock);
-            async move {
-                // Nagle's algorithm would delay an event until the previous one is acknowledged.
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!(error:% = error; "connection was lost before it was served");
-                }
-                let peer = stream.peer_addr().ok();
-                Ok((Connection::new(stream, clock), HttpVersion::Http1, peer))
-            }
-        })
-        .and_then(http)
+            .default_service(web::to(serve::request))
     };
-    let builder = builder
-        .listen("callers", listener, serve_callers)
-        .map_err(|error| cannot_listen(listen, error))?;
-    Ok((spawn(builder.run()), address))
-}
-
-fn bind_listener(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
+    let (running, address) = listener::bind(parameters, new_app)?;
+    Ok((spawn(running), address))
 }
 
 fn new_context(config: &Config) -> Context {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! A [`Protocol`] decodes the requests; [`forward`](crate::forward) sends them to endpoints.
 
-mod connection;
 mod imp;
 mod serve;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod invariant;
 pub mod ledger;
 pub mod link;
+pub mod listener;
 pub mod log;
 pub mod membership;
 pub mod operator;
--- /dev/null
+++ b/src/listener/imp.rs
@@ -0,0 +1,113 @@
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use actix_http::{HttpService, Protocol, Request, Response, body::MessageBody};
+use actix_service::{
+    IntoServiceFactory, ServiceFactory, ServiceFactoryExt, fn_service, map_config,
+};
+use actix_web::dev::{AppConfig, Server as Running};
+use socket2::{Domain, Socket, Type};
+use tokio::net::TcpStream;
+
+use super::{Result, connection::Connection};
+use crate::{
+    clock::Shared,
+    error::{Error, Kind},
+};
+
+/// Connections that the kernel keeps until they are accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Parameters of a listener.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to bind.
+    pub address: SocketAddr,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Limit of concurrent connections of each thread.
+    pub connections_max: usize,
+    /// Time within which the head of a request must arrive.
+    pub head_timeout: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout: Duration,
+    /// Limit of the wait for responses in progress during a graceful stop; fractions of a second are
+    /// dropped.
+    pub stop_timeout: Duration,
+    /// Time source of the measured delays.
+    pub clock: Shared,
+}
+
+/// Binds the address and starts to serve the application that `new_app` creates for each thread.
+/// Returns the running server and the bound address.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn bind<F, A, S, B>(config: Config, new_app: F) -> Result<(Running, SocketAddr)>
+where
+    F: Fn() -> A + Send + Clone + 'static,
+    A: IntoServiceFactory<S, Request>,
+    S: ServiceFactory<Request, Config = AppConfig> + 'static,
+    S::Error: Into<Response<actix_http::body::BoxBody>>,
+    S::InitError: fmt::Debug,
+    S::Response: Into<Response<B>>,
+    B: MessageBody + 'static,
+{
+    let cannot_listen = |error: io::Error| {
+        let detail = format!("cannot listen on {}", config.address);
+        Error::new(Kind::Internal, detail).with_source(error)
+    };
+    let socket = bind_socket(config.address).map_err(cannot_listen)?;
+    let address = socket.local_addr().map_err(cannot_listen)?;
+    let builder = actix_server::Server::build()
+        .workers(config.workers)
+        .max_concurrent_connections(config.connections_max)
+        .shutdown_timeout(config.stop_timeout.as_secs())
+        .disable_signals();
+    let stop_signal = builder.graceful_shutdown_signal();
+    let Config {
+        head_timeout,
+        idle_timeout,
+        clock,
+        ..
+    } = config.clone();
+    let serve = move || {
+        let clock = Arc::clone(&clock);
+        let stop_signal = stop_signal.clone();
+        let http = HttpService::build()
+            .graceful_shutdown_signal(move || {
+                let signal = stop_signal.clone();
+                async move { signal.notified().await }
+            })
+            .keep_alive(idle_timeout)
+            .client_request_timeout(head_timeout)
+            // A caller that closes its side of the connection cancels its request.
+            .h1_allow_half_closed(false)
+            .local_addr(address)
+            .finish(map_config(new_app(), |()| AppConfig::default()));
+        fn_service(move |stream: TcpStream| {
+            let clock = Arc::clone(&clock);
+            async move {
+                // Nagle's algorithm would delay an event until the previous one is acknowledged.
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!(error:% = error; "connection was lost before it was served");
+                }
+                let caller = stream.peer_addr().ok();
+                Ok((Connection::new(stream, clock), Protocol::Http1, caller))
+            }
+        })
+        .and_then(http)
+    };
+    let builder = builder
+        .listen("callers", socket, serve)
+        .map_err(cannot_listen)?;
+    Ok((builder.run(), address))
+}
+
+fn bind_socket(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
