Drop the request of a caller that has closed its side and reads no more

Callers saw nothing; engines worked on for callers that had left (GONE). Cause: after the end of the input the HTTP server waits until its output is flushed before it drops the request. A caller that closes its side of the connection and does not read keeps a stream with output pending alive until its deadline, and the engine with it: two of two such streams, chunked or delimited by the connection.

The connections of the listener now fail writes once the end of the input was read, so the server drops the connection and the request at once. Both servers for callers, gateway and entry, run on them.

The test failed before on (Busy, Shutdown) and (Unframed, Shutdown) and passes now; it also covers silent endpoints and streams that have begun, with connections closed, reset and shut down. Ruled out: closed and reset connections, which were noticed before too.

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -12,6 +12,9 @@
 use serde_json::{Value, json};
 use tokio::time;
 
+#[path = "gateway/departure.rs"]
+mod departure;
+
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of polls after which a test stops waiting for a condition.
@@ -92,6 +95,17 @@
         panic!("no response from endpoint {endpoint}");
     }
 
+    /// Waits until the gateway reports that it is ready.
+    async fn wait_until_ready(&self) {
+        for _ in 0..MAX_POLLS {
+            if self.readiness_status().await == 200 {
+                return;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("the gateway is not ready");
+    }
+
     async fn send(&self, target: &str) -> String {
         send(&self.client, self.gateway.address(), target).await
     }
--- /dev/null
+++ b/mulberrymill-bench/tests/gateway/departure.rs
@@ -0,0 +1,185 @@
+//! Callers that leave while an endpoint works on their request. The endpoint is a raw socket, so
+//! that a test sees how the gateway ends its connection.
+
+use std::{net::SocketAddr, time::Duration};
+
+use mulberrymill_bench::platform::entry;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, tcp::WriteHalf},
+    sync::mpsc,
+    task, time,
+};
+
+use super::{Harness, config};
+
+/// Limit of the wait for an event that follows at once in a correct gateway.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without an event after which the busy endpoint counts as blocked by the gateway.
+const BLOCKED_TIMEOUT: Duration = Duration::from_millis(200);
+/// Data of an event of a busy stream.
+const EVENT_BYTES: usize = 8_000;
+
+/// What the endpoint does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// Reads the request and does not answer.
+    Silent,
+    /// Answers with the first event of a stream.
+    Begun,
+    /// Answers with events as fast as the gateway takes them.
+    Busy,
+    /// As [`Service::Busy`], in a body that ends with its connection.
+    Unframed,
+}
+
+/// How a caller leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// Closes its connection.
+    Close,
+    /// Resets its connection.
+    Reset,
+    /// Closes its connection for writing and reads no more.
+    Shutdown,
+}
+
+/// A gateway with one route to a raw endpoint, and the events that the endpoint reports.
+struct Rig {
+    harness: Harness,
+    arrived: mpsc::UnboundedReceiver<()>,
+    ended: mpsc::UnboundedReceiver<()>,
+}
+
+impl Rig {
+    async fn open(service: Service) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let (arrived_sender, arrived) = mpsc::unbounded_channel();
+        let (ended_sender, ended) = mpsc::unbounded_channel();
+        let harness = open_harness(listener.local_addr().expect("a bound address")).await;
+        task::spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                read_head(&mut stream).await;
+                arrived_sender.send(()).expect("the test waits");
+                let (mut reader, writer) = stream.split();
+                let mut byte = [0; 1];
+                tokio::select! {
+                    // The requests of these tests have no body.
+                    _ = reader.read(&mut byte) => {}
+                    () = answer(writer, service) => {}
+                }
+                ended_sender.send(()).expect("the test waits");
+            }
+        });
+        Self {
+            harness,
+            arrived,
+            ended,
+        }
+    }
+
+    /// Sends a request, leaves, and returns whether the endpoint noticed.
+    async fn is_noticed(&mut self, service: Service, departure: Departure) -> bool {
+        let address = self.harness.gateway.address();
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        let head = "POST /stream/1 HTTP/1.1\r\nhost: kitchen.example\r\nrequest-id: 9c41\r\n\
+             deadline-ms: 20000\r\ncontent-length: 0\r\n\r\n";
+        caller
+            .write_all(head.as_bytes())
+            .await
+            .expect("a gateway that reads");
+        self.arrived.recv().await.expect("the request arrives");
+        if service == Service::Begun {
+            read_head(&mut caller).await;
+        }
+        if matches!(service, Service::Busy | Service::Unframed) {
+            time::sleep(BLOCKED_TIMEOUT).await;
+        }
+        let caller = match departure {
+            Departure::Close => {
+                drop(caller);
+                None
+            }
+            Departure::Reset => {
+                caller.set_zero_linger().expect("an open socket");
+                drop(caller);
+                None
+            }
+            Departure::Shutdown => {
+                caller.shutdown().await.expect("an open socket");
+                Some(caller)
+            }
+        };
+        let ended = time::timeout(EVENT_TIMEOUT, self.ended.recv()).await;
+        drop(caller);
+        ended.is_ok()
+    }
+}
+
+async fn open_harness(endpoint: SocketAddr) -> Harness {
+    let harness = Harness::open().await;
+    harness.store.put("op/config", &config(3, "s1"));
+    harness
+        .store
+        .put("servers/e1", &entry(endpoint, "s1", 4, "ready"));
+    harness.wait_until_ready().await;
+    harness
+}
+
+async fn read_head(stream: &mut TcpStream) {
+    let mut received = Vec::new();
+    while !received.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        let read = stream.read_buf(&mut received).await;
+        assert_ne!(read.expect("a head"), 0, "the connection ended");
+    }
+}
+
+/// Answers as `service` says, until the gateway ends the connection.
+async fn answer(mut writer: WriteHalf<'_>, service: Service) {
+    let framing = match service {
+        Service::Silent => return std::future::pending().await,
+        Service::Begun | Service::Busy => "transfer-encoding: chunked",
+        Service::Unframed => "connection: close",
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: 9c41\r\nserver-stamp: s\r\n\
+         content-type: text/event-stream\r\n{framing}\r\n\r\n"
+    );
+    if writer.write_all(head.as_bytes()).await.is_err() {
+        return;
+    }
+    for number in 1_u64.. {
+        let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
+        let part = match service {
+            Service::Unframed => event,
+            _ => format!("{:x}\r\n{event}\r\n", event.len()),
+        };
+        if writer.write_all(part.as_bytes()).await.is_err() {
+            return;
+        }
+        if service == Service::Begun {
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Guards against an endpoint that works on for a caller that has left (GONE).
+#[actix_web::test]
+async fn departure_of_a_caller_ends_the_work_for_it() {
+    let mut unnoticed = Vec::new();
+    for service in [
+        Service::Silent,
+        Service::Begun,
+        Service::Busy,
+        Service::Unframed,
+    ] {
+        let mut rig = Rig::open(service).await;
+        for departure in [Departure::Close, Departure::Reset, Departure::Shutdown] {
+            if !rig.is_noticed(service, departure).await {
+                unnoticed.push((service, departure));
+                rig = Rig::open(service).await;
+            }
+        }
+    }
+    assert_eq!(unnoticed, []);
+}
--- a/src/front/imp.rs
+++ b/src/front/imp.rs
@@ -130,7 +130,7 @@
     };
     let context = web::Data::new(config);
     let new_app = move || App::new().app_data(context.clone()).configure(routes);
-    let (running, address) = listener::bind(parameters, new_app)?;
+    let (running, address) = listener::bind(&parameters, new_app)?;
     let handle = running.handle();
     actix_rt::spawn(running);
     Ok(Server { address, handle })
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -175,7 +175,7 @@
             .app_data(web::Data::new(new_context(&config)))
             .default_service(web::to(serve::request))
     };
-    let (running, address) = listener::bind(parameters, new_app)?;
+    let (running, address) = listener::bind(&parameters, new_app)?;
     Ok((spawn(running), address))
 }
 
--- a/src/listener/connection.rs
+++ b/src/listener/connection.rs
@@ -1,5 +1,5 @@
 use std::{
-    io,
+    io::{self, ErrorKind},
     pin::Pin,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
@@ -15,8 +15,9 @@
 /// Time from the departure of a caller to the end of its connection above which a line is logged.
 const LATE_DEPARTURE_MIN: Duration = Duration::from_millis(250);
 
-/// Connection of a caller. Records how long work for a caller that has left goes on: the HTTP server
-/// drops the request in progress together with its connection.
+/// Connection of a caller. Once the caller has closed its side, writes fail: the HTTP server would
+/// otherwise keep the request in progress until its output is flushed, which a caller that does not
+/// read prevents. Also records how long the request was kept.
 #[derive(Debug)]
 pub(super) struct Connection {
     stream: TcpStream,
@@ -33,17 +34,27 @@
             left_at: None,
         }
     }
+
+    fn check_caller(&self) -> io::Result<()> {
+        match self.left_at {
+            Some(_) => Err(io::Error::new(
+                ErrorKind::ConnectionAborted,
+                "the caller has left",
+            )),
+            None => Ok(()),
+        }
+    }
 }
 
 impl AsyncRead for Connection {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() == before && buffer.remaining() > 0 {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() == before && buf.remaining() > 0 {
             let now = self.clock.now();
             self.left_at.get_or_insert(now);
         }
@@ -55,12 +66,14 @@
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bytes: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.check_caller()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check_caller()?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/src/listener/imp.rs
+++ b/src/listener/imp.rs
@@ -43,7 +43,7 @@
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub fn bind<F, A, S, B>(config: Config, new_app: F) -> Result<(Running, SocketAddr)>
+pub fn bind<F, A, S, B>(config: &Config, new_app: F) -> Result<(Running, SocketAddr)>
 where
     F: Fn() -> A + Send + Clone + 'static,
     A: IntoServiceFactory<S, Request>,
