Withdraw the request of a departed caller that its endpoint has not received

An endpoint could receive a request after the caller had left (GONE). Cause: a canceled request closed its connection in order, so the kernel went on to deliver what stood in its send buffer, behind an endpoint that reads slowly or a link that is cut.

A request that is canceled before its answer begins now resets its connection, which discards the rest and reaches the endpoint at once. A canceled answer still closes in order, since the endpoint has the request then.

--- a/mulberrymill-bench/tests/gateway/departure.rs
+++ b/mulberrymill-bench/tests/gateway/departure.rs
@@ -7,7 +7,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, tcp::WriteHalf},
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     task, time,
 };
 
@@ -17,6 +17,8 @@
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without an event after which the busy endpoint counts as blocked by the gateway.
 const BLOCKED_TIMEOUT: Duration = Duration::from_millis(200);
+/// Size of a body that does not fit into the socket buffers between gateway and endpoint.
+const LARGE_BODY_BYTES: usize = 24 << 20;
 /// Data of an event of a busy stream.
 const EVENT_BYTES: usize = 8_000;
 
@@ -118,7 +120,9 @@
 
 async fn open_harness(endpoint: SocketAddr) -> Harness {
     let harness = Harness::open().await;
-    harness.store.put("op/config", &config(3, "s1"));
+    let mut plan = config(3, "s1");
+    plan["limits"]["maxBodyBytes"] = (2 * LARGE_BODY_BYTES).into();
+    harness.store.put("op/config", &plan);
     harness
         .store
         .put("servers/e1", &entry(endpoint, "s1", 4, "ready"));
@@ -183,3 +187,39 @@
     }
     assert_eq!(unnoticed, []);
 }
+
+/// Guards against a request that an endpoint receives after its caller has left, from the socket
+/// buffers of the gateway (GONE).
+#[actix_web::test]
+async fn request_of_a_departed_caller_is_withdrawn_from_a_slow_endpoint() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let harness = open_harness(listener.local_addr().expect("a bound address")).await;
+    let (sent, has_sent) = oneshot::channel();
+    let address = harness.gateway.address();
+    let caller = task::spawn_local(async move {
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        let head = format!(
+            "POST /stream/1 HTTP/1.1\r\nhost: kitchen.example\r\nrequest-id: 9c41\r\n\
+             deadline-ms: 20000\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n"
+        );
+        caller
+            .write_all(head.as_bytes())
+            .await
+            .expect("a gateway that reads");
+        let body = vec![b'x'; LARGE_BODY_BYTES];
+        caller.write_all(&body).await.expect("a gateway that reads");
+        has_sent.await.expect("the test runs");
+    });
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    read_head(&mut stream).await;
+    sent.send(()).expect("the caller runs");
+    caller.await.expect("the caller does not panic");
+    time::sleep(BLOCKED_TIMEOUT).await;
+    let mut rest = Vec::new();
+    let read = stream.read_to_end(&mut rest).await;
+    assert!(
+        read.is_err(),
+        "{} bytes of the request arrived after the caller had left",
+        rest.len()
+    );
+}
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -129,6 +129,14 @@
     metrics::counter!("upstream_cancellations_total", "phase" => phase.as_str()).increment(1);
 }
 
+/// Makes the close of the connection discard what the endpoint has not received yet. Otherwise a
+/// request that was canceled would still arrive, once the endpoint reads or its link recovers.
+fn discard_unsent(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(error:% = error; "connection was lost before its request was canceled");
+    }
+}
+
 /// Reports an error to the caller of [`Client::send`](super::Client::send), unless it has gone.
 fn send_error(responder: oneshot::Sender<Result<Response>>, error: Error) {
     if let Err(Err(error)) = responder.send(Err(error)) {
@@ -199,6 +207,7 @@
                 read = reader.read_buf(&mut self.buffer) => read.map(Some),
                 () = responder.closed() => {
                     record_cancellation(if written { Phase::Waiting } else { Phase::Sending });
+                    discard_unsent(reader.as_ref());
                     return false;
                 }
             };
@@ -224,6 +233,7 @@
         let body = Body::new(parts);
         if responder.send(Ok(Response { head, body })).is_err() {
             record_cancellation(Phase::Waiting);
+            discard_unsent(reader.as_ref());
             return false;
         }
         if until_close {
@@ -248,6 +258,9 @@
             Ok(true) => written && codec.keep_alive(),
             Ok(false) => {
                 record_cancellation(Phase::Answering);
+                if !written {
+                    discard_unsent(reader.as_ref());
+                }
                 false
             }
             Err(error) => {
