Log which prompts ran at an endpoint that ended

A connection that is lost while a request with such parts runs is followed by one connection for a test: if it is refused, the endpoint has ended, which is logged with the request and told to the dispatcher as an ending of its own. Resets, broken answers and cut links do not look like that.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -199,11 +199,11 @@
                 self.ejector.record_success(endpoint, now);
                 self.failure_reports.record_success(endpoint);
             }
-            Ending::Failed | Ending::Lost => {
+            Ending::Failed | Ending::Lost | Ending::Crashed => {
                 member.failures += 1;
                 // A single error answer may be caused by the request, not by the endpoint.
                 let reports_failure =
-                    finish.ending == Ending::Lost || member.failures >= REPORTED_FAILURES_MIN;
+                    finish.ending != Ending::Failed || member.failures >= REPORTED_FAILURES_MIN;
                 let pool = self.pool(&service);
                 if self
                     .ejector
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -131,6 +131,8 @@
     Failed,
     /// The endpoint could not be reached, or closed the connection early.
     Lost,
+    /// The endpoint ended while it ran the request.
+    Crashed,
     /// This process gave up, which says nothing about the endpoint.
     Abandoned,
 }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -6,11 +6,13 @@
 };
 
 use actix::{MailboxError, Recipient};
-use tokio::time;
+use tokio::{task, time};
 
 use super::{
     Attempt, Call, EndpointResponse, EventId, Execution, KvCache, Response, Result, SendError,
-    Step, Upstream, record::RequestLog, stream,
+    Step, Upstream,
+    record::{RequestLog, log_endpoint_ended},
+    stream,
 };
 use crate::{
     clock::Shared,
@@ -199,7 +201,7 @@
             }
             Some(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
-                ticket.end(Ending::Lost);
+                self.end_lost(ticket);
                 self.excluded.push(instance.id.clone());
                 return self.check_prefill_retry().await.map(|()| None);
             }
@@ -273,7 +275,7 @@
                 self.after_refused_connection(&detail)
             }
             Some(Err(SendError::Lost(detail))) => {
-                ticket.end(Ending::Lost);
+                self.end_lost(ticket);
                 self.may_have_run = true;
                 self.after_possible_execution(&detail).await?
             }
@@ -383,6 +385,25 @@
         }
     }
 
+    /// Ends an attempt whose connection was lost. Finds out in the background whether the endpoint has
+    /// ended, if the request has parts that may be the cause.
+    pub(super) fn end_lost(&self, ticket: Ticket) {
+        if self.call.shared_parts.is_empty() {
+            return ticket.end(Ending::Lost);
+        }
+        let call = Rc::clone(&self.call);
+        let instance = Arc::clone(&ticket.choice().instance);
+        let refuses = self.ports.upstream.refuses_connections(instance.address);
+        task::spawn_local(async move {
+            if refuses.await {
+                log_endpoint_ended(&call, &instance.id);
+                ticket.end(Ending::Crashed);
+            } else {
+                ticket.end(Ending::Lost);
+            }
+        });
+    }
+
     async fn after_possible_execution(&mut self, why: &str) -> Result<Decision> {
         self.last_failure = Some(why.to_owned());
         let allowed = self.route.kind.is_repeatable() && self.sends < self.route.attempts;
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -53,6 +53,8 @@
     pub timeout: Option<Duration>,
     /// Set for a request to a model.
     pub generation: Option<Generation>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Arc<[id::PromptPart]>,
     /// The last event that the caller received, if it resumes a stream.
     pub resume_after: Option<EventId>,
 }
@@ -180,6 +182,10 @@
 
     /// Frees an unused KV cache in the background.
     fn release_cache(&self, cache: KvCache);
+
+    /// Opens a connection for a test, and returns whether it was refused: nothing listens at the
+    /// address. An address that does not answer has not refused.
+    fn refuses_connections(&self, address: SocketAddr) -> LocalBoxFuture<'static, bool>;
 }
 
 /// The response to a caller.
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -1,10 +1,14 @@
-use std::time::{Duration, Instant};
+use std::{
+    fmt,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use super::Call;
 use crate::{
     clock::Shared,
     dispatch::Choice,
-    id::{self, Endpoint},
+    id::{self, Endpoint, PromptPart},
     unit::Tokens,
 };
 
@@ -20,6 +24,7 @@
     prefilled_at: Option<Instant>,
     answered_at: Option<Instant>,
     prompt: Option<Tokens>,
+    shared_parts: Arc<[PromptPart]>,
     /// Expected time until the first engine answers, and the prompt tokens that it has to prefill
     /// until then.
     forecast: Option<(Duration, Tokens)>,
@@ -39,6 +44,7 @@
             prefilled_at: None,
             answered_at: None,
             prompt: call.generation.map(|generation| generation.prompt),
+            shared_parts: Arc::clone(&call.shared_parts),
             forecast: None,
             endpoint: None,
             sends: 0,
@@ -101,6 +107,7 @@
         log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
             endpoint:% = OrDash(self.endpoint.as_ref()), sends = self.sends,
             status = self.status, prompt:? = self.prompt.map(Tokens::get),
+            shared_parts:% = Joined(&self.shared_parts),
             forecast_ms:? = self.forecast.map(|(time, _)| time.as_millis()),
             tokens_ahead:? = self.forecast.map(|(_, tokens)| tokens.get()),
             prefill_ms:? = self.prefilled_at.map(|at| (at - self.arrived).as_millis()),
@@ -109,11 +116,31 @@
     }
 }
 
+/// Logs that an endpoint ended while it ran a request.
+pub(super) fn log_endpoint_ended(call: &Call, endpoint: &Endpoint) {
+    log::warn!(call:% = OrDash(call.id.as_ref()), endpoint:% = endpoint,
+        shared_parts:% = Joined(&call.shared_parts);
+        "endpoint ended while it ran the request");
+}
+
+/// Displays parts with commas between them.
+struct Joined<'a>(&'a [PromptPart]);
+
+impl fmt::Display for Joined<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Displays a missing value as a dash.
 struct OrDash<'a, T>(Option<&'a T>);
 
-impl<T: std::fmt::Display> std::fmt::Display for OrDash<'_, T> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl<T: fmt::Display> fmt::Display for OrDash<'_, T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
             Some(value) => value.fmt(f),
             None => f.write_str("-"),
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -195,11 +195,11 @@
         let endpoint = self.ticket.take().map(|ticket| {
             let endpoint = ticket.choice().instance.id.clone();
             let late = error.kind() == Kind::Deadline;
-            ticket.end(if late {
-                Ending::Abandoned
+            if late {
+                ticket.end(Ending::Abandoned);
             } else {
-                Ending::Lost
-            });
+                self.exchange.end_lost(ticket);
+            }
             endpoint
         });
         let Some(splitter) = &mut self.splitter else {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -2,6 +2,7 @@
     cell::RefCell,
     collections::VecDeque,
     fmt::Write as _,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant, SystemTime},
@@ -116,6 +117,10 @@
             .borrow_mut()
             .push(format!("release of {}", cache.handle));
     }
+
+    fn refuses_connections(&self, _address: SocketAddr) -> LocalBoxFuture<'static, bool> {
+        std::future::ready(true).boxed_local()
+    }
 }
 
 const EVENTS: &[&str] = &["id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\n"];
@@ -152,6 +157,7 @@
             shared: Tokens::ZERO,
             affinity: None,
         }),
+        shared_parts: Arc::default(),
         resume_after: None,
     }
 }
--- a/src/id/imp.rs
+++ b/src/id/imp.rs
@@ -254,6 +254,31 @@
     Edit, "edit id", u128, "32"
 );
 
+/// A part of a prompt that requests may share, as callers name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PromptPart(u128);
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PromptPart {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_error| Error {
+                id_type: "prompt part",
+                rule: "use 1 to 32 hexadecimal digits",
+            })
+    }
+}
+
+serde_as_text!(PromptPart);
+
 /// One attempt to run a request on an endpoint. Ids of attempts are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Attempt {
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -19,7 +19,7 @@
 
 pub use imp::{
     Attempt, Call, Caller, Class, Edit, Editor, Endpoint, Error, Fence, Group, Host, Incarnation,
-    Key, Model, Operation, Order, Process, Request, Revision, Route, Service, Zone,
+    Key, Model, Operation, Order, Process, PromptPart, Request, Revision, Route, Service, Zone,
 };
 
 /// Result of parsing an identifier.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use actix_http::{RequestHead, ResponseHead};
 use actix_web::http::{
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use serde::Deserialize;
-use tokio::{task, time};
+use tokio::{net::TcpStream, task, time};
 
 use super::{ingress::header_text, names};
 use crate::{
@@ -22,6 +22,9 @@
 /// Timeout of the call that frees a KV cache. Without it the cache expires in the engine after some
 /// seconds.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limit of a test whether an endpoint listens; a host without a listener refuses within a round
+/// trip.
+const LISTEN_TEST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Least urgent priority in the protocol.
 const RANK_MAX: u8 = 9;
 
@@ -100,6 +103,14 @@
             }
         });
     }
+
+    fn refuses_connections(&self, address: SocketAddr) -> LocalBoxFuture<'static, bool> {
+        async move {
+            let opened = time::timeout(LISTEN_TEST_TIMEOUT, TcpStream::connect(address)).await;
+            matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+        }
+        .boxed_local()
+    }
 }
 
 fn encode(attempt: &Attempt) -> Result<RequestHead, SendError> {
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -1,6 +1,7 @@
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -45,6 +46,7 @@
             arrived,
             timeout: timeout.map(Duration::from_millis),
             generation: parse_generation(received)?,
+            shared_parts: parse_shared_parts(received),
             resume_after: resume_after.transpose()?,
         })
     }
@@ -80,6 +82,18 @@
     }))
 }
 
+/// The parts of the prompt before the last one, which is specific to its request or session.
+fn parse_shared_parts(headers: &HeaderMap) -> Arc<[id::PromptPart]> {
+    let prefix = header_text(headers, names::PREFIX_HASH).unwrap_or_default();
+    let mut ids: Vec<&str> = prefix
+        .split(',')
+        .filter_map(parse_prefix_part)
+        .map(|(id, _)| id)
+        .collect();
+    ids.pop();
+    ids.into_iter().filter_map(|id| id.parse().ok()).collect()
+}
+
 fn parse_prefix_part(text: &str) -> Option<(&str, u64)> {
     let (id, tokens) = text.trim().split_once(':')?;
     Some((id, tokens.parse().ok()?))
