Refuse requests with a part of a prompt that ends engines

Cause: nothing related the crashes to what the prompts had in common, so each request was placed like any other.

The new slice quarantine counts for each part the crashes in which it was running since it was last answered. The part with the most crashes is held after three of them (five if it was ever answered), others only for crashes that the held ones do not explain, so the parts that sound requests share with it stay free. Gateways report crashes and answers in their digests; a held part is refused at once with 503, for ten minutes or until an answer clears it, and one crash renews the hold.

The test failed before (request 7 was sent) and passes now.

--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
@@ -68,7 +70,8 @@
         let choice = self.balancer.choose(&demand, now)?;
         let address = ctx.address();
         let finish = address.clone().recipient();
-        Ok(Ticket::new(choice, address.recipient(), finish))
+        let parts = Arc::clone(&demand.shared_parts);
+        Ok(Ticket::new(choice, parts, address.recipient(), finish))
     }
 }
 
@@ -116,7 +119,7 @@
     type Result = MessageResult<TakeDigest>;
 
     fn handle(&mut self, _: TakeDigest, _: &mut Context<Self>) -> Self::Result {
-        MessageResult(self.balancer.take_digest())
+        MessageResult(self.balancer.take_digest(self.clock.now()))
     }
 }
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -21,6 +21,7 @@
     id::{Endpoint, Service, Zone},
     invariant::{self, Invariant},
     link::Session,
+    quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
     unit::Tokens,
     wire::{Digest, Usage},
@@ -49,6 +50,9 @@
     model: Model,
     urgency: Urgency,
     failure_reports: FailureReports,
+    quarantine: Quarantine,
+    /// Whether peers are linked with all others, so that reports need not be passed on.
+    peers_are_linked: bool,
     /// Failed endpoints that have not been reported to peers yet.
     unreported_failures: BTreeSet<Endpoint>,
 }
@@ -67,6 +71,8 @@
             model: Model::new(),
             urgency: Urgency::default(),
             failure_reports: FailureReports::default(),
+            quarantine: Quarantine::new(),
+            peers_are_linked: true,
             unreported_failures: BTreeSet::new(),
         }
     }
@@ -99,7 +105,11 @@
     ///
     /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible, and [`Kind::Overloaded`] if a first
     /// attempt is not expected to be answered before its deadline at any of them.
+    /// [`Kind::Quarantined`] if the prompt has a part that has ended engines.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
+        if let Some(hold) = self.quarantine.check(&demand.shared_parts, now) {
+            return Err(quarantined(hold));
+        }
         // Backlogs, of this process and of its peers, are by the rank at the engines.
         let demand = &Demand {
             rank: self.urgency.rank(demand, now),
@@ -196,6 +206,10 @@
         match finish.ending {
             Ending::Served => {
                 member.record_success();
+                // A prefill is no answer.
+                if member.instance.stage != Some(Stage::Prefill) {
+                    self.quarantine.record_served(&finish.shared_parts);
+                }
                 self.ejector.record_success(endpoint, now);
                 self.failure_reports.record_success(endpoint);
             }
@@ -212,6 +226,10 @@
                     log::warn!(endpoint:% = endpoint, service:% = service;
                         "ejecting endpoint after consecutive failures");
                 }
+                if finish.ending == Ending::Crashed {
+                    self.quarantine
+                        .record_crash(endpoint, &finish.shared_parts, now);
+                }
                 if reports_failure {
                     self.unreported_failures.insert(endpoint.clone());
                     self.record_failure(endpoint, None, &pool, now);
@@ -228,8 +246,9 @@
     }
 
     /// Returns the digest for peers: the usage of each endpoint with requests of this process in
-    /// flight, and the endpoints that failed since the last call.
-    pub fn take_digest(&mut self) -> Digest {
+    /// flight, the endpoints that failed since the last call, and what is new of parts of prompts that
+    /// end engines.
+    pub fn take_digest(&mut self, now: Instant) -> Digest {
         let busy = self.members.values().filter(|member| member.in_flight > 0);
         let usages = busy.map(|member| Usage {
             endpoint: member.instance.id.clone(),
@@ -241,6 +260,7 @@
             failed: std::mem::take(&mut self.unreported_failures)
                 .into_iter()
                 .collect(),
+            parts: self.quarantine.take_report(now),
         }
     }
 
@@ -252,6 +272,8 @@
                 self.record_failure(endpoint, Some(msg.session), &pool, now);
             }
         }
+        let relay = !self.peers_are_linked;
+        self.quarantine.apply_report(msg.digest.parts, relay, now);
         self.peer_loads.update(msg.session, msg.digest.usages);
     }
 
@@ -286,6 +308,7 @@
 
     /// Sets how many of the known peers are linked, for extrapolating their load.
     pub const fn set_peer_coverage(&mut self, coverage: PeerCoverage) {
+        self.peers_are_linked = coverage.linked >= coverage.known;
         self.peer_loads.set_coverage(coverage);
     }
 
@@ -401,6 +424,15 @@
     Err(Error::new(Kind::Overloaded, detail).with_retry_after(excess.min(longest)))
 }
 
+fn quarantined(hold: Hold) -> Error {
+    metrics::counter!("quarantine_refusals_total").increment(1);
+    let detail = format!(
+        "not run: part {} of the prompt has ended engines",
+        hold.part
+    );
+    Error::new(Kind::Quarantined, detail).with_retry_after(hold.remaining)
+}
+
 /// The endpoint that is selected for a request.
 struct Selection {
     endpoint: Endpoint,
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -11,7 +11,7 @@
     directory::Instance,
     error::Result,
     forecast::Pace,
-    id::{Endpoint, Service, Zone},
+    id::{Endpoint, PromptPart, Service, Zone},
     link::Session,
     unit::Tokens,
     wire::Digest,
@@ -43,6 +43,8 @@
     pub prompt: Tokens,
     /// Tokens of the prompt prefix that other requests share.
     pub shared_prefix: Tokens,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Arc<[PromptPart]>,
     /// Hash of the shared prefix. Requests with the same hash prefer the same engine, which has the
     /// prefix cached.
     pub affinity: Option<u64>,
@@ -55,8 +57,9 @@
 }
 
 /// Selects an endpoint and counts the request as in flight there. Fails with
-/// [`Kind::NoEndpoint`](crate::error::Kind::NoEndpoint) if no endpoint is eligible, and with
-/// [`Kind::Overloaded`](crate::error::Kind::Overloaded) if none is expected to answer in time.
+/// [`Kind::NoEndpoint`](crate::error::Kind::NoEndpoint) if no endpoint is eligible, with
+/// [`Kind::Overloaded`](crate::error::Kind::Overloaded) if none is expected to answer in time, and
+/// with [`Kind::Quarantined`](crate::error::Kind::Quarantined) if the prompt has a held part.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "Result<Ticket>")]
 pub struct Choose(pub Demand);
@@ -151,6 +154,8 @@
     pub ending: Ending,
     /// Pauses of the stream, if the request was answered with one.
     pub pace: Option<Pace>,
+    /// Shared parts of the prompt.
+    pub shared_parts: Arc<[PromptPart]>,
 }
 
 /// Asks whether the retry budget of a service allows another attempt, and counts it if so.
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -40,6 +40,7 @@
         rank: 1,
         prompt: Tokens::new(prompt),
         shared_prefix: Tokens::new(prompt / 2),
+        shared_parts: Arc::default(),
         affinity,
         remaining: Duration::from_mins(1),
         excluded: Vec::new(),
@@ -54,6 +55,7 @@
         prompt: Tokens::new(prompt),
         ending,
         pace: None,
+        shared_parts: Arc::default(),
     }
 }
 
@@ -477,7 +479,7 @@
         session,
         digest: Digest {
             usages,
-            failed: Vec::new(),
+            ..Digest::default()
         },
     }
 }
@@ -487,8 +489,8 @@
     PeerDigest {
         session,
         digest: Digest {
-            usages: Vec::new(),
             failed: failed.collect(),
+            ..Digest::default()
         },
     }
 }
@@ -583,6 +585,7 @@
             prompt: Tokens::ZERO,
             ending: Ending::Abandoned,
             pace: None,
+            shared_parts: Arc::default(),
         };
         balancer.finish(&finish, now);
     }
@@ -640,9 +643,9 @@
     for ending in [Ending::Failed, Ending::Served, Ending::Lost, Ending::Failed] {
         let choice = balancer.choose(&demand, now).expect("s1");
         balancer.finish(&finish(&choice, 0, ending), now);
-        results.push((ending, balancer.take_digest().failed));
+        results.push((ending, balancer.take_digest(now).failed));
     }
-    results.push((Ending::Abandoned, balancer.take_digest().failed));
+    results.push((Ending::Abandoned, balancer.take_digest(now).failed));
     insta::assert_debug_snapshot!(results);
 }
 
@@ -697,11 +700,11 @@
         }
         let mut request = demand("lm", Need::Start, prompt, None);
         request.remaining = Duration::from_millis(remaining);
-        let before = balancer.take_digest();
+        let before = balancer.take_digest(now);
         let Err(error) = balancer.choose(&request, now) else { return Ok(()) };
         prop_assert_eq!(error.kind(), crate::error::Kind::Overloaded);
         prop_assert!(error.retry_after().is_some_and(|period| period < request.remaining));
-        prop_assert_eq!(balancer.take_digest(), before);
+        prop_assert_eq!(balancer.take_digest(now), before);
         for engine in names {
             let mut only = request.clone();
             only.remaining = Duration::from_hours(1);
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -1,9 +1,12 @@
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix::Recipient;
 
 use super::{Choice, Ending, Finish, Load, Progress};
-use crate::{forecast::Pace, unit::Tokens};
+use crate::{forecast::Pace, id::PromptPart, unit::Tokens};
 
 /// The permit to send a request to the selected endpoint.
 ///
@@ -19,11 +22,13 @@
     finish: Recipient<Finish>,
     ending: Ending,
     pace: Option<Pace>,
+    shared_parts: Arc<[PromptPart]>,
 }
 
 impl Ticket {
-    pub(super) const fn new(
+    pub(super) fn new(
         choice: Choice,
+        shared_parts: Arc<[PromptPart]>,
         progress: Recipient<Progress>,
         finish: Recipient<Finish>,
     ) -> Self {
@@ -34,6 +39,7 @@
             finish,
             ending: Ending::Abandoned,
             pace: None,
+            shared_parts,
         }
     }
 
@@ -84,6 +90,7 @@
             prompt: self.pending_prefill,
             ending: self.ending,
             pace: self.pace,
+            shared_parts: Arc::clone(&self.shared_parts),
         });
     }
 }
--- a/src/error/imp.rs
+++ b/src/error/imp.rs
@@ -116,6 +116,8 @@
     Overloaded => "overloaded", 503, "The target of the class cannot be met now", No, SHORT_DELAY;
     /// No endpoint can serve the request.
     NoEndpoint => "no-endpoint", 503, "No endpoint can take the request", No, SHORT_DELAY;
+    /// The prompt has a part that was running when engines ended.
+    Quarantined => "quarantined", 503, "A part of the prompt has ended engines", No, LONG_DELAY;
     /// The process is shutting down, or the endpoint is draining.
     Leaving => "leaving", 503, "The process is shutting down", No, SHORT_DELAY;
     /// The attempt was addressed to an earlier incarnation of the agent.
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -475,6 +475,7 @@
             rank: self.route.rank,
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
             shared_prefix: generation.map_or(Tokens::ZERO, |generation| generation.shared),
+            shared_parts: Arc::clone(&self.call.shared_parts),
             affinity: generation.and_then(|generation| generation.affinity),
             remaining: self.remaining(),
             excluded: self.excluded.clone(),
@@ -489,7 +490,7 @@
                 if self.may_have_run {
                     let failure = self.last_failure.as_deref().unwrap_or("no answer");
                     Error::new(Kind::EndpointLost, format!("{failure}; {}", error.detail()))
-                } else if error.kind() == Kind::Overloaded {
+                } else if matches!(error.kind(), Kind::Overloaded | Kind::Quarantined) {
                     // The dispatcher knows when to come back.
                     error
                 } else {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::VecDeque,
     fmt::Write as _,
     net::SocketAddr,
@@ -41,6 +41,8 @@
     Refuse,
     /// Loses the connection before the response.
     Lose,
+    /// Sends a part of a stream, then ends.
+    Crash(&'static [&'static str]),
     /// Accepts the request and never responds.
     Hang,
     /// Sends a body without end, as fast as it is read.
@@ -54,6 +56,8 @@
 struct Script {
     acts: RefCell<VecDeque<Act>>,
     received: RefCell<Vec<String>>,
+    /// Whether the endpoint that received the last request has ended.
+    ended: Cell<bool>,
 }
 
 impl Upstream for Script {
@@ -70,12 +74,13 @@
         let line = format!("{step}{}", resumed.unwrap_or_default());
         self.received.borrow_mut().push(line);
         let act = self.acts.borrow_mut().pop_front().unwrap_or(Act::Hang);
+        self.ended.set(matches!(act, Act::Crash(_)));
         async move {
             let (status, execution, body) = match act {
                 Act::Respond(status, execution) => {
                     (status, execution, Body::scripted(&["body"], Some(Ok(()))))
                 }
-                Act::Break(chunks) => {
+                Act::Break(chunks) | Act::Crash(chunks) => {
                     let lost = upstream::Error::new(upstream::Kind::Lost, "reset");
                     (
                         200,
@@ -119,7 +124,7 @@
     }
 
     fn refuses_connections(&self, _address: SocketAddr) -> LocalBoxFuture<'static, bool> {
-        std::future::ready(true).boxed_local()
+        std::future::ready(self.ended.get()).boxed_local()
     }
 }
 
@@ -586,3 +591,41 @@
         }
     }
 }
+
+/// Guards against requests with one part in their prompts that end engine after engine (BUDGET), and
+/// against refusing those that share other parts with them.
+#[test]
+fn part_that_ends_engines_is_refused_and_its_companions_are_served() {
+    let requests: [(&str, Act); 8] = [
+        ("a,b,1", Act::Stream(EVENTS)),
+        ("a,bad,2", Act::Crash(&[])),
+        ("a,b,3", Act::Stream(EVENTS)),
+        ("a,bad,4", Act::Crash(TRUNCATED_EVENTS)),
+        ("a,c,5", Act::Crash(TRUNCATED_EVENTS)),
+        ("a,bad,6", Act::Crash(&[])),
+        ("a,bad,7", Act::Stream(EVENTS)),
+        ("a,c,8", Act::Stream(EVENTS)),
+    ];
+    let outcomes = with_paused_time(async {
+        let script = Rc::new(Script::default());
+        let stages = vec![None; 12];
+        let rig = ports(&script, &stages).await;
+        let route = route(route::Kind::NonIdempotent, 1);
+        let mut outcomes = Vec::new();
+        for (parts, act) in requests {
+            script.acts.borrow_mut().clear();
+            script.acts.borrow_mut().push_back(act);
+            script.received.borrow_mut().clear();
+            let mut call = call(Some(1_000));
+            call.shared_parts = parts
+                .split(',')
+                .map(|part| part.parse().expect("a valid part"))
+                .collect();
+            let response = start(call, Arc::clone(&route), rig.ports.clone());
+            outcomes.push(format!("{parts}: {}", describe(response, &script).await));
+            time::sleep(Duration::from_millis(300)).await;
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod operator;
 pub mod peers;
 pub mod platform;
+pub mod quarantine;
 pub mod reconcile;
 pub mod relay;
 pub mod retry;
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -163,9 +163,12 @@
     /// Sends the changes since the last digest, or all usages over a new link.
     fn send_digest(&mut self, digest: Digest) {
         let now = self.config.clock.now();
-        let failed = digest.failed;
-        let current: BTreeMap<Endpoint, Usage> = digest
-            .usages
+        let Digest {
+            usages,
+            failed,
+            parts,
+        } = digest;
+        let current: BTreeMap<Endpoint, Usage> = usages
             .into_iter()
             .map(|usage| (usage.endpoint.clone(), usage))
             .collect();
@@ -186,7 +189,7 @@
         let heartbeat_due = self
             .last_sent_at
             .is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= HEARTBEAT_INTERVAL);
-        let due = heartbeat_due || !changes.is_empty() || !failed.is_empty();
+        let due = heartbeat_due || !changes.is_empty() || !failed.is_empty() || !parts.is_empty();
         for link in self.links.values_mut() {
             let first = !std::mem::replace(&mut link.has_snapshot, true);
             if !first && !due {
@@ -200,6 +203,7 @@
             link.outbox.send(Frame::Digest(Digest {
                 usages,
                 failed: failed.clone(),
+                parts: parts.clone(),
             }));
         }
         if due {
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -183,6 +183,7 @@
             rank: 0,
             prompt: Tokens::new(1_000),
             shared_prefix: Tokens::ZERO,
+            shared_parts: Arc::default(),
             affinity: None,
             remaining: Duration::from_mins(1),
             excluded: Vec::new(),
--- /dev/null
+++ b/src/quarantine/tests.rs
@@ -0,0 +1,176 @@
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+
+use super::Quarantine;
+use crate::id::{Endpoint, PromptPart};
+
+fn part(text: &str) -> PromptPart {
+    text.parse().expect("a valid part")
+}
+
+fn endpoint(number: usize) -> Endpoint {
+    format!("e{number}").parse().expect("a valid name")
+}
+
+/// Records crashes of different endpoints at an interval, each with the same parts.
+fn crash(quarantine: &mut Quarantine, parts: &[PromptPart], count: usize, start: Instant) {
+    for number in 0..count {
+        let at = start + Duration::from_secs(1) * u32::try_from(number).expect("a small number");
+        quarantine.record_crash(&endpoint(number), parts, at);
+    }
+}
+
+/// Guards against a part that is held for crashes of another cause, or not held when it is the cause.
+#[test]
+fn part_is_held_after_crashes_without_an_answer() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(20);
+    let (bad, new, old) = (part("bad"), part("1"), part("2"));
+    let held = |history: &dyn Fn(&mut Quarantine)| {
+        let mut quarantine = Quarantine::new();
+        history(&mut quarantine);
+        [bad, new, old].map(|part| quarantine.check(&[part], later).is_some())
+    };
+    let outcomes = [
+        ("two crashes", held(&|it| crash(it, &[bad], 2, now))),
+        ("three crashes", held(&|it| crash(it, &[bad], 3, now))),
+        (
+            "answered before, four crashes",
+            held(&|it| {
+                it.record_served(&[old]);
+                crash(it, &[bad, old], 4, now);
+            }),
+        ),
+        (
+            "answered before, five crashes",
+            held(&|it| {
+                it.record_served(&[old]);
+                crash(it, &[old], 5, now);
+            }),
+        ),
+        (
+            "answered between crashes",
+            held(&|it| {
+                crash(it, &[bad, new], 2, now);
+                it.record_served(&[new]);
+                crash(it, &[bad, new], 5, now + Duration::from_secs(5));
+                it.record_served(&[new]);
+            }),
+        ),
+        (
+            "a companion has crashes of its own",
+            held(&|it| {
+                crash(it, &[new, bad], 3, now);
+                it.record_crash(&endpoint(7), &[bad], now + Duration::from_secs(6));
+            }),
+        ),
+        (
+            "both are causes",
+            held(&|it| {
+                crash(it, &[bad], 4, now);
+                crash(it, &[new], 3, now + Duration::from_secs(8));
+            }),
+        ),
+        (
+            "a zone ends at once",
+            held(&|it| {
+                for number in 0..9 {
+                    it.record_crash(&endpoint(number), &[bad, new, old], now);
+                }
+            }),
+        ),
+        (
+            "one crash reported nine times",
+            held(&|it| {
+                for number in 0..9_u32 {
+                    let at = now + Duration::from_millis(200) * number;
+                    it.record_crash(&endpoint(1), &[bad], at);
+                }
+            }),
+        ),
+    ];
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against a part that is held for ever, and against one that ends engines again at will.
+#[test]
+fn hold_ends_and_one_crash_renews_it() {
+    let now = Instant::now();
+    let bad = [part("bad")];
+    let mut quarantine = Quarantine::new();
+    crash(&mut quarantine, &bad, 3, now);
+    let minutes = |count| now + Duration::from_mins(count);
+    let mut held = vec![quarantine.check(&bad, minutes(9)).is_some()];
+    held.push(quarantine.check(&bad, minutes(11)).is_some());
+    quarantine.take_report(minutes(11));
+    quarantine.record_crash(&endpoint(9), &bad, minutes(12));
+    held.push(quarantine.check(&bad, minutes(13)).is_some());
+    assert_eq!(held, [true, false, true]);
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Crash(usize, usize, u8),
+    Served(usize, u8),
+    Report(usize),
+    Wait(u16),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        3 => (0_usize..3, 0_usize..6, 0_u8..4).prop_map(|(at, endpoint, part)| Event::Crash(at, endpoint, part)),
+        2 => (0_usize..3, 1_u8..4).prop_map(|(at, part)| Event::Served(at, part)),
+        3 => (0_usize..3).prop_map(Event::Report),
+        2 => (1_u16..3_000).prop_map(Event::Wait),
+    ];
+    proptest::collection::vec(event, 0..120)
+}
+
+proptest! {
+    /// Guards against a gateway that holds a part which has been answered everywhere since its last
+    /// crash, and against gateways that disagree on a part that only crashes once all have reported.
+    /// Part 0 is never answered.
+    #[test]
+    fn gateways_agree_after_their_reports(events in events()) {
+        let mut now = Instant::now();
+        let parts: Vec<PromptPart> = ["0", "1", "2", "3"].map(part).to_vec();
+        let mut gateways = [Quarantine::new(), Quarantine::new(), Quarantine::new()];
+        let report = |gateways: &mut [Quarantine; 3], from: usize, now| {
+            let report = gateways[from].take_report(now);
+            for to in (0..3).filter(|to| *to != from) {
+                gateways[to].apply_report(report.clone(), false, now);
+            }
+        };
+        let mut ended_at = [None; 6];
+        for event in events {
+            match event {
+                Event::Crash(at, endpoint_number, part) => {
+                    // An endpoint takes three seconds to start again.
+                    let ended = *ended_at[endpoint_number].get_or_insert(now);
+                    if now > ended && now < ended + Duration::from_secs(3) {
+                        continue;
+                    }
+                    ended_at[endpoint_number] = Some(now);
+                    let part = parts[usize::from(part)];
+                    gateways[at].record_crash(&endpoint(endpoint_number), &[part], now);
+                }
+                Event::Served(at, part) => gateways[at].record_served(&[parts[usize::from(part)]]),
+                Event::Report(from) => report(&mut gateways, from, now),
+                Event::Wait(millis) => now += Duration::from_millis(u64::from(millis)),
+            }
+        }
+        for _ in 0..2 {
+            now += Duration::from_secs(2);
+            for from in 0..3 {
+                report(&mut gateways, from, now);
+            }
+        }
+        let unanswered = gateways.each_mut().map(|it| it.check(&parts[..1], now).is_some());
+        prop_assert!(unanswered.iter().all(|held| *held == unanswered[0]), "{unanswered:?}");
+        for gateway in &mut gateways {
+            gateway.record_served(&parts[1..]);
+            prop_assert_eq!(gateway.check(&parts[1..], now), None);
+        }
+    }
+}
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -6,7 +6,7 @@
     error::{Executed, Kind},
     id::{
         self, Attempt, Caller, Class, Endpoint, Fence, Group, Incarnation, Key, Model, Operation,
-        Process, Request, Revision, Service, Zone,
+        Process, PromptPart, Request, Revision, Service, Zone,
     },
     unit::{Bytes, Share, Tokens},
 };
@@ -362,6 +362,42 @@
     pub usages: Vec<Usage>,
     /// Endpoints that failed since the last digest.
     pub failed: Vec<Endpoint>,
+    /// What is new of parts of prompts that ran at endpoints when these ended.
+    #[serde(default, skip_serializing_if = "PartReport::is_empty")]
+    pub parts: PartReport,
+}
+
+/// What a gateway knows of parts of prompts that ran at endpoints when these ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartReport {
+    /// Crashes of endpoints, for each part that was running.
+    pub crashes: Vec<Crash>,
+    /// Parts that were answered after crashes, which clears them.
+    pub served: Vec<PromptPart>,
+    /// Parts with crashes that were answered before these.
+    pub served_before: Vec<PromptPart>,
+}
+
+impl PartReport {
+    /// Whether there is nothing to report.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.served.is_empty() && self.served_before.is_empty()
+    }
+}
+
+/// An endpoint ended while it ran a request with a part in its prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// The part.
+    pub part: PromptPart,
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Time since the crash; encoded in whole milliseconds.
+    #[serde(with = "millis")]
+    pub age: Duration,
 }
 
 /// Work that the sender has in progress at an endpoint. Encoded as a tuple to save the field names,
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use proptest::prelude::*;
 
 use super::*;
@@ -76,6 +78,15 @@
         let frame = Frame::Digest(Digest {
             usages: usages.collect(),
             failed: vec!["e1".parse().expect("valid name")],
+            parts: PartReport {
+                crashes: vec![Crash {
+                    part: "5c1e07a2".parse().expect("valid part"),
+                    endpoint: "e1".parse().expect("valid name"),
+                    age: Duration::from_millis(120),
+                }],
+                served: vec!["91bd3f06".parse().expect("valid part")],
+                served_before: vec!["e4402b7d".parse().expect("valid part")],
+            },
         });
         prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
     }
