Report crashes and answers of a part of a prompt once

Cause: a report of a crash that a gateway knew already counted as new again once the part had been answered, and gateways without all links passed on what was new, so reports of a popular part went round without end.

Crashes and answers now carry their age, and a crash before the last answer of its part is dropped. Gateways report what they have seen themselves, at most 128 entries a time; the held parts, at most 16, are repeated every second by all, which also reaches gateways that are not linked with the one that saw the crash. Parts with less crashes than a hold needs no longer start a new choice of the held ones.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -51,8 +51,6 @@
     urgency: Urgency,
     failure_reports: FailureReports,
     quarantine: Quarantine,
-    /// Whether peers are linked with all others, so that reports need not be passed on.
-    peers_are_linked: bool,
     /// Failed endpoints that have not been reported to peers yet.
     unreported_failures: BTreeSet<Endpoint>,
 }
@@ -72,7 +70,6 @@
             urgency: Urgency::default(),
             failure_reports: FailureReports::default(),
             quarantine: Quarantine::new(),
-            peers_are_linked: true,
             unreported_failures: BTreeSet::new(),
         }
     }
@@ -208,7 +205,7 @@
                 member.record_success();
                 // A prefill is no answer.
                 if member.instance.stage != Some(Stage::Prefill) {
-                    self.quarantine.record_served(&finish.shared_parts);
+                    self.quarantine.record_served(&finish.shared_parts, now);
                 }
                 self.ejector.record_success(endpoint, now);
                 self.failure_reports.record_success(endpoint);
@@ -272,8 +269,7 @@
                 self.record_failure(endpoint, Some(msg.session), &pool, now);
             }
         }
-        let relay = !self.peers_are_linked;
-        self.quarantine.apply_report(msg.digest.parts, relay, now);
+        self.quarantine.apply_report(msg.digest.parts, now);
         self.peer_loads.update(msg.session, msg.digest.usages);
     }
 
@@ -308,7 +304,6 @@
 
     /// Sets how many of the known peers are linked, for extrapolating their load.
     pub const fn set_peer_coverage(&mut self, coverage: PeerCoverage) {
-        self.peers_are_linked = coverage.linked >= coverage.known;
         self.peer_loads.set_coverage(coverage);
     }
 
--- a/src/quarantine/imp.rs
+++ b/src/quarantine/imp.rs
@@ -7,7 +7,7 @@
 use crate::{
     id::{Endpoint, PromptPart},
     unit::as_f64,
-    wire::{Crash, PartReport},
+    wire::{Answer, Crash, PartReport},
 };
 
 /// Crashes after which a part is held that no engine has answered yet. A rare part can be running by
@@ -28,8 +28,14 @@
 const SUSPECTS_MAX: usize = 4_096;
 /// Crashes that are remembered of each part.
 const INCIDENTS_MAX: usize = 16;
-/// Interval at which held parts are reported again, for gateways that have started since.
+/// Interval at which held parts are reported again, for gateways that have started since or are not
+/// linked with the one that saw the crashes.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Held parts that are reported again at a time.
+const HELD_REPORTED_MAX: usize = 16;
+/// New crashes, and answers, in one report. When many engines end at once, the rest is not reported:
+/// the parts that matter come again.
+const REPORTED_MAX: usize = 128;
 
 /// A part that is held back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +49,7 @@
 /// What is known of the parts of prompts that ran at engines when they ended.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// Crashes of each part since it was last answered, in the order of time.
+    /// Crashes of each part after it was last answered, in the order of time.
     suspects: BTreeMap<PromptPart, Vec<Incident>>,
     served: Served,
     /// The held parts, each with the end of its hold.
@@ -58,8 +64,8 @@
 #[derive(Debug, Default)]
 struct Unreported {
     crashes: Vec<(PromptPart, Incident)>,
-    served: BTreeSet<PromptPart>,
-    served_before: BTreeSet<PromptPart>,
+    /// Parts with crashes that were answered before or after these.
+    answered: BTreeSet<PromptPart>,
 }
 
 #[derive(Clone, Debug)]
@@ -97,10 +103,10 @@
     }
 
     /// Records that an engine has answered a request with these parts, which clears them.
-    pub fn record_served(&mut self, parts: &[PromptPart]) {
+    pub fn record_served(&mut self, parts: &[PromptPart], now: Instant) {
         for part in parts {
-            if self.clear(*part) {
-                self.unreported.served.insert(*part);
+            if self.clear(*part, now) {
+                self.unreported.answered.insert(*part);
             }
         }
     }
@@ -112,19 +118,18 @@
                 endpoint: endpoint.clone(),
                 at: now,
             };
-            if self.add(*part, incident.clone()) {
+            if self.add(*part, incident.clone()) && self.unreported.crashes.len() < REPORTED_MAX {
                 self.unreported.crashes.push((*part, incident));
             }
         }
     }
 
-    /// Returns what to report to peers: what is new since the last call, and from time to time the
-    /// crashes of all held parts.
+    /// Returns what to report to peers: what this process has seen since the last call, and from time
+    /// to time the crashes of the held parts, whoever saw them.
     pub fn take_report(&mut self, now: Instant) -> PartReport {
         let Unreported {
             mut crashes,
-            served,
-            served_before,
+            answered,
         } = std::mem::take(&mut self.unreported);
         let due = self
             .reported_at
@@ -133,80 +138,103 @@
             self.reported_at = Some(now);
             self.expire(now);
             self.update_held(now);
-            let held = self.held.keys().filter_map(|part| {
-                let incidents = self.suspects.get(part)?;
-                Some(incidents.iter().map(|incident| (*part, incident.clone())))
-            });
-            crashes.extend(held.flatten());
+            crashes.extend(self.latest_held());
         }
-        let crashes = crashes.into_iter().map(|(part, incident)| Crash {
-            part,
-            endpoint: incident.endpoint,
-            age: now.saturating_duration_since(incident.at),
+        let age = |at| now.saturating_duration_since(at);
+        let answers = answered.into_iter().take(REPORTED_MAX).filter_map(|part| {
+            let at = self.served.last(part)?;
+            Some(Answer { part, age: age(at) })
         });
         PartReport {
-            crashes: crashes.collect(),
-            served: served.into_iter().collect(),
-            served_before: served_before.into_iter().collect(),
+            answers: answers.collect(),
+            crashes: crashes
+                .into_iter()
+                .map(|(part, incident)| Crash {
+                    part,
+                    endpoint: incident.endpoint,
+                    age: age(incident.at),
+                })
+                .collect(),
         }
     }
 
-    /// Applies the report of a peer. With `relay`, what is new in it goes into the next report of
-    /// this process, for gateways that the peer is not linked with.
-    pub fn apply_report(&mut self, report: PartReport, relay: bool, now: Instant) {
-        for part in report.served {
-            if self.clear(part) && relay {
-                self.unreported.served.insert(part);
-            }
-        }
-        for part in report.served_before {
-            self.unreported.served_before.remove(&part);
-            if !self.served.contains(part) {
-                self.served.insert(part);
-                self.changed = true;
-                if relay {
-                    self.unreported.served_before.insert(part);
-                }
-            }
+    /// The crashes of the parts that were held last, as many of each as hold it.
+    fn latest_held(&self) -> impl Iterator<Item = (PromptPart, Incident)> {
+        let mut held: Vec<(Instant, PromptPart)> = self
+            .held
+            .iter()
+            .map(|(part, until)| (*until, *part))
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        held.into_iter()
+            .take(HELD_REPORTED_MAX)
+            .flat_map(|(_, part)| {
+                let incidents = self.suspects.get(&part).into_iter().flatten();
+                let latest = incidents.rev().take(CRASHES_MIN_ONCE_SERVED);
+                latest.map(move |incident| (part, incident.clone()))
+            })
+    }
+
+    /// Applies the report of a peer.
+    pub fn apply_report(&mut self, report: PartReport, now: Instant) {
+        for answer in report.answers {
+            let at = now.checked_sub(answer.age).unwrap_or(now);
+            self.clear(answer.part, at);
+            self.unreported.answered.remove(&answer.part);
         }
         for crash in report.crashes {
-            let incident = Incident {
-                endpoint: crash.endpoint,
-                at: now.checked_sub(crash.age).unwrap_or(now),
-            };
-            if self.add(crash.part, incident.clone()) && relay {
-                self.unreported.crashes.push((crash.part, incident));
-            }
+            let at = now.checked_sub(crash.age).unwrap_or(now);
+            let endpoint = crash.endpoint;
+            self.add(crash.part, Incident { endpoint, at });
         }
     }
 
-    /// Adds a crash of a part, unless it is known. Returns whether it is new.
+    /// Adds a crash of a part, unless it is known or the part was answered after it. Returns whether
+    /// it was added.
     fn add(&mut self, part: PromptPart, incident: Incident) -> bool {
+        let answered_at = self.served.last(part);
+        if answered_at.is_some_and(|at| incident.at < at) {
+            return false;
+        }
         let incidents = self.suspects.entry(part).or_default();
         if incidents.iter().any(|known| known.is_same_crash(&incident)) {
             return false;
         }
-        if incidents.is_empty() && self.served.contains(part) {
-            self.unreported.served_before.insert(part);
-        }
         let place = incidents.partition_point(|known| known.at <= incident.at);
-        incidents.insert(place, incident);
-        if incidents.len() > INCIDENTS_MAX {
+        if incidents.len() == INCIDENTS_MAX {
+            if place == 0 {
+                return false;
+            }
             incidents.remove(0);
+            incidents.insert(place - 1, incident);
+        } else {
+            incidents.insert(place, incident);
+        }
+        self.changed |= incidents.len() >= CRASHES_MIN;
+        if incidents.len() == 1 && answered_at.is_some() {
+            self.unreported.answered.insert(part);
         }
         if self.suspects.len() > SUSPECTS_MAX {
             self.drop_oldest();
         }
-        self.changed = true;
         true
     }
 
-    /// Clears a part that was answered. Returns whether there were crashes to clear.
-    fn clear(&mut self, part: PromptPart) -> bool {
-        self.served.insert(part);
-        let had_crashes = self.suspects.remove(&part).is_some();
-        self.changed |= had_crashes;
-        had_crashes
+    /// Clears the crashes of a part up to its answer. Returns whether there were any.
+    fn clear(&mut self, part: PromptPart, answered_at: Instant) -> bool {
+        let is_first = self.served.insert(part, answered_at);
+        let Some(incidents) = self.suspects.get_mut(&part) else {
+            return false;
+        };
+        let before = incidents.len();
+        // The first answer also raises the number of crashes after which the part is held.
+        self.changed |= before >= CRASHES_MIN;
+        incidents.retain(|incident| incident.at > answered_at);
+        let remaining = incidents.len();
+        if remaining == 0 {
+            self.suspects.remove(&part);
+        }
+        is_first || remaining < before
     }
 
     /// Chooses the parts to hold: first the one with the most crashes, then each that has enough
@@ -235,7 +263,7 @@
 
     fn next_to_hold(&self, held: &BTreeMap<PromptPart, Instant>) -> Option<PromptPart> {
         let candidates = self.suspects.iter().filter_map(|(part, incidents)| {
-            let once_served = self.served.contains(*part);
+            let once_served = self.served.last(*part).is_some();
             let needed = if once_served {
                 CRASHES_MIN_ONCE_SERVED
             } else {
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -38,14 +38,14 @@
         (
             "answered before, four crashes",
             held(&|it| {
-                it.record_served(&[old]);
+                it.record_served(&[old], now);
                 crash(it, &[bad, old], 4, now);
             }),
         ),
         (
             "answered before, five crashes",
             held(&|it| {
-                it.record_served(&[old]);
+                it.record_served(&[old], now);
                 crash(it, &[old], 5, now);
             }),
         ),
@@ -53,9 +53,9 @@
             "answered between crashes",
             held(&|it| {
                 crash(it, &[bad, new], 2, now);
-                it.record_served(&[new]);
+                it.record_served(&[new], now + Duration::from_secs(4));
                 crash(it, &[bad, new], 5, now + Duration::from_secs(5));
-                it.record_served(&[new]);
+                it.record_served(&[new], later);
             }),
         ),
         (
@@ -139,7 +139,7 @@
         let report = |gateways: &mut [Quarantine; 3], from: usize, now| {
             let report = gateways[from].take_report(now);
             for to in (0..3).filter(|to| *to != from) {
-                gateways[to].apply_report(report.clone(), false, now);
+                gateways[to].apply_report(report.clone(), now);
             }
         };
         let mut ended_at = [None; 6];
@@ -155,7 +155,7 @@
                     let part = parts[usize::from(part)];
                     gateways[at].record_crash(&endpoint(endpoint_number), &[part], now);
                 }
-                Event::Served(at, part) => gateways[at].record_served(&[parts[usize::from(part)]]),
+                Event::Served(at, part) => gateways[at].record_served(&[parts[usize::from(part)]], now),
                 Event::Report(from) => report(&mut gateways, from, now),
                 Event::Wait(millis) => now += Duration::from_millis(u64::from(millis)),
             }
@@ -169,8 +169,48 @@
         let unanswered = gateways.each_mut().map(|it| it.check(&parts[..1], now).is_some());
         prop_assert!(unanswered.iter().all(|held| *held == unanswered[0]), "{unanswered:?}");
         for gateway in &mut gateways {
-            gateway.record_served(&parts[1..]);
+            gateway.record_served(&parts[1..], now);
             prop_assert_eq!(gateway.check(&parts[1..], now), None);
         }
     }
 }
+
+/// Guards against gateways that report the crashes of a part which is answered all the time to each
+/// other without end.
+#[test]
+fn reports_of_a_crash_end() {
+    const GATEWAYS: usize = 8;
+    const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+    let (popular, bad) = (part("1"), part("bad"));
+    let mut now = Instant::now();
+    let mut gateways: Vec<Quarantine> = (0..GATEWAYS).map(|_| Quarantine::new()).collect();
+    for gateway in &mut gateways {
+        gateway.record_served(&[popular], now);
+    }
+    for number in 0..3 {
+        now += Duration::from_secs(1);
+        gateways[0].record_crash(&endpoint(number), &[popular, bad], now);
+    }
+    let mut entries = [0; 20];
+    for count in &mut entries {
+        for _ in 0..10 {
+            now += DIGEST_INTERVAL;
+            for from in 0..GATEWAYS {
+                gateways[from].record_served(&[popular], now);
+                let report = gateways[from].take_report(now);
+                *count += report.crashes.len() + report.answers.len();
+                for to in (0..GATEWAYS).filter(|to| *to != from) {
+                    gateways[to].apply_report(report.clone(), now);
+                }
+            }
+        }
+    }
+    let held = gateways.iter_mut().map(|it| it.check(&[popular, bad], now));
+    let held: Vec<_> = held.map(|hold| hold.map(|hold| hold.part)).collect();
+    assert_eq!(held, [Some(bad); GATEWAYS]);
+    // The crashes of the held part, once a second and gateway.
+    assert!(
+        entries[10..].iter().all(|count| *count <= 3 * GATEWAYS),
+        "{entries:?}"
+    );
+}
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -373,20 +373,29 @@
 pub struct PartReport {
     /// Crashes of endpoints, for each part that was running.
     pub crashes: Vec<Crash>,
-    /// Parts that were answered after crashes, which clears them.
-    pub served: Vec<PromptPart>,
-    /// Parts with crashes that were answered before these.
-    pub served_before: Vec<PromptPart>,
+    /// The last answers of parts with crashes. Crashes before them are cleared.
+    pub answers: Vec<Answer>,
 }
 
 impl PartReport {
     /// Whether there is nothing to report.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.served.is_empty() && self.served_before.is_empty()
+        self.crashes.is_empty() && self.answers.is_empty()
     }
 }
 
+/// An endpoint answered a request with a part in its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Answer {
+    /// The part.
+    pub part: PromptPart,
+    /// Time since the answer; encoded in whole milliseconds.
+    #[serde(with = "millis")]
+    pub age: Duration,
+}
+
 /// An endpoint ended while it ran a request with a part in its prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -20,7 +20,7 @@
 
 pub use codec::{Error, FRAME_MAX, decode, encode};
 pub use imp::{
-    Cancel, Change, Chunk, Crash, Credit, Digest, Document, Done, End, Fail, Fetch, Frame,
+    Answer, Cancel, Change, Chunk, Crash, Credit, Digest, Document, Done, End, Fail, Fetch, Frame,
     Generate, Hello, Invoke, Load, Lookup, Message, Order, Outcome, PROTOCOL, PartReport, Prompt,
     Recorded, Report, Role, Sampling, Submit, Usage, Verdict, Work,
 };
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -84,8 +84,10 @@
                     endpoint: "e1".parse().expect("valid name"),
                     age: Duration::from_millis(120),
                 }],
-                served: vec!["91bd3f06".parse().expect("valid part")],
-                served_before: vec!["e4402b7d".parse().expect("valid part")],
+                answers: vec![Answer {
+                    part: "91bd3f06".parse().expect("valid part"),
+                    age: Duration::from_millis(35),
+                }],
             },
         });
         prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
