--- a/mulberrymill-bench/tests/gateway/departure.rs
+++ b/mulberrymill-bench/tests/gateway/departure.rs
@@ -17,6 +17,8 @@
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without an event after which the busy endpoint counts as blocked by the gateway.
 const BLOCKED_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time that a stopping gateway still accepts connections, as in its settings.
+const STOP_DELAY: Duration = Duration::from_millis(200);
 /// Size of a body that does not fit into the socket buffers between gateway and endpoint.
 const LARGE_BODY_BYTES: usize = 24 << 20;
 /// Data of an event of a busy stream.
@@ -82,6 +84,15 @@
 
     /// Sends a request, leaves, and returns whether the endpoint noticed.
     async fn is_noticed(&mut self, service: Service, departure: Departure) -> bool {
+        let caller = self.send_request(service).await;
+        let caller = depart(caller, departure).await;
+        let ended = time::timeout(EVENT_TIMEOUT, self.ended.recv()).await;
+        drop(caller);
+        ended.is_ok()
+    }
+
+    /// Sends a request, and waits until the endpoint does what `service` says.
+    async fn send_request(&mut self, service: Service) -> TcpStream {
         let address = self.harness.gateway.address();
         let mut caller = TcpStream::connect(address).await.expect("a connection");
         let head = "POST /stream/1 HTTP/1.1\r\nhost: kitchen.example\r\nrequest-id: 9c41\r\n\
@@ -97,24 +108,22 @@
         if matches!(service, Service::Busy | Service::Unframed) {
             time::sleep(BLOCKED_TIMEOUT).await;
         }
-        let caller = match departure {
-            Departure::Close => {
-                drop(caller);
-                None
-            }
-            Departure::Reset => {
-                caller.set_zero_linger().expect("an open socket");
-                drop(caller);
-                None
-            }
-            Departure::Shutdown => {
-                caller.shutdown().await.expect("an open socket");
-                Some(caller)
-            }
-        };
-        let ended = time::timeout(EVENT_TIMEOUT, self.ended.recv()).await;
-        drop(caller);
-        ended.is_ok()
+        caller
+    }
+}
+
+/// Leaves, and returns what is left of the connection.
+async fn depart(mut caller: TcpStream, departure: Departure) -> Option<TcpStream> {
+    match departure {
+        Departure::Close => None,
+        Departure::Reset => {
+            caller.set_zero_linger().expect("an open socket");
+            None
+        }
+        Departure::Shutdown => {
+            caller.shutdown().await.expect("an open socket");
+            Some(caller)
+        }
     }
 }
 
@@ -188,6 +197,30 @@
     assert_eq!(unnoticed, []);
 }
 
+/// Guards against an endpoint that works on for a caller that has left while the gateway stops (GONE).
+#[actix_web::test]
+async fn departure_is_noticed_while_the_gateway_stops() {
+    let mut unnoticed = Vec::new();
+    for service in [Service::Silent, Service::Begun, Service::Busy] {
+        for departure in [Departure::Close, Departure::Reset, Departure::Shutdown] {
+            let mut rig = Rig::open(service).await;
+            let caller = rig.send_request(service).await;
+            let stopping = task::spawn_local(rig.harness.gateway.stop());
+            time::sleep(2 * STOP_DELAY).await;
+            let caller = depart(caller, departure).await;
+            if time::timeout(EVENT_TIMEOUT, rig.ended.recv())
+                .await
+                .is_err()
+            {
+                unnoticed.push((service, departure));
+            }
+            drop(caller);
+            stopping.await.expect("the stop does not panic");
+        }
+    }
+    assert_eq!(unnoticed, []);
+}
+
 /// Guards against a request that an endpoint receives after its caller has left, from the socket
 /// buffers of the gateway (GONE).
 #[actix_web::test]
