Do not take a repeated refusal for the answer to the next request

Callers were told 'not run, try again' for a request that its endpoint was running (REFUSED), and such a request could run at a second endpoint (TWICE). Cause: an endpoint wrote an earlier refusal once more on a kept connection. The id in an answer was compared with that of the request, but an answer without an id was accepted, and a refusal needs none to be believed.

An answer that names no request is now accepted only if its connection has served nothing before, where nothing can be repeated. On a connection in use again it counts as lost, after which a request that may run once fails with a status that promises nothing.

The test failed before (the second request was answered 503) and passes now; a refusal that names the earlier request was recognized before.

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -14,6 +14,8 @@
 
 #[path = "gateway/departure.rs"]
 mod departure;
+#[path = "gateway/faulty.rs"]
+mod faulty;
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/mulberrymill-bench/tests/gateway/departure.rs
+++ b/mulberrymill-bench/tests/gateway/departure.rs
@@ -139,7 +139,7 @@
     harness
 }
 
-async fn read_head(stream: &mut TcpStream) {
+pub(super) async fn read_head(stream: &mut TcpStream) {
     let mut received = Vec::new();
     while !received.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
         let read = stream.read_buf(&mut received).await;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -178,15 +178,20 @@
 }
 
 fn decode(response: upstream::Response, attempt: &Attempt) -> Result<EndpointResponse, SendError> {
-    let upstream::Response { head, body } = response;
+    let upstream::Response { head, body, reused } = response;
     let status = head.status.as_u16();
     let headers = head.headers();
-    // A late response to an earlier request can arrive in place of the response to this one.
+    let refuses = status == 421 || headers.contains_key(names::NOT_EXECUTED);
+    // A copy of the response to an earlier request can arrive in place of the response to this one.
     let echoed = header_text(headers, names::REQUEST_ID);
     let sent = header_text(&attempt.call.headers, names::REQUEST_ID);
-    if echoed.is_some() && echoed != sent {
+    let is_other = match echoed {
+        Some(_) => echoed != sent,
+        None => reused && (sent.is_some() || refuses),
+    };
+    if is_other {
         return Err(SendError::Lost(
-            "the answer belongs to another request".to_owned(),
+            "the answer may belong to another request".to_owned(),
         ));
     }
     // Status 421 means that another endpoint has the address, or that this one has changed its
@@ -195,7 +200,7 @@
         .is_none_or(|id| id != attempt.instance.id.as_str());
     let execution = if status == 421 && other {
         Execution::Replaced
-    } else if status == 421 || headers.contains_key(names::NOT_EXECUTED) {
+    } else if refuses {
         Execution::Rejected
     } else {
         Execution::MayHaveRun
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -65,6 +65,7 @@
             stream,
             codec: ClientCodec::default(),
             buffer: BytesMut::with_capacity(READ_BUFFER_SIZE),
+            reused: false,
         };
         connection.run(address, pending, &idle).await;
         remove_closed(&idle, address);
@@ -148,6 +149,8 @@
     stream: TcpStream,
     codec: ClientCodec,
     buffer: BytesMut,
+    /// Whether it has served a request before.
+    reused: bool,
 }
 
 impl Connection {
@@ -157,6 +160,7 @@
             if !self.serve(pending).await {
                 return;
             }
+            self.reused = true;
             let (sender, mut receiver) = oneshot::channel();
             add_idle(idle, address, sender);
             tokio::select! {
@@ -231,7 +235,12 @@
         let until_close = ends_with_connection(&head, head_only);
         let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
         let body = Body::new(parts);
-        if responder.send(Ok(Response { head, body })).is_err() {
+        let response = Response {
+            head,
+            body,
+            reused: self.reused,
+        };
+        if responder.send(Ok(response)).is_err() {
             record_cancellation(Phase::Waiting);
             discard_unsent(reader.as_ref());
             return false;
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -175,6 +175,9 @@
     pub head: ResponseHead,
     /// The body. Dropping it before its end closes the connection.
     pub body: Body,
+    /// Whether the connection has served other requests before. Only then can the response be a
+    /// late copy of an earlier one.
+    pub reused: bool,
 }
 
 /// A request that is passed to a connection task.
