Read the answers of an agent's endpoint with the client that knows when they are whole

Callers of the entry got a service's answer as a complete success although it had broken off, by length or by chunks (MIXED); an answer without a length and chunks reached them with an empty body. An engine that wrote an earlier refusal once more on a kept connection had its running request reported as not executed (REFUSED). Cause: the agent used awc, which takes the end of the connection for the end of a chunked body, gives a body without framing as empty, and keeps connections without a way to tell a copy of an earlier answer from the next one.

The agent now uses the client of the gateway, upstream, with a connection for each request; the endpoint is on the same host.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -55,20 +55,24 @@
 const CHUNK_FRAMING_MAX: usize = 16 << 10;
 
 /// Starts a task that opens a connection, sends `pending`, and then serves further requests from
-/// the pool.
-pub(super) fn spawn(address: SocketAddr, pending: PendingRequest, idle: IdleConnections) {
+/// the pool, if there is one.
+pub(super) fn spawn(address: SocketAddr, pending: PendingRequest, idle: Option<IdleConnections>) {
     task::spawn_local(async move {
         let Some((pending, stream)) = connect(address, pending).await else {
             return;
         };
-        let connection = Connection {
+        let mut connection = Connection {
             stream,
             codec: ClientCodec::default(),
             buffer: BytesMut::with_capacity(READ_BUFFER_SIZE),
             reused: false,
         };
-        connection.run(address, pending, &idle).await;
-        remove_closed(&idle, address);
+        if let Some(idle) = idle {
+            connection.run(address, pending, &idle).await;
+            remove_closed(&idle, address);
+        } else {
+            connection.serve(pending).await;
+        }
     });
 }
 
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -194,16 +194,31 @@
     Rc<RefCell<HashMap<SocketAddr, Vec<oneshot::Sender<PendingRequest>>>>>;
 
 /// Pool of connections to endpoints, used by one thread.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Client {
-    idle: IdleConnections,
+    /// `None` if connections are not reused.
+    idle: Option<IdleConnections>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Client {
     /// Creates an empty pool. Connections are opened on demand.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            idle: Some(IdleConnections::default()),
+        }
+    }
+
+    /// Creates a client that opens a connection for each request.
+    #[must_use]
+    pub const fn without_reuse() -> Self {
+        Self { idle: None }
     }
 
     /// Sends a request on an idle connection, or on a new one, and waits for the head of the
@@ -232,12 +247,13 @@
                 Err(returned) => pending = returned,
             }
         }
-        connection::spawn(address, pending, Rc::clone(&self.idle));
+        connection::spawn(address, pending, self.idle.clone());
         flatten(response.await)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<oneshot::Sender<PendingRequest>> {
-        self.idle.borrow_mut().get_mut(&address)?.pop()
+        let idle = self.idle.as_ref()?;
+        idle.borrow_mut().get_mut(&address)?.pop()
     }
 }
 
--- a/src/work/engine.rs
+++ b/src/work/engine.rs
@@ -1,15 +1,18 @@
 use std::{net::SocketAddr, time::Duration};
 
-use awc::Client;
 use bytes::Bytes;
 use futures_util::{FutureExt, Stream, StreamExt, future::LocalBoxFuture, stream};
 use serde::{Deserialize, Serialize};
+use tokio::time;
 
-use super::{Decoder, EndpointClient, EndpointState, Job, ResponsePart, ResponseStream, Result};
+use super::{
+    Decoder, EndpointClient, EndpointState, Job, ResponsePart, ResponseStream, Result, http::Http,
+};
 use crate::{
     error::{Error, Executed, Kind},
     id::{Fence, Model},
     unit::{Share, Tokens},
+    upstream::{self, Body},
     wire::{Change, Generate, Load, Message, Prompt, Role, Work},
 };
 
@@ -17,32 +20,20 @@
 const LOAD_REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of a role or model change, equal to that of the order that requests it.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Largest accepted load report, in bytes.
-const LOAD_REPORT_MAX_BYTES: usize = 256 << 10;
-/// Timeout of the start of a response. In practice the shorter deadline of the attempt applies.
-const RESPONSE_START_TIMEOUT: Duration = Duration::from_hours(1);
 
 /// Client of a model engine with an OpenAI-compatible API.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct EngineClient {
-    client: Client,
-    address: SocketAddr,
-}
-
-impl std::fmt::Debug for EngineClient {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EngineClient")
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
+    http: Http,
 }
 
 impl EngineClient {
     /// Creates a client of the engine at `address`. It connects with its first request.
     #[must_use]
     pub fn open(address: SocketAddr) -> Self {
-        let client = Client::builder().timeout(RESPONSE_START_TIMEOUT).finish();
-        Self { client, address }
+        Self {
+            http: Http::new(address),
+        }
     }
 
     async fn start_response(
@@ -50,35 +41,18 @@
         generate: Generate,
         priority: u8,
     ) -> Result<impl Stream<Item = Result<ResponsePart>> + use<>> {
-        let (path, body) = completion_request(&generate, priority);
-        let url = format!("http://{}{path}", self.address);
-        let response = self
-            .client
-            .post(url)
-            .send_json(&body)
-            .await
-            .map_err(|error| send_error(&error))?;
-        let status = response.status().as_u16();
+        let (path, request) = completion_request(&generate, priority);
+        let response = self.http.post_json(path, &request).await?;
+        let status = response.head.status.as_u16();
         if status != 200 {
             return Err(status_error(status));
         }
-        Ok(decode_body(response))
+        Ok(decode_body(into_chunks(response.body)))
     }
 
     async fn fetch_state(&self) -> Result<EndpointState> {
-        let url = format!("http://{}/control/load", self.address);
-        let request = self.client.get(url).timeout(LOAD_REPORT_TIMEOUT);
-        let mut response = request.send().await.map_err(|error| send_error(&error))?;
-        let report: EngineLoad =
-            response
-                .json()
-                .limit(LOAD_REPORT_MAX_BYTES)
-                .await
-                .map_err(|error| {
-                    Error::new(Kind::EndpointFailed, "the load report is not valid")
-                        .with_source(error.to_string())
-                })?;
-        Ok(report.into())
+        let report = self.http.get_json("/control/load", LOAD_REPORT_TIMEOUT);
+        report.await.map(|report: EngineLoad| report.into())
     }
 
     async fn send_change(&self, change: Change, fence: Fence) -> Result<()> {
@@ -111,19 +85,15 @@
                 ));
             }
         };
-        let url = format!("http://{}/control/{path}", self.address);
-        let request = self.client.post(url).timeout(CHANGE_TIMEOUT);
-        let response = request
-            .send_json(&body)
-            .await
-            .map_err(|error| send_error(&error))?;
-        if response.status().is_success() {
+        let path = format!("/control/{path}");
+        let sent = time::timeout(CHANGE_TIMEOUT, self.http.post_json(&path, &body)).await;
+        let response = sent
+            .unwrap_or_else(|_elapsed| Err(Error::new(Kind::EndpointLost, "no answer in time")))?;
+        let status = response.head.status;
+        if status.is_success() {
             return Ok(());
         }
-        let detail = format!(
-            "the engine refused the order with status {}",
-            response.status()
-        );
+        let detail = format!("the engine refused the order with status {status}");
         Err(Error::new(Kind::EndpointFailed, detail))
     }
 }
@@ -156,18 +126,16 @@
     }
 }
 
-/// Maps a failed request. Only a failed connection attempt or an invalid URL proves that the
-/// request did not reach the endpoint.
-pub(super) fn send_error(error: &awc::error::SendRequestError) -> Error {
-    use awc::error::SendRequestError;
-
-    let executed = match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Executed::No,
-        _ => Executed::Unknown,
-    };
-    Error::new(Kind::EndpointLost, "the endpoint cannot be reached")
-        .with_executed(executed)
-        .with_source(error.to_string())
+/// The chunks of a body, until its end or its first error.
+fn into_chunks(body: Body) -> impl Stream<Item = upstream::Result<Bytes>> + Unpin + 'static {
+    let chunks = stream::unfold(Some(body), |body| async move {
+        let mut body = body?;
+        match body.next().await {
+            Ok(chunk) => chunk.map(|chunk| (Ok(chunk), Some(body))),
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    chunks.boxed_local()
 }
 
 /// Maps an error status. An engine that responds with one has not started the generation.
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod engine;
+mod http;
 mod imp;
 mod message;
 mod once;
--- a/src/work/plain.rs
+++ b/src/work/plain.rs
@@ -1,11 +1,16 @@
 use std::{net::SocketAddr, time::Duration};
 
-use awc::{Client, http::header};
+use actix_web::http::{
+    Method,
+    header::{CONTENT_TYPE, HeaderName},
+};
+use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use serde::Deserialize;
 
 use super::{
-    EndpointClient, EndpointState, Job, ResponsePart, ResponseStream, Result, engine::send_error,
+    EndpointClient, EndpointState, Job, ResponsePart, ResponseStream, Result,
+    http::{Http, endpoint_lost},
 };
 use crate::{
     error::{Error, Executed, Kind},
@@ -18,58 +23,43 @@
 const RESPONSE_MAX_BYTES: usize = 1 << 20;
 /// Timeout of a load report.
 const LOAD_REPORT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout of a response. In practice the shorter deadline of the attempt applies.
-const RESPONSE_TIMEOUT: Duration = Duration::from_hours(1);
+/// Header with the idempotency key of a call.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Client of a plain HTTP service, called by `POST /{operation}` with an
 /// `Idempotency-Key` header.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct ServiceClient {
-    client: Client,
-    address: SocketAddr,
-}
-
-impl std::fmt::Debug for ServiceClient {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("ServiceClient")
-            .field("address", &self.address)
-            .finish_non_exhaustive()
-    }
+    http: Http,
 }
 
 impl ServiceClient {
     /// Creates a client of the service at `address`. It connects with its first request.
     #[must_use]
     pub fn open(address: SocketAddr) -> Self {
-        // The outcome of a request on a connection that the service has just closed is unknown.
-        // Service calls are rare enough to open a new connection for each one.
-        let connector = awc::Connector::new().conn_keep_alive(Duration::ZERO);
-        let client = Client::builder()
-            .timeout(RESPONSE_TIMEOUT)
-            .connector(connector)
-            .finish();
-        Self { client, address }
+        Self {
+            http: Http::new(address),
+        }
     }
 
     async fn call(self, invoke: Invoke) -> Result<[ResponsePart; 2]> {
         let once = invoke.at_most_once;
-        let url = format!("http://{}/{}", self.address, invoke.operation);
-        let mut request = self
-            .client
-            .post(url)
-            .insert_header((header::CONTENT_TYPE, invoke.content_type))
-            .insert_header((header::CONNECTION, "close"));
-        if let Some(key) = &invoke.key {
-            request = request.insert_header(("Idempotency-Key", key.as_str()));
-        }
-        let mut response = request
-            .send_body(invoke.body)
-            .await
-            .map_err(|error| send_error(&error))?;
-        let status = response.status().as_u16();
+        let path = format!("/{}", invoke.operation);
+        let mut headers = vec![(CONTENT_TYPE, invoke.content_type.as_str())];
+        headers.extend(
+            invoke
+                .key
+                .as_ref()
+                .map(|key| (IDEMPOTENCY_KEY, key.as_str())),
+        );
+        let body = Bytes::from(invoke.body);
+        let sent = self.http.send(Method::POST, &path, &headers, body).await;
+        let mut response = sent?;
+        let status = response.head.status.as_u16();
         let content_type = response
+            .head
             .headers()
-            .get(header::CONTENT_TYPE)
+            .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_owned();
@@ -78,15 +68,8 @@
         } else {
             Executed::Unknown
         };
-        let body = response
-            .body()
-            .limit(RESPONSE_MAX_BYTES)
-            .await
-            .map_err(|error| {
-                Error::new(Kind::EndpointLost, "the answer of the service was lost")
-                    .with_executed(executed)
-                    .with_source(error.to_string())
-            })?;
+        let body = response.body.collect(RESPONSE_MAX_BYTES).await;
+        let body = body.map_err(|error| endpoint_lost(&error).with_executed(executed))?;
         // A 503 status does not prove that the operation did not run, so an at-most-once call
         // returns it to the caller as the response of the service.
         if status == 503 && !once {
@@ -101,22 +84,12 @@
             input: Tokens::ZERO,
             output: Tokens::ZERO,
         };
-        Ok([ResponsePart::Data(body.to_vec()), end])
+        Ok([ResponsePart::Data(body), end])
     }
 
     async fn fetch_state(&self) -> Result<EndpointState> {
-        let url = format!("http://{}/control/load", self.address);
-        let mut response = self
-            .client
-            .get(url)
-            .timeout(LOAD_REPORT_TIMEOUT)
-            .send()
-            .await
-            .map_err(|error| send_error(&error))?;
-        let report: ServiceLoad = response.json().await.map_err(|error| {
-            Error::new(Kind::EndpointFailed, "the load report is not valid")
-                .with_source(error.to_string())
-        })?;
+        let report = self.http.get_json("/control/load", LOAD_REPORT_TIMEOUT);
+        let report: ServiceLoad = report.await?;
         let load = Load {
             waiting: report.waiting,
             decoding: report.running,
--- a/src/work/tests.rs
+++ b/src/work/tests.rs
@@ -1,3 +1,5 @@
+mod clients;
+
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix::Addr;
