Continue a broken stream only with the continuation of it

Callers found a text, a document or nothing in the middle of their stream, or its end, after it had broken off and the next endpoint answered with an error (ORDER, MIXED). Cause: any answer below status 300 was taken for the continuation. It now has to have the status and the media type of the first answer; else the stream is broken off for its caller as well, who can resume it.

Answers with status 300 and above were recognized before.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use actix_web::http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
 use tokio::time;
@@ -34,6 +35,7 @@
         splitter: streams.then(EventSplitter::default),
         resume_after: exchange.call.resume_after,
         status: response.status,
+        media: media_type(&response.headers),
         remaining_bytes: response.length,
         waiting_since: exchange.ports.clock.now(),
         exchange,
@@ -59,6 +61,13 @@
     }
 }
 
+/// Media type of a response without its parameters, in lower case.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media = value.split(';').next().unwrap_or_default();
+    Some(media.trim().to_ascii_lowercase())
+}
+
 /// Starts to record the pauses of a stream, if its route limits them.
 fn start_pace(exchange: &Exchange, ticket: &mut Ticket) {
     if let Some(target) = exchange.route.event_gap {
@@ -74,6 +83,7 @@
     splitter: Option<EventSplitter>,
     resume_after: Option<EventId>,
     status: u16,
+    media: Option<String>,
     /// Bytes still to be read, if the length is known.
     remaining_bytes: Option<u64>,
     /// When the caller began to wait for the next complete event, or when a resumed stream began.
@@ -213,8 +223,12 @@
             return Err(error);
         }
         let accepted = self.exchange.obtain_response(last).await?;
-        if accepted.response.status >= 300 {
-            accepted.ticket.end(Ending::Failed);
+        let Accepted { response, ticket } = accepted;
+        if response.status != self.status || media_type(&response.headers) != self.media {
+            log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
+                endpoint:% = ticket.choice().instance.id, status = response.status;
+                "endpoint did not continue the stream");
+            ticket.end(Ending::Failed);
             return Err(error);
         }
         log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
@@ -224,8 +238,8 @@
             splitter.restart();
         }
         self.waiting_since = self.exchange.ports.clock.now();
-        self.body = Some(accepted.response.body);
-        let mut ticket = accepted.ticket;
+        self.body = Some(response.body);
+        let mut ticket = ticket;
         start_pace(&self.exchange, &mut ticket);
         self.ticket = Some(ticket);
         Ok(())
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use actix_web::http::{Method, header::HeaderMap};
+use actix_web::http::{
+    Method,
+    header::{CONTENT_TYPE, HeaderMap, HeaderValue},
+};
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture};
 use proptest::prelude::*;
@@ -37,6 +40,8 @@
     Stall(&'static [&'static str]),
     /// Sends a complete stream.
     Stream(&'static [&'static str]),
+    /// Responds with this status, this media type and a complete body.
+    Answer(u16, &'static str, &'static str),
     /// Refuses the connection.
     Refuse,
     /// Loses the connection before the response.
@@ -89,6 +94,11 @@
                     )
                 }
                 Act::Stall(chunks) => (200, Execution::MayHaveRun, Body::scripted(chunks, None)),
+                Act::Answer(status, _, body) => (
+                    status,
+                    Execution::MayHaveRun,
+                    Body::scripted(&[body], Some(Ok(()))),
+                ),
                 Act::Stream(chunks) => (
                     200,
                     Execution::MayHaveRun,
@@ -104,9 +114,15 @@
                 Act::Hang => std::future::pending().await,
             };
             let prefilled = attempt.step == Step::Prefill && status == 200;
+            let media = match act {
+                Act::Answer(_, media, _) => media,
+                _ => "text/event-stream",
+            };
+            let mut headers = HeaderMap::new();
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static(media));
             Ok(EndpointResponse {
                 status,
-                headers: HeaderMap::new(),
+                headers,
                 length: None,
                 execution,
                 load: None,
@@ -362,6 +378,40 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
 }
 
+/// Guards against an error in the middle of a stream, or a stream that looks complete, after it has
+/// broken off and the next endpoint answered with an error (ORDER, MIXED).
+#[test]
+fn broken_stream_is_not_continued_with_another_answer() {
+    const BREAK: Act = Act::Break(TRUNCATED_EVENTS);
+    const EVENT: &str = "id: 2\ndata: b\n\n";
+    const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\n\r\noverloaded\n\n";
+    let cases: [(&str, &[Act]); 6] = [
+        (
+            "its continuation",
+            &[
+                BREAK,
+                Act::Answer(200, "text/event-stream; charset=utf-8", EVENT),
+            ],
+        ),
+        ("an error", &[BREAK, Act::Answer(500, "text/plain", ERROR)]),
+        (
+            "no route",
+            &[BREAK, Act::Answer(404, "text/event-stream", EVENT)],
+        ),
+        ("a text", &[BREAK, Act::Answer(200, "text/plain", ERROR)]),
+        (
+            "a document",
+            &[BREAK, Act::Answer(200, "application/json", "{}\n\n")],
+        ),
+        (
+            "no content",
+            &[BREAK, Act::Answer(204, "text/event-stream", "")],
+        ),
+    ];
+    let route = route(route::Kind::ResumableStream, 2);
+    insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
+}
+
 /// Guards against running a non-resumable stream twice, and against a truncated stream that looks
 /// complete to the caller.
 #[test]
