Announce no length for a stream that may be resumed

A resumable stream whose answer had a length, and that broke off, reached its caller with that length and another number of bytes (ORDER): an event that was cut off is sent again by the next endpoint, and the count of bytes went on from the first one. Cause: the length of the first answer was passed on and kept. Such a stream now goes out in chunks, and the length counts for the endpoint that announced it.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -31,6 +31,9 @@
         start_pace(&exchange, &mut ticket);
     }
     exchange.log.answered(response.status);
+    // The length of a stream that may be resumed is not known.
+    let resumable = streams && exchange.route.kind.is_repeatable();
+    let length = response.length.filter(|_| !resumable);
     let relay = BodyRelay {
         splitter: streams.then(EventSplitter::default),
         resume_after: exchange.call.resume_after,
@@ -56,7 +59,7 @@
     Response {
         status: response.status,
         headers: response.headers,
-        length: response.length,
+        length,
         body: body.boxed_local(),
     }
 }
@@ -84,7 +87,7 @@
     resume_after: Option<EventId>,
     status: u16,
     media: Option<String>,
-    /// Bytes still to be read, if the length is known.
+    /// Bytes still to be read from the current endpoint, if the length is known.
     remaining_bytes: Option<u64>,
     /// When the caller began to wait for the next complete event, or when a resumed stream began.
     waiting_since: Instant,
@@ -239,6 +242,7 @@
         }
         self.waiting_since = self.exchange.ports.clock.now();
         self.body = Some(response.body);
+        self.remaining_bytes = response.length;
         let mut ticket = ticket;
         start_pace(&self.exchange, &mut ticket);
         self.ticket = Some(ticket);
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -40,6 +40,8 @@
     Stall(&'static [&'static str]),
     /// Sends a complete stream.
     Stream(&'static [&'static str]),
+    /// Sends a part of a stream of this length, then closes the connection.
+    BreakSized(u64, &'static [&'static str]),
     /// Responds with this status, this media type and a complete body.
     Answer(u16, &'static str, &'static str),
     /// Refuses the connection.
@@ -85,7 +87,7 @@
                 Act::Respond(status, execution) => {
                     (status, execution, Body::scripted(&["body"], Some(Ok(()))))
                 }
-                Act::Break(chunks) | Act::Crash(chunks) => {
+                Act::Break(chunks) | Act::BreakSized(_, chunks) | Act::Crash(chunks) => {
                     let lost = upstream::Error::new(upstream::Kind::Lost, "reset");
                     (
                         200,
@@ -123,7 +125,10 @@
             Ok(EndpointResponse {
                 status,
                 headers,
-                length: None,
+                length: match act {
+                    Act::BreakSized(length, _) => Some(length),
+                    _ => None,
+                },
                 execution,
                 load: None,
                 cache: prefilled.then(|| "h1".parse().expect("a valid handle")),
@@ -412,6 +417,26 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
 }
 
+/// Guards against a stream that announces the length of the first endpoint's answer, and is resumed
+/// with another number of bytes (ORDER).
+#[test]
+fn resumed_stream_has_no_length() {
+    let received = with_paused_time(async {
+        let script = Rc::new(Script::default());
+        let acts = [
+            Act::BreakSized(60, TRUNCATED_EVENTS),
+            Act::Stream(EVENTS_AFTER_1),
+        ];
+        script.acts.borrow_mut().extend(acts);
+        let ports = ports(&script, PLAIN).await.ports;
+        let route = route(route::Kind::ResumableStream, 2);
+        let answer = start(call(Some(100)), route, ports).await.expect("a head");
+        let whole: Vec<_> = answer.body.map(|part| part.is_ok()).collect().await;
+        (answer.length, whole)
+    });
+    assert_eq!(received, (None, vec![true, true]));
+}
+
 /// Guards against running a non-resumable stream twice, and against a truncated stream that looks
 /// complete to the caller.
 #[test]
