Take a stream without framing that ends before its first event for broken off

Nothing tells its end from that of a broken connection, except that an engine that runs a request sends an event. A stream that ends so is resumed or fails; one that ends after an event is complete, as before, and one that ends within an event is not.

A new test cuts an answer in four framings at each of its bytes, head included.

--- a/mulberrymill-bench/tests/gateway/faulty.rs
+++ b/mulberrymill-bench/tests/gateway/faulty.rs
@@ -78,3 +78,71 @@
         [("", 503, false), ("request-id: first\r\n", 503, false)]
     );
 }
+
+/// Whether an answer looks complete and successful to its caller.
+fn is_complete_success(answer: &str) -> bool {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length: Option<usize> = head.lines().find_map(|line| {
+        line.to_lowercase()
+            .strip_prefix("content-length: ")?
+            .parse()
+            .ok()
+    });
+    let complete = match length {
+        Some(length) => body.len() == length,
+        None => body.ends_with("0\r\n\r\n"),
+    };
+    status(head) == 200 && complete
+}
+
+/// Guards against an answer that is passed on as a complete success although the endpoint stopped
+/// within its head or its body (MIXED, ORDER).
+#[actix_web::test]
+async fn answer_that_is_cut_off_at_any_byte_is_no_success() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nserver-stamp: s\r\n";
+    const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let framings = [
+        ("/once/", format!("{HEAD}content-length: 5\r\n\r\nlabel")),
+        (
+            "/once/",
+            format!("{HEAD}transfer-encoding: chunked\r\n\r\n5\r\nlabel\r\n0\r\n\r\n"),
+        ),
+        (
+            "/stream/",
+            format!(
+                "{HEAD}content-type: text/event-stream\r\ncontent-length: {}\r\n\r\n{EVENTS}",
+                EVENTS.len()
+            ),
+        ),
+        (
+            "/stream/",
+            format!("{HEAD}content-type: text/event-stream\r\n\r\n{EVENTS}"),
+        ),
+    ];
+    let mut accepted = Vec::new();
+    for (target, whole) in framings {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let harness = open_harness(listener.local_addr().expect("a bound address")).await;
+        let served = whole.clone();
+        task::spawn_local(async move {
+            for cut in 0..=served.len() {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                read_head(&mut stream).await;
+                let sent = stream.write_all(&served.as_bytes()[..cut]).await;
+                sent.expect("a gateway that reads");
+            }
+        });
+        for cut in 0..=whole.len() {
+            let answer = send(harness.gateway.address(), target, &format!("cut-{cut}")).await;
+            if is_complete_success(&answer) {
+                accepted.push(format!(
+                    "{target}: {:?}",
+                    &whole[cut.saturating_sub(9)..cut]
+                ));
+            }
+        }
+    }
+    insta::assert_debug_snapshot!(accepted);
+}
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -145,6 +145,8 @@
     pub headers: HeaderMap,
     /// Bytes of the body; `None` if the length is not known in advance.
     pub length: Option<u64>,
+    /// Whether the body has neither a length nor chunks, and ends with its connection.
+    pub ends_with_connection: bool,
     /// Whether the request was executed.
     pub execution: Execution,
     /// Load of the endpoint, if it reported one.
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -40,6 +40,7 @@
         status: response.status,
         media: media_type(&response.headers),
         remaining_bytes: response.length,
+        may_be_cut_unseen: response.ends_with_connection,
         waiting_since: exchange.ports.clock.now(),
         exchange,
         body: Some(response.body),
@@ -89,6 +90,9 @@
     media: Option<String>,
     /// Bytes still to be read from the current endpoint, if the length is known.
     remaining_bytes: Option<u64>,
+    /// Whether the end of the body could be that of a broken connection: it has no framing, and no
+    /// event has arrived. An engine that runs a request sends at least one.
+    may_be_cut_unseen: bool,
     /// When the caller began to wait for the next complete event, or when a resumed stream began.
     waiting_since: Instant,
 }
@@ -111,12 +115,17 @@
                         None => bytes,
                     };
                     if !ready.is_empty() {
+                        self.may_be_cut_unseen = false;
                         if let Some(ticket) = &mut self.ticket {
                             ticket.record_event(self.exchange.ports.clock.now());
                         }
                         return Ok(Some(ready));
                     }
                 }
+                Ok(None) if self.may_be_cut_unseen && self.splitter.is_some() => {
+                    let detail = "the stream ended before its first event";
+                    self.resume(Error::new(Kind::EndpointLost, detail)).await?;
+                }
                 Ok(None) => return self.complete().map(|()| None),
                 Err(error) => self.resume(error).await?,
             }
@@ -243,6 +252,7 @@
         self.waiting_since = self.exchange.ports.clock.now();
         self.body = Some(response.body);
         self.remaining_bytes = response.length;
+        self.may_be_cut_unseen = response.ends_with_connection;
         let mut ticket = ticket;
         start_pace(&self.exchange, &mut ticket);
         self.ticket = Some(ticket);
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -40,6 +40,8 @@
     Stall(&'static [&'static str]),
     /// Sends a complete stream.
     Stream(&'static [&'static str]),
+    /// Sends a stream that ends with its connection.
+    Unframed(&'static [&'static str]),
     /// Sends a part of a stream of this length, then closes the connection.
     BreakSized(u64, &'static [&'static str]),
     /// Responds with this status, this media type and a complete body.
@@ -101,7 +103,7 @@
                     Execution::MayHaveRun,
                     Body::scripted(&[body], Some(Ok(()))),
                 ),
-                Act::Stream(chunks) => (
+                Act::Stream(chunks) | Act::Unframed(chunks) => (
                     200,
                     Execution::MayHaveRun,
                     Body::scripted(chunks, Some(Ok(()))),
@@ -129,6 +131,7 @@
                     Act::BreakSized(length, _) => Some(length),
                     _ => None,
                 },
+                ends_with_connection: matches!(act, Act::Unframed(_)),
                 execution,
                 load: None,
                 cache: prefilled.then(|| "h1".parse().expect("a valid handle")),
@@ -390,7 +393,7 @@
     const BREAK: Act = Act::Break(TRUNCATED_EVENTS);
     const EVENT: &str = "id: 2\ndata: b\n\n";
     const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\n\r\noverloaded\n\n";
-    let cases: [(&str, &[Act]); 6] = [
+    let cases: [(&str, &[Act]); 7] = [
         (
             "its continuation",
             &[
@@ -412,6 +415,7 @@
             "no content",
             &[BREAK, Act::Answer(204, "text/event-stream", "")],
         ),
+        ("no event before the close", &[BREAK, Act::Unframed(&[])]),
     ];
     let route = route(route::Kind::ResumableStream, 2);
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -178,7 +178,12 @@
 }
 
 fn decode(response: upstream::Response, attempt: &Attempt) -> Result<EndpointResponse, SendError> {
-    let upstream::Response { head, body, reused } = response;
+    let upstream::Response {
+        head,
+        body,
+        ends_with_connection,
+        reused,
+    } = response;
     let status = head.status.as_u16();
     let headers = head.headers();
     let refuses = status == 421 || headers.contains_key(names::NOT_EXECUTED);
@@ -205,7 +210,9 @@
     } else {
         Execution::MayHaveRun
     };
-    Ok(to_response(&head, body, execution))
+    let mut response = to_response(&head, body, execution);
+    response.ends_with_connection = ends_with_connection;
+    Ok(response)
 }
 
 fn to_response(head: &ResponseHead, body: Body, execution: Execution) -> EndpointResponse {
@@ -223,6 +230,7 @@
         status: head.status.as_u16(),
         headers: kept,
         length: header_text(headers, "content-length").and_then(|length| length.parse().ok()),
+        ends_with_connection: false,
         execution,
         load: header_text(headers, names::INSTANCE_LOAD).and_then(parse_load),
         cache: None,
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -236,12 +236,13 @@
                 }
             }
         };
-        let until_close = ends_with_connection(&head, head_only);
+        let ends_with_connection = ends_with_connection(&head, head_only);
         let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
         let body = Body::new(parts);
         let response = Response {
             head,
             body,
+            ends_with_connection,
             reused: self.reused,
         };
         if responder.send(Ok(response)).is_err() {
@@ -249,7 +250,7 @@
             discard_unsent(reader.as_ref());
             return false;
         }
-        if until_close {
+        if ends_with_connection {
             relay_until_close(&mut self.buffer, &mut reader, &sender).await;
             return false;
         }
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -175,6 +175,8 @@
     pub head: ResponseHead,
     /// The body. Dropping it before its end closes the connection.
     pub body: Body,
+    /// Whether the body has neither a length nor chunks, and ends with its connection.
+    pub ends_with_connection: bool,
     /// Whether the connection has served other requests before. Only then can the response be a
     /// late copy of an earlier one.
     pub reused: bool,
