--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -16,6 +16,8 @@
 mod departure;
 #[path = "gateway/faulty.rs"]
 mod faulty;
+#[path = "gateway/notices.rs"]
+mod notices;
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/mulberrymill-bench/tests/gateway/departure.rs
+++ b/mulberrymill-bench/tests/gateway/departure.rs
@@ -63,7 +63,7 @@
         let harness = open_harness(listener.local_addr().expect("a bound address")).await;
         task::spawn_local(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                read_head(&mut stream).await;
+                read_head(&mut stream).await.expect("a head");
                 arrived_sender.send(()).expect("the test waits");
                 let (mut reader, writer) = stream.split();
                 let mut byte = [0; 1];
@@ -103,7 +103,7 @@
             .expect("a gateway that reads");
         self.arrived.recv().await.expect("the request arrives");
         if service == Service::Begun {
-            read_head(&mut caller).await;
+            read_head(&mut caller).await.expect("a head");
         }
         if matches!(service, Service::Busy | Service::Unframed) {
             time::sleep(BLOCKED_TIMEOUT).await;
@@ -139,12 +139,15 @@
     harness
 }
 
-pub(super) async fn read_head(stream: &mut TcpStream) {
+/// Reads a head and returns it; `None` if the connection ends before.
+pub(super) async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut received = Vec::new();
     while !received.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-        let read = stream.read_buf(&mut received).await;
-        assert_ne!(read.expect("a head"), 0, "the connection ended");
+        if stream.read_buf(&mut received).await.ok()? == 0 {
+            return None;
+        }
     }
+    Some(String::from_utf8_lossy(&received).into_owned())
 }
 
 /// Answers as `service` says, until the gateway ends the connection.
@@ -244,7 +247,7 @@
         has_sent.await.expect("the test runs");
     });
     let (mut stream, _) = listener.accept().await.expect("a connection");
-    read_head(&mut stream).await;
+    read_head(&mut stream).await.expect("a head");
     sent.send(()).expect("the caller runs");
     caller.await.expect("the caller does not panic");
     time::sleep(BLOCKED_TIMEOUT).await;
--- a/mulberrymill-bench/tests/gateway/faulty.rs
+++ b/mulberrymill-bench/tests/gateway/faulty.rs
@@ -27,7 +27,7 @@
 }
 
 /// Sends a request on a connection of its own, and returns the whole answer.
-async fn send(gateway: SocketAddr, target: &str, id: &str) -> String {
+pub(super) async fn send(gateway: SocketAddr, target: &str, id: &str) -> String {
     let mut caller = TcpStream::connect(gateway).await.expect("a connection");
     let head = format!(
         "POST {target} HTTP/1.1\r\nhost: kitchen.example\r\nrequest-id: {id}\r\n\
@@ -41,7 +41,7 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-fn status(answer: &str) -> u16 {
+pub(super) fn status(answer: &str) -> u16 {
     let status = answer.split(' ').nth(1);
     status
         .and_then(|status| status.parse().ok())
@@ -62,7 +62,7 @@
         task::spawn_local(async move {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             for _ in 0..2 {
-                read_head(&mut stream).await;
+                read_head(&mut stream).await.expect("a head");
                 let sent = stream.write_all(refusal.as_bytes()).await;
                 sent.expect("a gateway that reads");
             }
@@ -129,7 +129,7 @@
         task::spawn_local(async move {
             for cut in 0..=served.len() {
                 let (mut stream, _) = listener.accept().await.expect("a connection");
-                read_head(&mut stream).await;
+                read_head(&mut stream).await.expect("a head");
                 let sent = stream.write_all(&served.as_bytes()[..cut]).await;
                 sent.expect("a gateway that reads");
             }
--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -54,11 +54,40 @@
     }
 }
 
+/// When a run of an endpoint started, in milliseconds since the Unix epoch by its own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Started(u64);
+
+impl Started {
+    /// Creates a start time from milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+}
+
+impl fmt::Display for Started {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Started {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let millis = text.parse().map(Self);
+        millis.map_err(|_error| Error::new(Kind::BadRequest, "invalid start time"))
+    }
+}
+
 /// One run of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
-    /// Id of this run. Another run at the same address has another id.
+    /// Id of this run. Another run at the same address has another id, or a later start.
     pub id: Endpoint,
+    /// When this run started, if it says so. An endpoint can start again under the id that it had.
+    pub started: Option<Started>,
     /// Service that it runs.
     pub service: Service,
     /// Address at which it listens.
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -11,4 +11,4 @@
 mod tests;
 
 pub use follow::{Availability, Update, UpdateSink, follow};
-pub use imp::{Codec, Directory, Instance, Stage};
+pub use imp::{Codec, Directory, Instance, Stage, Started};
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -37,6 +37,7 @@
             slots: 4,
             draining: state == "draining",
             stage: None,
+            started: None,
         })
     }
 
--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -1,13 +1,16 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
-    Choose, Finish, IsSilent, LoadBalancer, MayRetry, Need, PeerCoverage, PeerDigest,
-    PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket,
+    Choose, Finish, IsSilent, LoadBalancer, MayRetry, Need, NoticeReceived, PeerCoverage,
+    PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket, ticket::Reports,
 };
 use crate::{clock::Shared, error::Result, id::Zone};
 
+/// Interval at which the end of pauses is logged and counted.
+const NOTICES_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Configuration of a [`Dispatcher`].
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -57,6 +60,12 @@
 
 impl Actor for Dispatcher {
     type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(NOTICES_INTERVAL, |dispatcher, _| {
+            dispatcher.balancer.review_notices(dispatcher.clock.now());
+        });
+    }
 }
 
 impl Handler<Choose> for Dispatcher {
@@ -69,9 +78,14 @@
         }
         let choice = self.balancer.choose(&demand, now)?;
         let address = ctx.address();
-        let finish = address.clone().recipient();
         let parts = Arc::clone(&demand.shared_parts);
-        Ok(Ticket::new(choice, parts, address.recipient(), finish))
+        let reports = Reports {
+            progress: address.clone().recipient(),
+            finish: address.clone().recipient(),
+            notice: address.recipient(),
+            clock: Arc::clone(&self.clock),
+        };
+        Ok(Ticket::new(choice, parts, reports))
     }
 }
 
@@ -91,6 +105,14 @@
     }
 }
 
+impl Handler<NoticeReceived> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, msg: NoticeReceived, _: &mut Context<Self>) {
+        self.balancer.record_notice(&msg, self.clock.now());
+    }
+}
+
 impl Handler<MayRetry> for Dispatcher {
     type Result = MessageResult<MayRetry>;
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
-    Choice, Demand, Ending, Finish, Need, PeerCoverage, PeerDigest, Progress,
+    Choice, Demand, Ending, Finish, Need, NoticeReceived, PeerCoverage, PeerDigest, Progress,
     cost::{Candidate, Conditions, Placement, peer_load},
     failure::{FailureReports, Reporter},
     member::{Member, Report},
@@ -21,9 +21,10 @@
     id::{Endpoint, Service, Zone},
     invariant::{self, Invariant},
     link::Session,
+    notice::{Board, Standing},
     quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
-    unit::Tokens,
+    unit::{Tokens, as_f64},
     wire::{Digest, Usage},
 };
 
@@ -38,6 +39,9 @@
 /// its deadline, so that enough time is left to serve it then.
 const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
 
+/// Time over which the requests that wait for the end of a pause are spread.
+const RETURN_SPREAD: Duration = Duration::from_millis(300);
+
 /// The state of all endpoints and the selection among them, without I/O or a clock of its own.
 #[derive(Debug)]
 pub struct LoadBalancer {
@@ -51,6 +55,7 @@
     urgency: Urgency,
     failure_reports: FailureReports,
     quarantine: Quarantine,
+    notices: Board,
     /// Failed endpoints that have not been reported to peers yet.
     unreported_failures: BTreeSet<Endpoint>,
 }
@@ -70,6 +75,7 @@
             urgency: Urgency::default(),
             failure_reports: FailureReports::default(),
             quarantine: Quarantine::new(),
+            notices: Board::default(),
             unreported_failures: BTreeSet::new(),
         }
     }
@@ -79,14 +85,17 @@
         let mut old = std::mem::take(&mut self.members);
         for instance in instances {
             let known = old.remove(&instance.id);
-            // An endpoint that restarted at another address has lost its earlier requests.
-            let known = known.filter(|member| member.instance.address == instance.address);
-            let mut member = known.unwrap_or_else(|| Member::new(Arc::clone(&instance)));
+            // An endpoint that has started again has lost its earlier requests.
+            let known = known.filter(|member| is_same_run(&member.instance, &instance));
+            self.notices.set_run(&instance.id, instance.started);
+            let closure = self.notices.closure(&instance.id);
+            let mut member = known.unwrap_or_else(|| Member::new(Arc::clone(&instance), closure));
             member.instance = Arc::clone(&instance);
             self.members.insert(instance.id.clone(), member);
         }
         let members = &self.members;
         let known = |endpoint: &Endpoint| members.contains_key(endpoint);
+        self.notices.limit(known);
         self.ejector.retain(known);
         self.failure_reports.retain(known);
         self.model.retain(known);
@@ -143,9 +152,54 @@
             report_age: member
                 .report
                 .map(|report| now.saturating_duration_since(report.received_at)),
+            closure: member.closure.subscribe(),
         })
     }
 
+    /// Applies what an endpoint said of itself. It binds the run that said it, whatever the store says.
+    pub fn record_notice(&mut self, received: &NoticeReceived, now: Instant) {
+        let NoticeReceived {
+            instance,
+            notice,
+            call,
+        } = received;
+        let member = self.members.get(&instance.id);
+        if member.is_some_and(|member| !is_same_run(&member.instance, instance)) {
+            return;
+        }
+        let changed = self
+            .notices
+            .record(&instance.id, instance.started, *notice, now);
+        let Some(closure) = changed else {
+            return;
+        };
+        if let Some(member) = member {
+            member.closure.send_replace(closure);
+        }
+        log::info!(endpoint:% = instance.id, call:? = call.as_ref().map(ToString::to_string),
+            standing:% = closure.standing(now),
+            pause_ms:? = closure.opens_in(now).map(|time| time.as_millis());
+            "endpoint asked for no new requests in its answer");
+        self.count_closed(now);
+    }
+
+    /// Logs the pauses that have ended, and counts the endpoints that get no requests.
+    pub fn review_notices(&mut self, now: Instant) {
+        for endpoint in self.notices.take_reopened(now) {
+            log::info!(endpoint:% = endpoint; "endpoint gets requests again after its pause");
+        }
+        self.count_closed(now);
+    }
+
+    fn count_closed(&self, now: Instant) {
+        for standing in [Standing::Paused, Standing::Leaving] {
+            let members = self.members.values();
+            let closed = members.filter(|member| member.closure().standing(now) == standing);
+            metrics::gauge!("closed_endpoints", "reason" => standing.to_string())
+                .set(as_f64(closed.count() as u64));
+        }
+    }
+
     /// Counts the first attempt of a request towards the retry budget of its service, and its prompt
     /// towards the lengths that are usual in its class.
     pub fn record_request(&mut self, demand: &Demand, now: Instant) {
@@ -238,7 +292,7 @@
                 self.members.remove(endpoint);
             }
             Ending::Rejected => member.record_rejection(now),
-            Ending::Abandoned => {}
+            Ending::Abandoned | Ending::Paused => {}
         }
     }
 
@@ -315,16 +369,25 @@
 
     /// Returns the endpoint with the lowest cost among those that can answer in time.
     fn select(&mut self, demand: &Demand, now: Instant) -> Result<Selection> {
-        let eligible: Vec<&Member> = self
+        let eligible = self
             .members
             .values()
-            .filter(|member| is_eligible(member, demand))
-            .collect();
+            .filter(|member| is_eligible(member, demand, now));
+        let (paused, eligible): (Vec<&Member>, Vec<&Member>) =
+            eligible.partition(|member| member.closure().standing(now) == Standing::Paused);
+        if eligible.is_empty() {
+            let opens_in = paused
+                .iter()
+                .filter_map(|member| member.closure().opens_in(now))
+                .min();
+            return Err(self.none_eligible(demand, opens_in, now));
+        }
         let healthy: Vec<&Member> = eligible
             .iter()
             .copied()
             .filter(|member| {
                 let share = self.ejector.traffic_share(&member.instance.id, now).get();
+                let share = share * member.closure().share(now).get();
                 let share = if member.is_backing_off(now) {
                     0.0
                 } else {
@@ -339,8 +402,11 @@
         } else {
             healthy
         };
+        let open = candidates.len();
+        // Endpoints that pause come back soon, and keep the prefixes that they have.
         let candidates: Vec<Candidate<'_>> = candidates
             .into_iter()
+            .chain(paused)
             .map(|member| Candidate {
                 member,
                 peers: peer_load(&self.peer_loads, member, demand.rank, now),
@@ -348,7 +414,7 @@
             .collect();
         let preferred_zone = demand.preferred_zone.as_ref().unwrap_or(&self.zone);
         let conditions = Conditions::new(&self.model, &candidates, demand, preferred_zone, now);
-        let best = candidates
+        let best = candidates[..open]
             .iter()
             .map(|candidate| {
                 // Jitter keeps processes that see the same load from all selecting the same
@@ -376,10 +442,34 @@
             home: conditions.home().filter(|_| placement.fetches).cloned(),
             placement,
         });
-        selected.ok_or_else(|| {
-            let detail = format!("no endpoint of {} can take the request", demand.service);
-            Error::new(Kind::NoEndpoint, detail)
-        })
+        selected.ok_or_else(|| no_endpoint(&demand.service))
+    }
+
+    /// The refusal of a request for which no endpoint is eligible. `opens_in` is the time until the
+    /// first pause is over, if endpoints pause. The requests that wait for it are spread.
+    fn none_eligible(
+        &mut self,
+        demand: &Demand,
+        opens_in: Option<Duration>,
+        now: Instant,
+    ) -> Error {
+        if let Some(opens_in) = opens_in {
+            let spread = RETURN_SPREAD.mul_f64(self.rng.random_range(0.0..1.0));
+            let detail = format!("all endpoints of {} have asked for a pause", demand.service);
+            return Error::new(Kind::Paused, detail).with_retry_after(opens_in + spread);
+        }
+        let leaves = |member: &Member| {
+            member.instance.service == demand.service
+                && member.closure().standing(now) == Standing::Leaving
+        };
+        if self.members.values().any(leaves) {
+            let detail = format!(
+                "all endpoints of {} that could run it leave",
+                demand.service
+            );
+            return Error::new(Kind::NoEndpoint, detail);
+        }
+        no_endpoint(&demand.service)
     }
 
     fn services(&self) -> BTreeSet<Service> {
@@ -436,10 +526,23 @@
     placement: Placement,
 }
 
-fn is_eligible(member: &Member, demand: &Demand) -> bool {
+fn no_endpoint(service: &Service) -> Error {
+    let detail = format!("no endpoint of {service} can take the request");
+    Error::new(Kind::NoEndpoint, detail)
+}
+
+/// Whether both are the same run of an endpoint.
+fn is_same_run(known: &Instance, listed: &Instance) -> bool {
+    let starts = known.started.zip(listed.started);
+    let is_restarted = starts.is_some_and(|(known, listed)| known != listed);
+    known.address == listed.address && !is_restarted
+}
+
+fn is_eligible(member: &Member, demand: &Demand, now: Instant) -> bool {
     let instance = &member.instance;
     instance.service == demand.service
         && !instance.draining
+        && member.closure().standing(now) != Standing::Leaving
         && !demand.excluded.contains(&instance.id)
         && (demand.need == Need::Start || instance.stage != Some(Stage::Prefill))
 }
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -3,8 +3,10 @@
     time::{Duration, Instant},
 };
 
+use tokio::sync::watch;
+
 use super::{Backlog, Load};
-use crate::directory::Instance;
+use crate::{directory::Instance, notice::Closure};
 
 /// Age from which a load report is ignored, about the duration of a request.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -14,7 +16,7 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
 
 /// An endpoint and its state in this process.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct Member {
     pub(super) instance: Arc<Instance>,
     /// Requests of this process in flight.
@@ -29,6 +31,8 @@
     pub(super) backoff_until: Option<Instant>,
     /// When it last began to answer a request.
     pub(super) last_answer: Option<Instant>,
+    /// What the endpoint has said of itself, for requests that are on their way to it.
+    pub(super) closure: watch::Sender<Closure>,
 }
 
 /// A load report of an endpoint.
@@ -42,7 +46,7 @@
 
 impl Member {
     /// A member without requests, failures or a load report.
-    pub(super) fn new(instance: Arc<Instance>) -> Self {
+    pub(super) fn new(instance: Arc<Instance>, closure: Closure) -> Self {
         Self {
             instance,
             in_flight: 0,
@@ -52,6 +56,7 @@
             failures: 0,
             backoff_until: None,
             last_answer: None,
+            closure: watch::Sender::new(closure),
         }
     }
 
@@ -67,6 +72,10 @@
         self.backoff_until = None;
     }
 
+    pub(super) fn closure(&self) -> Closure {
+        *self.closure.borrow()
+    }
+
     pub(super) fn is_backing_off(&self, now: Instant) -> bool {
         self.backoff_until.is_some_and(|until| now < until)
     }
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -5,14 +5,16 @@
 };
 
 use actix::Message;
+use tokio::sync::watch;
 
 use super::Ticket;
 use crate::{
     directory::Instance,
     error::Result,
     forecast::Pace,
-    id::{Endpoint, PromptPart, Service, Zone},
+    id::{self, Endpoint, PromptPart, Service, Zone},
     link::Session,
+    notice::{Closure, Notice},
     unit::Tokens,
     wire::Digest,
 };
@@ -65,7 +67,7 @@
 pub struct Choose(pub Demand);
 
 /// A selected endpoint, and the load that the selection saw there.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Choice {
     /// Directory record of the endpoint.
     pub instance: Arc<Instance>,
@@ -91,6 +93,8 @@
     pub peer_requests: f64,
     /// Age of the last load report of the endpoint, `None` if it has sent none.
     pub report_age: Option<Duration>,
+    /// What the endpoint says of itself until the request is sent.
+    pub closure: watch::Receiver<Closure>,
 }
 
 /// Load that an endpoint reports with an answer, in requests of all processes.
@@ -136,6 +140,8 @@
     Lost,
     /// The endpoint ended while it ran the request.
     Crashed,
+    /// The endpoint asked to come back later, which is no failure.
+    Paused,
     /// This process gave up, which says nothing about the endpoint.
     Abandoned,
 }
@@ -158,6 +164,18 @@
     pub shared_parts: Arc<[PromptPart]>,
 }
 
+/// Reports what an endpoint said of itself in the head of an answer. Sent by the [`Permit`].
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct NoticeReceived {
+    /// The run that the request was sent to.
+    pub instance: Arc<Instance>,
+    /// What it said.
+    pub notice: Notice,
+    /// The request whose answer it was.
+    pub call: Option<id::Call>,
+}
+
 /// Asks whether the retry budget of a service allows another attempt, and counts it if so.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "bool")]
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,7 +1,7 @@
 //! Selects the endpoint that serves a request.
 //!
 //! [`LoadBalancer`] keeps the state of each endpoint: requests in flight from this process and from
-//! its peers, the load that the endpoint last reported, recent failures, and the affinity of shared
+//! its peers, the load that the endpoint last reported, recent failures, what it said of itself in its answers, and the affinity of shared
 //! prompt prefixes. [`Dispatcher`] is the actor that owns the balancer.
 
 mod actor;
@@ -12,6 +12,7 @@
 mod member;
 mod message;
 mod peer_load;
+mod permit;
 #[cfg(test)]
 mod tests;
 mod ticket;
@@ -21,7 +22,8 @@
 pub use backlog::Backlog;
 pub use imp::LoadBalancer;
 pub use message::{
-    Choice, Choose, Demand, Ending, Finish, IsSilent, Load, MayRetry, Need, PeerCoverage,
-    PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest,
+    Choice, Choose, Demand, Ending, Finish, IsSilent, Load, MayRetry, Need, NoticeReceived,
+    PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest,
 };
+pub use permit::Permit;
 pub use ticket::Ticket;
--- /dev/null
+++ b/src/dispatch/permit.rs
@@ -0,0 +1,66 @@
+use std::{fmt, sync::Arc};
+
+use actix::Recipient;
+use tokio::sync::watch;
+
+use super::{Choice, NoticeReceived};
+use crate::{
+    clock::Shared,
+    directory::Instance,
+    id,
+    notice::{Closure, Notice, Standing},
+};
+
+/// Tells, right before a request is written, whether its endpoint still takes requests, and reports
+/// what the endpoint says of itself in the answer.
+///
+/// An endpoint can close while hundreds of requests wait for a connection to it.
+#[derive(Clone)]
+pub struct Permit {
+    instance: Arc<Instance>,
+    closure: watch::Receiver<Closure>,
+    notice: Recipient<NoticeReceived>,
+    clock: Shared,
+}
+
+impl fmt::Debug for Permit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Permit")
+            .field("instance", &self.instance.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Permit {
+    pub(super) fn new(choice: &Choice, notice: Recipient<NoticeReceived>, clock: Shared) -> Self {
+        Self {
+            instance: Arc::clone(&choice.instance),
+            closure: choice.closure.clone(),
+            notice,
+            clock,
+        }
+    }
+
+    /// The run of the endpoint that the request is meant for.
+    #[must_use]
+    pub fn instance(&self) -> &Instance {
+        &self.instance
+    }
+
+    /// Whether the endpoint may get a request now.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        self.closure.borrow().standing(self.clock.now())
+    }
+
+    /// Reports what the endpoint says of itself. An empty notice is not reported.
+    pub fn record(&self, notice: Notice, call: Option<id::Call>) {
+        if !notice.is_empty() {
+            self.notice.do_send(NoticeReceived {
+                instance: Arc::clone(&self.instance),
+                notice,
+                call,
+            });
+        }
+    }
+}
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -12,6 +12,7 @@
     forecast::Pace,
     id::{Endpoint, Zone},
     link::Session,
+    notice::Notice,
     testing::with_paused_time,
     unit::Tokens,
     wire::{Digest, Usage},
@@ -23,6 +24,7 @@
 
 fn instance(id: &str, service: &str, stage: Option<Stage>) -> Arc<Instance> {
     Arc::new(Instance {
+        started: None,
         id: id.parse().expect("a valid name"),
         service: service.parse().expect("a valid name"),
         address: "127.0.0.1:9001".parse().expect("an address"),
@@ -716,3 +718,78 @@
         }
     }
 }
+
+fn notice(balancer: &mut LoadBalancer, choice: &Choice, pause: &str, now: Instant) {
+    let received = NoticeReceived {
+        instance: Arc::clone(&choice.instance),
+        notice: Notice {
+            leaving: pause.is_empty(),
+            pause: pause.parse().ok(),
+        },
+        call: None,
+    };
+    balancer.record_notice(&received, now);
+}
+
+/// Guards against prompts that lose the engine which has their prefix cached because that engine pauses
+/// for a second.
+#[test]
+fn homes_do_not_move_for_a_pause() {
+    let (mut balancer, now) = balancer(engines());
+    let mut place = |affinity: u64, pause: &str, now: Instant| {
+        let demand = demand("lm", Need::Start, 4_000, Some(affinity));
+        let choice = balancer.choose(&demand, now).expect("an engine");
+        balancer.finish(&finish(&choice, 4_000, Ending::Paused), now);
+        if !pause.is_empty() {
+            notice(&mut balancer, &choice, pause, now);
+        }
+        choice.instance.id.to_string()
+    };
+    let before: Vec<String> = (0..20).map(|affinity| place(affinity, "", now)).collect();
+    let paused = place(0, "1", now);
+    let during: Vec<String> = (0..20)
+        .map(|affinity| place(affinity, "", now + Duration::from_millis(500)))
+        .collect();
+    let after: Vec<String> = (0..20)
+        .map(|affinity| place(affinity, "", now + Duration::from_secs(3)))
+        .collect();
+    assert!(!during.contains(&paused), "{paused}: {during:?}");
+    let others = before
+        .iter()
+        .zip(&during)
+        .filter(|(home, _)| **home != paused);
+    assert!(others.clone().count() > 0);
+    assert!(others.clone().all(|(home, during)| home == during));
+    assert_eq!(before, after);
+}
+
+/// Guards against a pause that counts as a failure, and against a refusal that hides that all endpoints
+/// have closed.
+#[test]
+fn refusals_say_whether_endpoints_pause_or_leave() {
+    let (mut balancer, now) = balancer(services());
+    let demand = demand("print", Need::Start, 0, None);
+    let mut outcomes = Vec::new();
+    for (seconds, pause) in [(0, "2"), (0, "3"), (0, "9"), (1, "2"), (3, "0"), (9, "0")] {
+        let now = now + Duration::from_secs(seconds);
+        outcomes.push(match balancer.choose(&demand, now) {
+            Ok(choice) => {
+                balancer.finish(&finish(&choice, 0, Ending::Paused), now);
+                notice(&mut balancer, &choice, pause, now);
+                "served".to_owned()
+            }
+            Err(error) => {
+                let seconds = error.retry_after().map(|period| period.as_secs());
+                format!("{}, come back after {seconds:?} s", error.detail())
+            }
+        });
+    }
+    let now = now + Duration::from_secs(20);
+    while let Ok(choice) = balancer.choose(&demand, now) {
+        notice(&mut balancer, &choice, "", now);
+    }
+    let error = balancer.choose(&demand, now).expect_err("all leave");
+    outcomes.push(error.detail().to_owned());
+    outcomes.push(format!("{:?}", balancer.take_digest(now).failed));
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -5,8 +5,17 @@
 
 use actix::Recipient;
 
-use super::{Choice, Ending, Finish, Load, Progress};
-use crate::{forecast::Pace, id::PromptPart, unit::Tokens};
+use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Progress};
+use crate::{clock::Shared, forecast::Pace, id::PromptPart, unit::Tokens};
+
+/// Where a [`Ticket`] and its [`Permit`]s report to.
+#[derive(Clone, Debug)]
+pub(super) struct Reports {
+    pub(super) progress: Recipient<Progress>,
+    pub(super) finish: Recipient<Finish>,
+    pub(super) notice: Recipient<NoticeReceived>,
+    pub(super) clock: Shared,
+}
 
 /// The permit to send a request to the selected endpoint.
 ///
@@ -18,25 +27,18 @@
     choice: Choice,
     /// Prompt tokens that the dispatcher still counts in the backlog of the endpoint.
     pending_prefill: Tokens,
-    progress: Recipient<Progress>,
-    finish: Recipient<Finish>,
+    reports: Reports,
     ending: Ending,
     pace: Option<Pace>,
     shared_parts: Arc<[PromptPart]>,
 }
 
 impl Ticket {
-    pub(super) fn new(
-        choice: Choice,
-        shared_parts: Arc<[PromptPart]>,
-        progress: Recipient<Progress>,
-        finish: Recipient<Finish>,
-    ) -> Self {
+    pub(super) fn new(choice: Choice, shared_parts: Arc<[PromptPart]>, reports: Reports) -> Self {
         Self {
             pending_prefill: choice.prefill_tokens,
             choice,
-            progress,
-            finish,
+            reports,
             ending: Ending::Abandoned,
             pace: None,
             shared_parts,
@@ -49,12 +51,22 @@
         &self.choice
     }
 
+    /// The permit for one request to the selected endpoint.
+    #[must_use]
+    pub fn permit(&self) -> Permit {
+        Permit::new(
+            &self.choice,
+            self.reports.notice.clone(),
+            Arc::clone(&self.reports.clock),
+        )
+    }
+
     /// Reports that the endpoint has begun to answer, which means that its prefill is done. `load`
     /// is the load that the endpoint sent with the answer, if any. Only a successful answer shows
     /// how fast the endpoint is; a rejection may come without any work.
     pub fn record_first_response(&mut self, load: Option<Load>, succeeded: bool) {
         let prompt = std::mem::replace(&mut self.pending_prefill, Tokens::ZERO);
-        self.progress.do_send(Progress {
+        self.reports.progress.do_send(Progress {
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
             prompt,
@@ -84,7 +96,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.finish.do_send(Finish {
+        self.reports.finish.do_send(Finish {
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
             prompt: self.pending_prefill,
--- a/src/error/imp.rs
+++ b/src/error/imp.rs
@@ -116,6 +116,8 @@
     Overloaded => "overloaded", 503, "The target of the class cannot be met now", No, SHORT_DELAY;
     /// No endpoint can serve the request.
     NoEndpoint => "no-endpoint", 503, "No endpoint can take the request", No, SHORT_DELAY;
+    /// All endpoints that could serve the request have asked for a pause.
+    Paused => "paused", 503, "All endpoints have asked for a pause", No, SHORT_DELAY;
     /// The prompt has a part that was running when engines ended.
     Quarantined => "quarantined", 503, "A part of the prompt has ended engines", No, LONG_DELAY;
     /// The process is shutting down, or the endpoint is draining.
--- a/src/forecast/tests.rs
+++ b/src/forecast/tests.rs
@@ -18,6 +18,7 @@
 
 fn engine(id: &str, stage: Option<Stage>) -> Arc<Instance> {
     Arc::new(Instance {
+        started: None,
         id: id.parse().expect("a valid name"),
         service: service(),
         address: "127.0.0.1:9001".parse().expect("an address"),
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -17,7 +17,7 @@
 use crate::{
     clock::Shared,
     directory::Stage,
-    dispatch::{Choice, Choose, Demand, Ending, IsSilent, MayRetry, Need, Ticket},
+    dispatch::{Choice, Choose, Demand, Ending, IsSilent, MayRetry, Need, Permit, Ticket},
     error::{Error, Executed, Kind},
     id::{Endpoint, Service, Zone},
     invariant::{self, Invariant},
@@ -30,6 +30,11 @@
 /// Sends that a rejected request may use even if its route allows fewer attempts; a rejection means
 /// that it has not run.
 const REJECTED_SENDS_MIN: u32 = 2;
+/// Waits of a request for the end of pauses.
+const PAUSES_AWAITED_MAX: u32 = 3;
+/// Longest wait for the end of a pause, as a fraction of the time to the deadline: the rest is for the
+/// answer. A caller that is refused instead comes back after a third of its time at most.
+const PAUSE_FRACTION_MAX: f64 = 0.6;
 /// Time to the deadline at or below which a request is not retried.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(30);
 /// Timeout of an attempt that can be retried, as a multiple of the route's target latency.
@@ -88,6 +93,7 @@
         excluded: Vec::new(),
         sends: 0,
         refused_connections: 0,
+        pauses_awaited: 0,
         may_have_run: false,
         last_failure: None,
     };
@@ -127,6 +133,7 @@
     excluded: Vec<Endpoint>,
     sends: u32,
     refused_connections: u32,
+    pauses_awaited: u32,
     may_have_run: bool,
     /// Why the last attempt failed.
     last_failure: Option<String>,
@@ -149,7 +156,7 @@
             if self.remaining().is_zero() {
                 return Err(self.give_up("the deadline has passed"));
             }
-            let ticket = self.choose(need, None).await?;
+            let ticket = self.choose_open(need, None).await?;
             self.log.placed(ticket.choice());
             let prefills = ticket.choice().instance.stage == Some(Stage::Prefill);
             let (ticket, step) = if prefills {
@@ -176,6 +183,7 @@
         resume_after: Option<EventId>,
     ) -> Result<Option<(Ticket, Step)>> {
         let instance = Arc::clone(&ticket.choice().instance);
+        let permit = ticket.permit();
         let attempt = self.new_attempt(&ticket, Step::Prefill, resume_after);
         let limit = silent_after(ticket.choice().forecast);
         let sent = self.ports.upstream.send(attempt);
@@ -199,6 +207,10 @@
                 self.excluded.push(instance.id.clone());
                 return self.check_prefill_retry().await.map(|()| None);
             }
+            Some(Err(error @ SendError::Withheld)) => {
+                self.log.retried(&format!("prefill: {error}"));
+                return Ok(None);
+            }
             Some(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
                 self.end_lost(ticket);
@@ -218,11 +230,11 @@
             handle,
         };
         let guard = UnusedCache {
-            cache: Some(cache),
+            cache: Some((cache, permit)),
             upstream: Rc::clone(&self.ports.upstream),
         };
         let preferred_zone = Some(instance.zone.clone());
-        let ticket = self.choose(Need::Decode, preferred_zone).await?;
+        let ticket = self.choose_open(Need::Decode, preferred_zone).await?;
         Ok(guard.take().map(|cache| (ticket, Step::Decode(cache))))
     }
 
@@ -268,6 +280,11 @@
                     }
                 }
             }
+            Some(Err(error @ SendError::Withheld)) => {
+                self.log.retried(&error.to_string());
+                self.sends -= 1;
+                return Ok(None);
+            }
             Some(Err(SendError::NotSent(detail))) => {
                 ticket.end(Ending::Lost);
                 self.sends -= 1;
@@ -375,6 +392,9 @@
 
     /// How the attempt ended at its endpoint, judged by the head of the response.
     fn ending_of(&self, response: &EndpointResponse, prefill: bool) -> Ending {
+        if response.notice.pause.is_some() {
+            return Ending::Paused;
+        }
         match response.execution {
             // The deadline passed in the queue of the endpoint, which is not full.
             Execution::Rejected if self.remaining() <= RETRY_TIME_MIN => Ending::Abandoned,
@@ -467,6 +487,26 @@
         error
     }
 
+    /// Chooses an endpoint, and waits if all of them pause and one opens early enough.
+    async fn choose_open(&mut self, need: Need, preferred_zone: Option<Zone>) -> Result<Ticket> {
+        loop {
+            let error = match self.choose(need, preferred_zone.clone()).await {
+                Err(error) if error.kind() == Kind::Paused => error,
+                chosen => return chosen,
+            };
+            let wait_max = self.remaining().mul_f64(PAUSE_FRACTION_MAX);
+            let opens_in = error.retry_after().filter(|time| *time <= wait_max);
+            match opens_in {
+                Some(opens_in) if self.pauses_awaited < PAUSES_AWAITED_MAX => {
+                    self.pauses_awaited += 1;
+                    self.log.waits(opens_in);
+                    time::sleep(opens_in).await;
+                }
+                _ => return Err(error),
+            }
+        }
+    }
+
     async fn choose(&self, need: Need, preferred_zone: Option<Zone>) -> Result<Ticket> {
         let generation = self.call.generation;
         let demand = Demand {
@@ -490,7 +530,10 @@
                 if self.may_have_run {
                     let failure = self.last_failure.as_deref().unwrap_or("no answer");
                     Error::new(Kind::EndpointLost, format!("{failure}; {}", error.detail()))
-                } else if matches!(error.kind(), Kind::Overloaded | Kind::Quarantined) {
+                } else if matches!(
+                    error.kind(),
+                    Kind::Overloaded | Kind::Paused | Kind::Quarantined
+                ) {
                     // The dispatcher knows when to come back.
                     error
                 } else {
@@ -507,6 +550,7 @@
         Attempt {
             call: Rc::clone(&self.call),
             instance: Arc::clone(&ticket.choice().instance),
+            permit: ticket.permit(),
             remaining: self.remaining(),
             rank: ticket.choice().rank,
             fetch_from: ticket.choice().fetch_from,
@@ -533,20 +577,20 @@
 
 /// Frees a KV cache on drop, unless a decode step has taken it.
 struct UnusedCache {
-    cache: Option<KvCache>,
+    cache: Option<(KvCache, Permit)>,
     upstream: Rc<dyn Upstream>,
 }
 
 impl UnusedCache {
     fn take(mut self) -> Option<KvCache> {
-        self.cache.take()
+        self.cache.take().map(|(cache, _)| cache)
     }
 }
 
 impl Drop for UnusedCache {
     fn drop(&mut self) {
-        if let Some(cache) = self.cache.take() {
-            self.upstream.release_cache(cache);
+        if let Some((cache, permit)) = self.cache.take() {
+            self.upstream.release_cache(cache, permit);
         }
     }
 }
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -14,9 +14,10 @@
 use super::{EventId, Result};
 use crate::{
     directory::Instance,
-    dispatch::Load,
+    dispatch::{Load, Permit},
     error::{Error, Kind},
     id,
+    notice::Notice,
     unit::Tokens,
     upstream,
 };
@@ -113,6 +114,8 @@
     pub call: Rc<Call>,
     /// The endpoint to send to.
     pub instance: Arc<Instance>,
+    /// Whether the endpoint still takes requests when this one is sent.
+    pub permit: Permit,
     /// Time until the deadline of the request.
     pub remaining: Duration,
     /// Priority; 0 is the most urgent.
@@ -149,6 +152,8 @@
     pub ends_with_connection: bool,
     /// Whether the request was executed.
     pub execution: Execution,
+    /// What the endpoint says of itself.
+    pub notice: Notice,
     /// Load of the endpoint, if it reported one.
     pub load: Option<Load>,
     /// The KV cache that the engine keeps after a successful prefill step.
@@ -162,6 +167,8 @@
 pub enum SendError {
     /// The endpoint did not receive the request.
     NotSent(String),
+    /// It was not sent, since the endpoint has asked for no new requests meanwhile.
+    Withheld,
     /// The endpoint may have received the request.
     Lost(String),
 }
@@ -170,6 +177,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(detail) | Self::Lost(detail) => f.write_str(detail),
+            Self::Withheld => f.write_str("the endpoint has asked for no new requests"),
         }
     }
 }
@@ -182,8 +190,8 @@
         attempt: Attempt,
     ) -> LocalBoxFuture<'_, std::result::Result<EndpointResponse, SendError>>;
 
-    /// Frees an unused KV cache in the background.
-    fn release_cache(&self, cache: KvCache);
+    /// Frees an unused KV cache in the background, if its engine takes requests.
+    fn release_cache(&self, cache: KvCache, permit: Permit);
 
     /// Opens a connection for a test, and returns whether it was refused: nothing listens at the
     /// address. An address that does not answer has not refused.
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -80,6 +80,13 @@
             "attempt failed; retrying at another endpoint");
     }
 
+    /// Logs that the request waits until an endpoint takes requests again.
+    pub(super) fn waits(&self, opens_in: Duration) {
+        log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
+            wait_ms = opens_in.as_millis();
+            "all endpoints have asked for a pause; waiting for the first to end");
+    }
+
     /// Notes the status of the response, and when its head was first available.
     pub(super) fn answered(&mut self, status: u16) {
         self.status = status;
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -21,8 +21,9 @@
 use crate::{
     clock::{Clock, Manual, System},
     directory::{Instance, Stage},
-    dispatch::{self, Dispatcher, Progress, SetInstances},
+    dispatch::{self, Dispatcher, Permit, Progress, SetInstances},
     error::Kind,
+    notice::Notice,
     route::{self, Route, Target},
     testing::with_paused_time,
     unit::Tokens,
@@ -133,6 +134,7 @@
                 },
                 ends_with_connection: matches!(act, Act::Unframed(_)),
                 execution,
+                notice: Notice::default(),
                 load: None,
                 cache: prefilled.then(|| "h1".parse().expect("a valid handle")),
                 body,
@@ -141,7 +143,7 @@
         .boxed_local()
     }
 
-    fn release_cache(&self, cache: KvCache) {
+    fn release_cache(&self, cache: KvCache, _permit: Permit) {
         self.received
             .borrow_mut()
             .push(format!("release of {}", cache.handle));
@@ -201,6 +203,7 @@
             slots: 4,
             draining: false,
             stage: *stage,
+            started: None,
         })
     };
     stages.iter().enumerate().map(instance).collect()
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -152,6 +152,7 @@
         slots: 4,
         draining: false,
         stage: Some(Stage::Decode),
+        started: None,
     };
     dispatcher.do_send(SetInstances(vec![Arc::new(engine)]));
     let identity = Identity {
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -4,7 +4,7 @@
 
 use super::Result;
 use crate::{
-    directory::{self, Instance},
+    directory::{self, Instance, Started},
     error::{Error, Kind},
     id,
     route::{self, Limits, Plan, Route, Target, Version},
@@ -31,6 +31,9 @@
     state: State,
     #[serde(default)]
     stage: Option<String>,
+    /// Unix time of the start of this run, in milliseconds.
+    #[serde(default, rename = "born")]
+    started: Option<u64>,
 }
 
 #[derive(Clone, Copy, Deserialize, PartialEq, Eq)]
@@ -102,6 +105,7 @@
         let stage = stage.filter(|stage| *stage != "colocated");
         Ok(Instance {
             id,
+            started: entry.started.map(Started::from_millis),
             service: entry.service,
             address: entry.address,
             zone: entry.zone,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,9 +1,9 @@
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{RequestHead, ResponseHead};
 use actix_web::http::{
-    Method, Uri,
-    header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue},
+    Method, StatusCode, Uri,
+    header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
@@ -12,8 +12,11 @@
 
 use super::{ingress::header_text, names};
 use crate::{
-    dispatch::Load,
-    forward::{Attempt, EndpointResponse, Execution, KvCache, KvHandle, SendError, Step, Upstream},
+    dispatch::{Load, Permit},
+    forward::{
+        Attempt, Call, EndpointResponse, Execution, KvCache, KvHandle, SendError, Step, Upstream,
+    },
+    notice::{Notice, Pause, Standing},
     upstream::{self, Body, Client, Kind},
 };
 
@@ -50,7 +53,13 @@
     async fn send_attempt(&self, attempt: Attempt) -> Result<EndpointResponse, SendError> {
         let head = encode(&attempt)?;
         let body = attempt.call.body.clone();
-        let response = self.client.send(attempt.instance.address, head, body).await;
+        let address = attempt.instance.address;
+        let gate = Rc::new(EndpointGate {
+            permit: attempt.permit.clone(),
+            call: Some(Rc::clone(&attempt.call)),
+            client: self.client.clone(),
+        });
+        let response = self.client.send_through(gate, address, head, body).await;
         let response = response.map_err(|error| to_send_error(&error))?;
         let mut response = decode(response, &attempt)?;
         if attempt.step == Step::Prefill && response.status == 200 {
@@ -73,14 +82,19 @@
         self.send_attempt(attempt).boxed_local()
     }
 
-    fn release_cache(&self, cache: KvCache) {
+    fn release_cache(&self, cache: KvCache, permit: Permit) {
         let client = self.client.clone();
+        let gate = Rc::new(EndpointGate {
+            permit,
+            call: None,
+            client: client.clone(),
+        });
         task::spawn_local(async move {
             let target = format!("{}/{}", names::KV_HANDLE, cache.handle);
             let freed = time::timeout(RELEASE_TIMEOUT, async {
                 let head = request_head(Method::DELETE, &target, cache.source, HeaderMap::new())?;
                 client
-                    .send(cache.source, head, Bytes::new())
+                    .send_through(gate, cache.source, head, Bytes::new())
                     .await
                     .map_err(|error| to_send_error(&error))
             })
@@ -113,6 +127,70 @@
     }
 }
 
+/// Stops requests to an endpoint that has closed, and reports what it says of itself.
+#[derive(Debug)]
+struct EndpointGate {
+    permit: Permit,
+    /// The request of a caller; `None` for a call of this process.
+    call: Option<Rc<Call>>,
+    client: Client,
+}
+
+impl upstream::Gate for EndpointGate {
+    fn may_send(&self) -> bool {
+        self.permit.standing() == Standing::Open
+    }
+
+    fn on_head(&self, head: &ResponseHead) -> bool {
+        let headers = head.headers();
+        let instance = self.permit.instance();
+        let sent = self
+            .call
+            .as_ref()
+            .and_then(|call| header_text(&call.headers, names::REQUEST_ID));
+        // A copy of an earlier answer, and the answer of another instance that has the address now,
+        // say nothing of this one.
+        let is_copy = header_text(headers, names::REQUEST_ID).is_some_and(|id| Some(id) != sent);
+        let is_other = header_text(headers, names::INSTANCE_ID).map_or_else(
+            || head.status == StatusCode::MISDIRECTED_REQUEST,
+            |id| id != instance.id.as_str(),
+        );
+        if is_copy || is_other {
+            return true;
+        }
+        let notice = decode_notice(head);
+        let unreadable = headers
+            .get(RETRY_AFTER)
+            .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE && notice.pause.is_none());
+        if let Some(value) = unreadable {
+            log::info!(endpoint:% = instance.id, value:? = value;
+                "endpoint asked for a pause that is not a number of seconds; ignored");
+        }
+        if notice.leaving {
+            self.client.close_idle(instance.address);
+        }
+        let call = self.call.as_ref().and_then(|call| call.id.clone());
+        self.permit.record(notice, call);
+        !notice.leaving
+    }
+}
+
+/// Decodes what an endpoint says of itself. Of several pauses the longest counts; one that cannot be
+/// read is ignored.
+fn decode_notice(head: &ResponseHead) -> Notice {
+    let headers = head.headers();
+    let leaving = headers
+        .get_all(names::SERVER_LEAVING)
+        .any(|value| value == "1");
+    let pauses = headers.get_all(RETRY_AFTER);
+    let pause = pauses.filter_map(|value| value.to_str().ok()?.parse::<Pause>().ok());
+    let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
+    Notice {
+        leaving,
+        pause: pause.max().filter(|_| is_refusal),
+    }
+}
+
 fn encode(attempt: &Attempt) -> Result<RequestHead, SendError> {
     let mut headers = attempt.call.headers.clone();
     let mut set = |name: &'static str, value: String| {
@@ -220,7 +298,12 @@
     let mut kept = HeaderMap::new();
     for (name, value) in headers {
         let dropped = names::HOP_BY_HOP_HEADERS.contains(&name.as_str())
-            || [names::INSTANCE_LOAD, names::INSTANCE_ID].contains(&name.as_str())
+            || [
+                names::INSTANCE_LOAD,
+                names::INSTANCE_ID,
+                names::SERVER_LEAVING,
+            ]
+            .contains(&name.as_str())
             || name == CONTENT_LENGTH;
         if !dropped {
             kept.append(name.clone(), value.clone());
@@ -232,6 +315,7 @@
         length: header_text(headers, "content-length").and_then(|length| length.parse().ok()),
         ends_with_connection: false,
         execution,
+        notice: decode_notice(head),
         load: header_text(headers, names::INSTANCE_LOAD).and_then(parse_load),
         cache: None,
         body,
@@ -251,6 +335,7 @@
 fn to_send_error(error: &upstream::Error) -> SendError {
     match error.kind() {
         Kind::NotSent => SendError::NotSent(error.to_string()),
+        Kind::Withheld => SendError::Withheld,
         Kind::Lost | Kind::Malformed => SendError::Lost(error.to_string()),
     }
 }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -39,6 +39,8 @@
 pub(super) const NOT_EXECUTED: &str = "not-executed";
 /// Running requests, waiting requests and slots of the endpoint, separated by commas.
 pub(super) const INSTANCE_LOAD: &str = "instance-load";
+/// `1` in every answer of an endpoint that is leaving.
+pub(super) const SERVER_LEAVING: &str = "server-leaving";
 /// Id of the endpoint that responds to a health check, or that now has the address.
 pub(super) const INSTANCE_ID: &str = "instance-id";
 /// Priority of a request; 0 is the most urgent.
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -2,6 +2,7 @@
     io::{self, ErrorKind},
     net::SocketAddr,
     pin::{Pin, pin},
+    rc::Rc,
     time::Duration,
 };
 
@@ -23,7 +24,7 @@
 use super::{
     Result,
     imp::{
-        Body, BodyPart, Error, IdleConnections, Kind, PendingRequest, Response, add_idle,
+        Body, BodyPart, Error, Gate, IdleConnections, Kind, PendingRequest, Response, add_idle,
         remove_closed,
     },
 };
@@ -187,12 +188,18 @@
         }
     }
 
-    /// Sends one request and relays its response. Returns whether the connection can be reused.
+    /// Sends one request, if its gate permits it, and relays its response. Returns whether the connection can be reused.
     async fn serve(&mut self, mut pending: PendingRequest) -> bool {
         if let Err(error) = self.check_idle() {
             send_error(pending.responder, error);
             return false;
         }
+        let gate = pending.gate.take();
+        if gate.as_ref().is_some_and(|gate| !gate.may_send()) {
+            let error = Error::new(Kind::Withheld, "the endpoint takes no requests now");
+            send_error(pending.responder, error);
+            return true;
+        }
         let head_only = pending.head.method == Method::HEAD;
         let encoded = match self.encode(&mut pending) {
             Ok(encoded) => encoded,
@@ -201,10 +208,21 @@
                 return false;
             }
         };
+        self.exchange(encoded, pending.responder, gate, head_only)
+            .await
+    }
+
+    /// Writes an encoded request and relays its response. Returns whether the connection can be reused.
+    async fn exchange(
+        &mut self,
+        encoded: BytesMut,
+        mut responder: oneshot::Sender<Result<Response>>,
+        gate: Option<Rc<dyn Gate>>,
+        head_only: bool,
+    ) -> bool {
         let (mut reader, mut writer) = self.stream.split();
         let mut write = pin!(async move { writer.write_all(&encoded).await });
         let mut written = false;
-        let mut responder = pending.responder;
         let mut interim_responses = 0;
         let head = loop {
             let read = tokio::select! {
@@ -236,6 +254,7 @@
                 }
             }
         };
+        let may_reuse = gate.is_none_or(|gate| gate.on_head(&head));
         let ends_with_connection = ends_with_connection(&head, head_only);
         let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
         let body = Body::new(parts);
@@ -256,7 +275,7 @@
         }
         if self.codec.message_type() == MessageType::None {
             let end = sender.send(BodyPart::End).await;
-            let reusable = end.is_ok() && written && self.codec.keep_alive();
+            let reusable = end.is_ok() && may_reuse && written && self.codec.keep_alive();
             return reusable && self.buffer.is_empty();
         }
         let mut codec = std::mem::take(&mut self.codec).into_payload_codec();
@@ -269,7 +288,7 @@
         )
         .await;
         let reusable = match outcome {
-            Ok(true) => written && codec.keep_alive(),
+            Ok(true) => may_reuse && written && codec.keep_alive(),
             Ok(false) => {
                 record_cancellation(Phase::Answering);
                 if !written {
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -14,6 +14,8 @@
 pub enum Kind {
     /// No byte of the request was sent.
     NotSent,
+    /// No byte was sent, since the [`Gate`] of the request did not permit it.
+    Withheld,
     /// The connection was lost after a part of the request was sent.
     Lost,
     /// The endpoint sent bytes that are not a valid HTTP response.
@@ -24,6 +26,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::NotSent => "not sent",
+            Self::Withheld => "withheld",
             Self::Lost => "lost",
             Self::Malformed => "malformed answer",
         })
@@ -182,11 +185,22 @@
     pub reused: bool,
 }
 
+/// Decides about a request while its connection task has it.
+pub trait Gate: fmt::Debug {
+    /// Whether the request may be sent now. Asked right before its first byte is written.
+    fn may_send(&self) -> bool;
+
+    /// Sees the head of the final response, also if nobody waits for it any more. Returns whether the
+    /// connection may be used again.
+    fn on_head(&self, head: &ResponseHead) -> bool;
+}
+
 /// A request that is passed to a connection task.
 #[derive(Debug)]
 pub(super) struct PendingRequest {
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
+    pub(super) gate: Option<Rc<dyn Gate>>,
     pub(super) responder: oneshot::Sender<Result<Response>>,
 }
 
@@ -235,11 +249,37 @@
         address: SocketAddr,
         head: RequestHead,
         body: Bytes,
+    ) -> Result<Response> {
+        self.submit(address, head, body, None).await
+    }
+
+    /// Sends a request like [`Client::send`], if `gate` permits it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], and [`Kind::Withheld`] if the gate did not permit it.
+    pub async fn send_through(
+        &self,
+        gate: Rc<dyn Gate>,
+        address: SocketAddr,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Response> {
+        self.submit(address, head, body, Some(gate)).await
+    }
+
+    async fn submit(
+        &self,
+        address: SocketAddr,
+        head: RequestHead,
+        body: Bytes,
+        gate: Option<Rc<dyn Gate>>,
     ) -> Result<Response> {
         let (responder, response) = oneshot::channel();
         let mut pending = PendingRequest {
             head,
             body,
+            gate,
             responder,
         };
         while let Some(connection) = self.take_idle(address) {
@@ -253,6 +293,13 @@
         flatten(response.await)
     }
 
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, address: SocketAddr) {
+        if let Some(idle) = &self.idle {
+            idle.borrow_mut().remove(&address);
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<oneshot::Sender<PendingRequest>> {
         let idle = self.idle.as_ref()?;
         idle.borrow_mut().get_mut(&address)?.pop()
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use imp::{Body, Client, Error, Kind, Response};
+pub use imp::{Body, Client, Error, Gate, Kind, Response};
 
 /// Result of a request to an endpoint.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -99,7 +99,7 @@
 /// Maps a failed request. Only one that was not sent has certainly not run.
 pub(super) fn endpoint_lost(error: &upstream::Error) -> Error {
     let executed = match error.kind() {
-        upstream::Kind::NotSent => Executed::No,
+        upstream::Kind::NotSent | upstream::Kind::Withheld => Executed::No,
         upstream::Kind::Lost | upstream::Kind::Malformed => Executed::Unknown,
     };
     Error::new(Kind::EndpointLost, "the answer of the endpoint was lost")
