Let the endpoints of the soak leave and pause in their answers

Endpoints of the soak say that they are leaving while their entry stays as it was, and start again later; others refuse with a pause. The soak checks from what reaches them that a gateway which was told sends nothing two seconds later, and at most two requests in a pause from half a second on. The new faults are drawn apart, so that recorded seeds keep their others.

--- a/mulberrymill-bench/src/soak/backend.rs
+++ b/mulberrymill-bench/src/soak/backend.rs
@@ -35,32 +35,88 @@
 /// All runs of a soak test, shared by its endpoints.
 pub(super) type Runs = Arc<Mutex<Vec<Run>>>;
 
-pub(super) fn lock(runs: &Runs) -> MutexGuard<'_, Vec<Run>> {
-    runs.lock().unwrap_or_else(PoisonError::into_inner)
+pub(super) fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// What an endpoint says of itself in its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Speech {
+    pub(super) leaving: bool,
+    /// Pause that it asks for with each refusal; it refuses all requests then.
+    pub(super) pause: Option<Duration>,
+}
+
+/// A request that reached an endpoint, run or refused.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    pub(super) request: String,
+    pub(super) endpoint: String,
+    /// The run of the endpoint, from 1.
+    pub(super) started: u64,
+    pub(super) at: Instant,
+    /// What its answer said.
+    pub(super) speech: Speech,
+}
+
+/// All arrivals of a soak test, shared by its endpoints.
+pub(super) type Arrivals = Arc<Mutex<Vec<Arrival>>>;
+
 /// Endpoint stand-in that records its runs and responds with the id of the request.
 #[derive(Debug)]
 pub(super) struct Backend {
     id: String,
     port: Port,
+    state: Arc<Mutex<State>>,
+}
+
+/// The current run of an endpoint, and what it says.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    started: u64,
+    speech: Speech,
 }
 
 struct Shared {
     id: String,
     runs: Runs,
+    arrivals: Arrivals,
+    state: Arc<Mutex<State>>,
 }
 
 impl Backend {
-    pub(super) fn bind(id: String, runs: &Runs) -> Result<Self> {
+    pub(super) fn bind(id: String, runs: &Runs, arrivals: &Arrivals) -> Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            started: 1,
+            speech: Speech::default(),
+        }));
         let data = web::Data::new(Shared {
             id: id.clone(),
             runs: Arc::clone(runs),
+            arrivals: Arc::clone(arrivals),
+            state: Arc::clone(&state),
         });
         let port = Port::bind(Arc::new(move |app: &mut web::ServiceConfig| {
             app.app_data(data.clone()).default_service(web::to(respond));
         }))?;
-        Ok(Self { id, port })
+        Ok(Self { id, port, state })
+    }
+
+    /// Sets what its answers say from now on.
+    pub(super) fn say(&self, speech: Speech) {
+        lock(&self.state).speech = speech;
+    }
+
+    /// Starts a new run, which says nothing of itself.
+    pub(super) fn start_again(&self) {
+        let mut state = lock(&self.state);
+        state.started += 1;
+        state.speech = Speech::default();
+    }
+
+    /// The current run, from 1.
+    pub(super) fn started(&self) -> u64 {
+        lock(&self.state).started
     }
 
     pub(super) fn id(&self) -> &str {
@@ -96,6 +152,21 @@
             .insert_header(("Instance-Id", shared.id.clone()))
             .finish();
     }
+    let State { started, speech } = *lock(&shared.state);
+    lock(&shared.arrivals).push(Arrival {
+        request: id.clone(),
+        endpoint: shared.id.clone(),
+        started,
+        at: Instant::now(),
+        speech,
+    });
+    if let Some(pause) = speech.pause {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header(("Not-Executed", "1"))
+            .insert_header(("Request-Id", id))
+            .insert_header(("Retry-After", pause.as_secs_f64().to_string()))
+            .finish();
+    }
     lock(&shared.runs).push(Run {
         request: id.clone(),
         line: format!("{} {}", request.method(), request.uri()),
@@ -104,6 +175,9 @@
         at: Instant::now(),
     });
     let mut response = HttpResponse::Ok();
+    if speech.leaving {
+        response.insert_header(("Server-Leaving", "1"));
+    }
     response.insert_header(("Server-Stamp", shared.id.clone()));
     response.insert_header(("Instance-Load", format!("1,0,{SLOTS}")));
     response.insert_header(("Request-Id", id.clone()));
--- a/mulberrymill-bench/src/soak/check.rs
+++ b/mulberrymill-bench/src/soak/check.rs
@@ -5,7 +5,7 @@
 };
 
 use super::{
-    backend::{self, Run, STREAM_EVENTS},
+    backend::{self, Arrival, Run, STREAM_EVENTS},
     client::{DEADLINE, Sent},
 };
 
@@ -16,6 +16,16 @@
 /// Time after the deadline in which the start of a run still counts as in time.
 const LATE_TOLERANCE: Duration = Duration::from_millis(500);
 
+/// Time after an answer that says that an endpoint leaves in which clients may still send requests
+/// that reach it.
+const LEAVING_TOLERANCE: Duration = Duration::from_secs(2);
+/// Time in which an answer reaches the gateway.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// Time after a refusal in which requests on their way may still reach the endpoint.
+const PAUSE_TOLERANCE: Duration = Duration::from_millis(500);
+/// Requests that may reach an endpoint in the rest of the pause that it asked for.
+const PAUSED_ARRIVALS_MAX: usize = 2;
+
 /// A violated rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Breach {
@@ -31,30 +41,31 @@
     }
 }
 
-/// Time in which an endpoint was draining and no fault kept the gateways from learning it.
+/// Time in which an endpoint was draining, or cut off from the gateways.
 #[derive(Clone, Debug)]
-pub(super) struct DrainWindow {
+pub(super) struct EndpointWindow {
     pub(super) endpoint: String,
-    /// Start of the time in which the endpoint must receive no requests.
     pub(super) from: Instant,
     pub(super) until: Instant,
 }
 
-/// Time in which a gateway was paused. It cannot know how long a request waited in its socket in
-/// that time, so requests that it forwards afterwards may be late.
+/// Time in which a gateway was paused, or did not run.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PauseWindow {
+pub(super) struct GatewayWindow {
     pub(super) gateway: usize,
     pub(super) from: Instant,
     pub(super) until: Instant,
 }
 
 /// Compares the responses that clients received with the runs of endpoints.
+///
+/// `drains` are the times in which endpoints must receive no requests. A gateway cannot know how long a
+/// request waited in its socket while it was paused, so requests that it forwards afterwards may be late.
 pub(super) fn check(
     sent: &[Sent],
     runs: &[Run],
-    drains: &[DrainWindow],
-    pauses: &[PauseWindow],
+    drains: &[EndpointWindow],
+    pauses: &[GatewayWindow],
 ) -> Vec<Breach> {
     let mut by_request: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
     for run in runs {
@@ -79,7 +90,7 @@
             if run.at > sent.at + DEADLINE + LATE_TOLERANCE && !excused {
                 breach("late", detail.clone());
             }
-            let while_draining = |drain: &DrainWindow| {
+            let while_draining = |drain: &EndpointWindow| {
                 drain.endpoint == run.endpoint && (drain.from..drain.until).contains(&run.at)
             };
             if drains.iter().any(while_draining) {
@@ -125,6 +136,68 @@
     breaches
 }
 
+/// Compares what endpoints said of themselves with what reached them afterwards.
+///
+/// A run that has told a gateway that it leaves gets no request from it which its client sent later than
+/// [`LEAVING_TOLERANCE`]; a run that has asked a gateway for a pause gets at most
+/// [`PAUSED_ARRIVALS_MAX`] from it, from [`PAUSE_TOLERANCE`] after that until the end of the pause.
+///
+/// A gateway that did not run in between is excused, and so is one whose link to the endpoint was harmed
+/// when the endpoint spoke.
+pub(super) fn check_notices(
+    sent: &[Sent],
+    arrivals: &[Arrival],
+    outages: &[GatewayWindow],
+    cuts: &[EndpointWindow],
+) -> Vec<Breach> {
+    let by_request: BTreeMap<&str, &Sent> = sent
+        .iter()
+        .map(|sent| (sent.request.as_str(), sent))
+        .collect();
+    let from_gateways: Vec<(&Arrival, &Sent)> = arrivals
+        .iter()
+        .filter_map(|arrival| Some((arrival, *by_request.get(arrival.request.as_str())?)))
+        .collect();
+    let mut breaches = Vec::new();
+    for (said, to) in &from_gateways {
+        let is_unheard = cuts.iter().any(|cut| {
+            cut.endpoint == said.endpoint && cut.from < said.at + ANSWER_TIME && said.at < cut.until
+        });
+        if is_unheard {
+            continue;
+        }
+        let later = from_gateways.iter().filter(|(arrival, from)| {
+            let is_excused = outages.iter().any(|outage| {
+                outage.gateway == to.gateway && outage.from < arrival.at && said.at < outage.until
+            });
+            let is_same_run = arrival.endpoint == said.endpoint && arrival.started == said.started;
+            from.gateway == to.gateway && is_same_run && !is_excused
+        });
+        if said.speech.leaving {
+            let late = later
+                .clone()
+                .find(|(_, from)| from.at > said.at + LEAVING_TOLERANCE);
+            breaches.extend(late.map(|late| Breach {
+                rule: "leaving",
+                detail: format!("{late:?} after {said:?}"),
+            }));
+        }
+        if let Some(pause) = said.speech.pause {
+            let closed = said.at + PAUSE_TOLERANCE..said.at + pause;
+            let early: Vec<_> = later
+                .filter(|(arrival, _)| closed.contains(&arrival.at))
+                .collect();
+            if early.len() > PAUSED_ARRIVALS_MAX {
+                breaches.push(Breach {
+                    rule: "paused",
+                    detail: format!("{early:?} after {said:?}"),
+                });
+            }
+        }
+    }
+    breaches
+}
+
 fn expected(sent: &Sent) -> String {
     match sent.kind {
         "stream" => {
--- a/mulberrymill-bench/src/soak/imp.rs
+++ b/mulberrymill-bench/src/soak/imp.rs
@@ -11,8 +11,8 @@
 
 use super::{
     Breach, Fault, Mode, Plan, Proxy, Result, Step,
-    backend::{Backend, Runs, SLOTS, lock},
-    check::{self, DrainWindow, PauseWindow},
+    backend::{Arrivals, Backend, Runs, SLOTS, Speech, lock},
+    check::{self, EndpointWindow, GatewayWindow},
     client::{self, Shared},
 };
 use crate::{
@@ -81,8 +81,12 @@
     backends: Vec<(Backend, Proxy)>,
     gateways: Vec<RefCell<Gateway>>,
     shared: Shared,
-    drains: RefCell<Vec<DrainWindow>>,
-    pauses: RefCell<Vec<PauseWindow>>,
+    drains: RefCell<Vec<EndpointWindow>>,
+    pauses: RefCell<Vec<GatewayWindow>>,
+    /// Times in which a gateway was paused, killed or stopped, until it ran again.
+    outages: RefCell<Vec<GatewayWindow>>,
+    /// Times in which the proxy of an endpoint harmed its connections.
+    cuts: RefCell<Vec<EndpointWindow>>,
     /// Times in which faults may keep gateways from learning of changes in the store.
     disturbances: RefCell<Vec<(Instant, Instant)>>,
 }
@@ -103,7 +107,8 @@
         config.endpoints * 2,
     );
     let runs = Runs::default();
-    let soak = Rc::new(open(config, folder, &runs).await?);
+    let arrivals = Arrivals::default();
+    let soak = Rc::new(open(config, folder, &runs, &arrivals).await?);
     wait_until_served(&soak)
         .await
         .map_err(|breach| breach.to_string())?;
@@ -137,17 +142,23 @@
         &soak.drains.borrow(),
         &soak.pauses.borrow(),
     );
+    breaches.extend(check::check_notices(
+        &soak.shared.sent.borrow(),
+        &lock(&arrivals),
+        &soak.outages.borrow(),
+        &soak.cuts.borrow(),
+    ));
     breaches.extend(recovered.err());
     breaches.extend(failures_in_logs(&soak)?);
     Ok(breaches)
 }
 
-async fn open(config: &Config, folder: &Path, runs: &Runs) -> Result<Soak> {
+async fn open(config: &Config, folder: &Path, runs: &Runs, arrivals: &Arrivals) -> Result<Soak> {
     let store = Store::bind()?;
     let mut backends = Vec::new();
     for service in ["free", "once"] {
         for number in 0..config.endpoints {
-            let backend = Backend::bind(format!("{service}-{number}"), runs)?;
+            let backend = Backend::bind(format!("{service}-{number}"), runs, arrivals)?;
             let proxy = Proxy::bind(backend.address()).await?;
             backends.push((backend, proxy));
         }
@@ -181,6 +192,8 @@
         },
         drains: RefCell::default(),
         pauses: RefCell::default(),
+        outages: RefCell::default(),
+        cuts: RefCell::default(),
         disturbances: RefCell::default(),
     };
     write_plan(&soak);
@@ -218,7 +231,8 @@
 fn announce(soak: &Soak, number: usize, state: &str) {
     let (backend, proxy) = &soak.backends[number];
     let service = backend.id().split('-').next().unwrap_or_default();
-    let entry = platform::entry(proxy.address(), service, SLOTS, state);
+    let mut entry = platform::entry(proxy.address(), service, SLOTS, state);
+    entry["born"] = json!(backend.started());
     soak.store.put(&format!("servers/{}", backend.id()), &entry);
 }
 
@@ -227,7 +241,11 @@
     let begin = Instant::now();
     let disturbs = !matches!(
         step.fault,
-        Fault::Endpoint(..) | Fault::Drain(_) | Fault::Reload(_)
+        Fault::Endpoint(..)
+            | Fault::Drain(_)
+            | Fault::Reload(_)
+            | Fault::Leave(_)
+            | Fault::Shed(..)
     );
     if disturbs {
         // A gateway that has restarted or reconnected to the store reads everything again.
@@ -235,6 +253,25 @@
         soak.disturbances.borrow_mut().push((begin, end));
     }
     match step.fault {
+        Fault::Leave(number) => {
+            let backend = &soak.backends[number].0;
+            backend.say(Speech {
+                leaving: true,
+                pause: None,
+            });
+            time::sleep(step.lasts).await;
+            backend.start_again();
+            announce(soak, number, "ready");
+        }
+        Fault::Shed(number, pause) => {
+            let backend = &soak.backends[number].0;
+            backend.say(Speech {
+                leaving: false,
+                pause: Some(pause),
+            });
+            time::sleep(step.lasts).await;
+            backend.say(Speech::default());
+        }
         Fault::Endpoint(number, mode) => {
             let proxy = &soak.backends[number].1;
             proxy.set(mode);
@@ -250,7 +287,7 @@
             signal(soak, number, Process::freeze)?;
             time::sleep(step.lasts).await;
             signal(soak, number, Process::thaw)?;
-            soak.pauses.borrow_mut().push(PauseWindow {
+            soak.pauses.borrow_mut().push(GatewayWindow {
                 gateway: number,
                 from: begin,
                 until: Instant::now(),
@@ -275,7 +312,7 @@
             let undisturbed = |(start, end): &(Instant, Instant)| *end < begin || *start > until;
             if from < until && soak.disturbances.borrow().iter().all(undisturbed) {
                 let endpoint = soak.backends[number].0.id().to_owned();
-                soak.drains.borrow_mut().push(DrainWindow {
+                soak.drains.borrow_mut().push(EndpointWindow {
                     endpoint,
                     from,
                     until,
@@ -283,6 +320,20 @@
             }
         }
     }
+    if let Fault::Endpoint(number, _) = step.fault {
+        soak.cuts.borrow_mut().push(EndpointWindow {
+            endpoint: soak.backends[number].0.id().to_owned(),
+            from: begin,
+            until: Instant::now(),
+        });
+    }
+    if let Fault::Pause(gateway) | Fault::Kill(gateway) | Fault::Stop(gateway) = step.fault {
+        soak.outages.borrow_mut().push(GatewayWindow {
+            gateway,
+            from: begin,
+            until: Instant::now(),
+        });
+    }
     Ok(())
 }
 
--- a/mulberrymill-bench/src/soak/plan.rs
+++ b/mulberrymill-bench/src/soak/plan.rs
@@ -7,6 +7,9 @@
 /// Number of faults in a plan, high enough that some overlap in most plans.
 const FAULT_COUNT: std::ops::RangeInclusive<usize> = 3..=9;
 
+/// Number of faults by which endpoints say something of themselves.
+const NOTICE_COUNT: std::ops::RangeInclusive<usize> = 0..=2;
+
 /// A fault to inject. Numbers are indexes of endpoints or gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -30,6 +33,11 @@
     Storm,
     /// An endpoint announces that it is draining, and later that it is ready.
     Drain(usize),
+    /// An endpoint says in its answers that it is leaving, while its entry stays as it was, and starts
+    /// again later.
+    Leave(usize),
+    /// An endpoint refuses requests, each time with a pause that it asks for.
+    Shed(usize, Duration),
 }
 
 /// A scheduled fault.
@@ -65,22 +73,40 @@
         let mut rng = rng(seed, 1);
         let count = rng.random_range(FAULT_COUNT);
         let mut steps: Vec<Step> = (0..count)
-            .map(|_| {
-                let at = length.mul_f64(rng.random_range(0.05..0.7));
-                Step {
-                    at,
-                    lasts: length
-                        .saturating_sub(at)
-                        .mul_f64(rng.random_range(0.1..0.8)),
-                    fault: fault(&mut rng, gateways, endpoints),
-                }
-            })
+            .map(|_| step(&mut rng, length, |rng| fault(rng, gateways, endpoints)))
             .collect();
+        // Drawn apart, so that recorded seeds keep their other faults.
+        let mut rng = self::rng(seed, 2);
+        let count = rng.random_range(NOTICE_COUNT);
+        steps.extend((0..count).map(|_| step(&mut rng, length, |rng| notice(rng, endpoints))));
         steps.sort_by_key(|step| step.at);
         Self { seed, steps }
     }
 }
 
+fn step(rng: &mut StdRng, length: Duration, fault: impl FnOnce(&mut StdRng) -> Fault) -> Step {
+    let at = length.mul_f64(rng.random_range(0.05..0.7));
+    Step {
+        at,
+        lasts: length
+            .saturating_sub(at)
+            .mul_f64(rng.random_range(0.1..0.8)),
+        fault: fault(rng),
+    }
+}
+
+fn notice(rng: &mut StdRng, endpoints: usize) -> Fault {
+    let endpoint = rng.random_range(0..endpoints);
+    if rng.random_bool(0.5) {
+        Fault::Leave(endpoint)
+    } else {
+        Fault::Shed(
+            endpoint,
+            Duration::from_millis(rng.random_range(600..2_500)),
+        )
+    }
+}
+
 fn fault(rng: &mut StdRng, gateways: usize, endpoints: usize) -> Fault {
     let gateway = rng.random_range(0..gateways);
     let endpoint = rng.random_range(0..endpoints);
--- a/mulberrymill-bench/src/soak/tests.rs
+++ b/mulberrymill-bench/src/soak/tests.rs
@@ -7,8 +7,8 @@
 
 use super::{
     Mode, Plan, Proxy,
-    backend::Run,
-    check::{DrainWindow, PauseWindow, check},
+    backend::{Arrival, Run, Speech},
+    check::{EndpointWindow, GatewayWindow, check, check_notices},
     client::{Answer, Sent},
 };
 
@@ -120,7 +120,7 @@
 #[test]
 fn drained_and_unrequested_runs_are_reported() {
     let now = Instant::now();
-    let drain = DrainWindow {
+    let drain = EndpointWindow {
         endpoint: "free-0".to_owned(),
         from: now.checked_sub(Duration::from_secs(1)).unwrap_or(now),
         until: now + Duration::from_mins(1),
@@ -139,7 +139,7 @@
     let sent = sent("plain", 200, Some("r1"));
     let mut late = run("free-0", "plain");
     late.at += Duration::from_secs(5);
-    let pause = |gateway, from, until| PauseWindow {
+    let pause = |gateway, from, until| GatewayWindow {
         gateway,
         from: sent.at + Duration::from_secs(from),
         until: sent.at + Duration::from_secs(until),
@@ -156,6 +156,77 @@
     insta::assert_debug_snapshot!(found);
 }
 
+/// Guards against a check that misses a request to an endpoint which has closed, or that blames a gateway
+/// which could not know.
+#[test]
+fn requests_to_closed_endpoints_are_reported() {
+    let now = Instant::now();
+    let at = |millis: u64| now + Duration::from_millis(millis);
+    let leaving = Speech {
+        leaving: true,
+        pause: None,
+    };
+    let paused = Speech {
+        leaving: false,
+        pause: Some(Duration::from_secs(2)),
+    };
+    let found = |speech, started, times: &[u64], restarted: Option<u64>, cut: Option<u64>| {
+        let times = [&[0], times].concat();
+        let arrivals = times.iter().map(|millis| Arrival {
+            request: format!("r{millis}"),
+            endpoint: "free-0".to_owned(),
+            started: if *millis == 0 { 1 } else { started },
+            at: at(*millis),
+            speech,
+        });
+        let sent = times.iter().map(|millis| Sent {
+            request: format!("r{millis}"),
+            at: at(*millis),
+            ..sent("plain", 503, None)
+        });
+        let outages = restarted.map(|from| GatewayWindow {
+            gateway: 0,
+            from: at(from),
+            until: at(from + 100),
+        });
+        let cuts = cut.map(|from| EndpointWindow {
+            endpoint: "free-0".to_owned(),
+            from: at(from),
+            until: at(from + 100),
+        });
+        let breaches = check_notices(
+            &sent.collect::<Vec<_>>(),
+            &arrivals.collect::<Vec<_>>(),
+            outages.as_slice(),
+            cuts.as_slice(),
+        );
+        breaches
+            .iter()
+            .map(|breach| breach.rule)
+            .collect::<Vec<_>>()
+    };
+    let outcomes = [
+        ("soon", found(leaving, 1, &[1_900], None, None)),
+        ("late", found(leaving, 1, &[2_100], None, None)),
+        ("new run", found(leaving, 2, &[2_100], None, None)),
+        ("restarted", found(leaving, 1, &[2_100], Some(1_000), None)),
+        ("cut off", found(leaving, 1, &[2_100], None, Some(50))),
+        (
+            "two in the pause",
+            found(paused, 1, &[600, 700, 2_100], None, None),
+        ),
+        (
+            "three in the pause",
+            found(paused, 1, &[600, 700, 1_900], None, None),
+        ),
+        (
+            "on their way",
+            found(paused, 1, &[10, 20, 30, 400], None, None),
+        ),
+    ];
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Yields often enough for the other tasks of the thread to read from their sockets.
 async fn let_others_run() {
     for _ in 0..1_000 {
