Let an agent and its entries obey what the endpoint says of itself

The second front end reads the same notices with the same decisions: the agent's client keeps what the endpoint says in any answer, in a header of its own protocol, sends nothing while it takes nothing, and drops it when the load report shows a new run. The worker refuses attempts meanwhile as not executed, and reports the pause at once; entries route around it without counting its slots as gone, and mulberrymill status shows it.

With the gate open for all, closed_engine_gets_no_requests fails: the requests in the leaving run and in the pause reach the engine.

--- a/mulberrymill-bench/src/capacity/agent.rs
+++ b/mulberrymill-bench/src/capacity/agent.rs
@@ -90,6 +90,7 @@
         revision: *revision.borrow(),
         leaving: false,
         drained: false,
+        paused_for: Duration::ZERO,
         role: Role::Mixed,
         models: models.clone(),
         load: Load {
--- a/mulberrymill-bench/src/experiment/sim.rs
+++ b/mulberrymill-bench/src/experiment/sim.rs
@@ -265,6 +265,7 @@
             revision: Revision::default(),
             leaving: source.leaving,
             drained: source.leaving,
+            paused_for: Duration::ZERO,
             role: load.role,
             models: load.models,
             entries: count(self.entries.len()),
--- a/src/agent/imp.rs
+++ b/src/agent/imp.rs
@@ -79,14 +79,15 @@
     let (holder, view) = spread::spawn();
     let registry = ConnectionRegistry::spawn();
     let endpoint: Rc<dyn EndpointClient> = match settings.kind {
-        EndpointKind::Engine => Rc::new(EngineClient::open(settings.address)),
-        EndpointKind::Service => Rc::new(ServiceClient::open(settings.address)),
+        EndpointKind::Engine => Rc::new(EngineClient::open(settings.address, Arc::clone(&clock))),
+        EndpointKind::Service => Rc::new(ServiceClient::open(settings.address, Arc::clone(&clock))),
     };
     let ledger = spawn_ledger(settings, &store, &clock, incarnation)?;
     let reports = registry.clone();
     let worker = work::spawn(work::Config {
         name: settings.endpoint.clone(),
         incarnation,
+        clock: Arc::clone(&clock),
         endpoint: Rc::clone(&endpoint),
         ledger: ledger.as_ref().map(ledger_ports),
         revision: view.revision.clone(),
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -32,16 +32,17 @@
 /// Formats a status report as three tables: endpoints, classes and groups.
 pub(super) fn format_report(report: &StatusReport) -> String {
     let mut out = format!("entry {}  revision {}\n\n", report.process, report.revision);
-    let header = "endpoint             up     leaving  role     in progress  revision\n";
+    let header = "endpoint             up     leaving  paused  role     in progress  revision\n";
     out.push_str(header);
     for endpoint in &report.endpoints {
         // Writing to a string cannot fail.
         let _infallible = writeln!(
             out,
-            "{:<20} {:<6} {:<8} {:<8} {:<12} {}",
+            "{:<20} {:<6} {:<8} {:<7} {:<8} {:<12} {}",
             endpoint.endpoint,
             yes_or_no(endpoint.up),
             yes_or_no(endpoint.leaving),
+            yes_or_no(endpoint.paused),
             endpoint.role.to_string(),
             endpoint.in_progress,
             endpoint.revision,
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -39,6 +39,7 @@
             endpoint: "review-1".parse().expect("valid name"),
             up: true,
             leaving: false,
+            paused: true,
             role: Role::Prefill,
             in_progress: 7,
             revision: Revision::new(11),
--- a/src/reconcile/tests.rs
+++ b/src/reconcile/tests.rs
@@ -27,6 +27,7 @@
         revision: Revision::new(7),
         leaving,
         drained: leaving,
+        paused_for: std::time::Duration::ZERO,
         role: Role::Mixed,
         models: models.collect(),
         load: Load::default(),
@@ -87,6 +88,7 @@
             inputs(
                 &[Report {
                     drained: false,
+                    paused_for: std::time::Duration::ZERO,
                     ..report("allergen-1", true, &desired)
                 }],
                 &[],
--- a/src/relay/outcome.rs
+++ b/src/relay/outcome.rs
@@ -10,7 +10,7 @@
 /// Classifies a failed attempt for the health tracking of its endpoint.
 pub(super) fn endpoint_ending(error: &Error) -> Ending {
     match error.kind() {
-        Kind::Leaving | Kind::WrongIncarnation => Ending::Refused,
+        Kind::Leaving | Kind::Paused | Kind::WrongIncarnation => Ending::Refused,
         Kind::EndpointFailed | Kind::EndpointLost | Kind::Internal => Ending::Failed,
         _ => Ending::Abandoned,
     }
@@ -20,7 +20,11 @@
 pub(super) fn other_endpoint_may_succeed(error: &Error) -> bool {
     matches!(
         error.kind(),
-        Kind::Leaving | Kind::WrongIncarnation | Kind::EndpointFailed | Kind::EndpointLost
+        Kind::Leaving
+            | Kind::Paused
+            | Kind::WrongIncarnation
+            | Kind::EndpointFailed
+            | Kind::EndpointLost
     )
 }
 
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -181,6 +181,9 @@
     pub up: bool,
     /// Whether it has reported that it takes no new work.
     pub leaving: bool,
+    /// Whether it has asked for a pause that is not over.
+    #[serde(default)]
+    pub paused: bool,
     /// Role of the engine, as last reported or else as configured.
     pub role: Role,
     /// Attempts of all entries in progress, as last reported; 0 while the endpoint is down.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -61,6 +61,7 @@
         revision: Revision::new(1),
         leaving: false,
         drained: false,
+        paused_for: Duration::ZERO,
         role: Role::Mixed,
         models: spec(0).models,
         load: Load {
@@ -104,7 +105,7 @@
 #[test]
 fn ineligible_endpoints_get_no_requests() {
     let start = Instant::now();
-    let scenarios: [(&str, Setup); 7] = [
+    let scenarios: [(&str, Setup); 9] = [
         ("all", |_, _, _| {}),
         ("leaving", |table, _, now| {
             let leaving = true;
@@ -136,6 +137,26 @@
                 now,
             );
         }),
+        ("paused", |table, _, now| {
+            let paused_for = Duration::from_secs(1);
+            table.observe(
+                Report {
+                    paused_for,
+                    ..report(0, 0)
+                },
+                now,
+            );
+        }),
+        ("pause over", |table, _, now| {
+            let paused_for = Duration::from_secs(1);
+            table.observe(
+                Report {
+                    paused_for,
+                    ..report(0, 0)
+                },
+                now.checked_sub(paused_for).expect("past"),
+            );
+        }),
         ("avoided", |_, demand, _| demand.excluded.push(name(0))),
         ("three failures", |table, demand, now| {
             for _ in 0..3 {
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -61,6 +61,7 @@
                     endpoint: endpoint.clone(),
                     up,
                     leaving: status.is_leaving(),
+                    paused: status.is_paused(now),
                     role: status.role(),
                     in_progress: report.map_or(0, |report| report.load.in_progress),
                     revision: report.map_or_else(Revision::default, |report| report.revision),
@@ -91,6 +92,14 @@
             .is_some_and(|(report, _)| report.leaving)
     }
 
+    /// Returns whether its last report said that it pauses, and that is not over.
+    #[must_use]
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.report
+            .as_ref()
+            .is_some_and(|(report, at)| now < *at + report.paused_for)
+    }
+
     /// Returns whether the endpoint cannot be reached. The state of its link decides. The age of
     /// the last report, which may be late under load, decides only before the first link attempt.
     #[must_use]
@@ -193,12 +202,14 @@
     }
 
     /// Returns the endpoints that are eligible for a request: in its pool, reachable, not draining,
-    /// not ejected, and not one to avoid.
+    /// not pausing, not ejected, and not one to avoid.
     #[must_use]
     pub fn candidates(&self, demand: &Demand) -> Vec<(&Endpoint, &Status)> {
         let is_eligible = |(endpoint, status): &(&Endpoint, &Status)| {
             status.serves(&demand.pool)
-                && !self.now.is_some_and(|now| status.is_down(now))
+                && !self
+                    .now
+                    .is_some_and(|now| status.is_down(now) || status.is_paused(now))
                 && !status.is_leaving()
                 && status.traffic_share.get() > 0.0
                 && !demand.excluded.contains(endpoint)
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -251,6 +251,10 @@
     /// Whether `leaving` was caused by [`Change::Drain`], which [`Change::Resume`] reverts. A
     /// stopping agent or an engine that drains itself cannot be resumed.
     pub drained: bool,
+    /// Rest of the pause that the endpoint has asked for, zero without one; encoded in whole
+    /// milliseconds.
+    #[serde(default, with = "millis", skip_serializing_if = "Duration::is_zero")]
+    pub paused_for: Duration,
     /// Role of the engine.
     pub role: Role,
     /// Loaded models.
--- a/src/work/engine.rs
+++ b/src/work/engine.rs
@@ -3,14 +3,17 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, Stream, StreamExt, future::LocalBoxFuture, stream};
 use serde::{Deserialize, Serialize};
-use tokio::time;
+use tokio::{sync::watch, time};
 
 use super::{
     Decoder, EndpointClient, EndpointState, Job, ResponsePart, ResponseStream, Result, http::Http,
 };
 use crate::{
+    clock::Shared,
+    directory::Started,
     error::{Error, Executed, Kind},
     id::{Fence, Model},
+    notice::Closure,
     unit::{Share, Tokens},
     upstream::{self, Body},
     wire::{Change, Generate, Load, Message, Prompt, Role, Work},
@@ -30,9 +33,9 @@
 impl EngineClient {
     /// Creates a client of the engine at `address`. It connects with its first request.
     #[must_use]
-    pub fn open(address: SocketAddr) -> Self {
+    pub fn open(address: SocketAddr, clock: Shared) -> Self {
         Self {
-            http: Http::new(address),
+            http: Http::new(address, clock),
         }
     }
 
@@ -52,7 +55,9 @@
 
     async fn fetch_state(&self) -> Result<EndpointState> {
         let report = self.http.get_json("/control/load", LOAD_REPORT_TIMEOUT);
-        report.await.map(|report: EngineLoad| report.into())
+        let report: EngineLoad = report.await?;
+        self.http.set_run(report.started.map(Started::from_millis));
+        Ok(report.into())
     }
 
     async fn send_change(&self, change: Change, fence: Fence) -> Result<()> {
@@ -86,7 +91,7 @@
             }
         };
         let path = format!("/control/{path}");
-        let sent = time::timeout(CHANGE_TIMEOUT, self.http.post_json(&path, &body)).await;
+        let sent = time::timeout(CHANGE_TIMEOUT, self.http.control_json(&path, &body)).await;
         let response = sent
             .unwrap_or_else(|_elapsed| Err(Error::new(Kind::EndpointLost, "no answer in time")))?;
         let status = response.head.status;
@@ -108,6 +113,10 @@
         stream::once(response).flat_map(into_stream).boxed_local()
     }
 
+    fn closure(&self) -> watch::Receiver<Closure> {
+        self.http.closure()
+    }
+
     fn state(&self) -> LocalBoxFuture<'_, Result<EndpointState>> {
         self.fetch_state().boxed_local()
     }
@@ -349,6 +358,8 @@
 /// Load report of an engine.
 #[derive(Deserialize)]
 struct EngineLoad {
+    /// Unix time of the start of this run, in milliseconds.
+    started: Option<u64>,
     #[serde(default)]
     waiting: u32,
     #[serde(default)]
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -1,22 +1,27 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{ConnectionType, RequestHead};
+use actix_http::{ConnectionType, RequestHead, ResponseHead};
 use actix_web::http::{
-    Method, Uri,
-    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue},
+    Method, StatusCode, Uri,
+    header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use bytes::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time;
+use tokio::{sync::watch, time};
 
 use super::Result;
 use crate::{
+    clock::Shared,
+    directory::Started,
     error::{Error, Executed, Kind},
-    upstream::{self, Client},
+    notice::{Closure, Notice, Pause, Standing},
+    upstream::{self, Client, Gate},
 };
 
 /// Largest accepted response of a control call, in bytes.
 const CONTROL_RESPONSE_MAX: usize = 256 << 10;
+/// `1` in every answer of an endpoint that is leaving.
+const ENDPOINT_LEAVING: &str = "endpoint-leaving";
 
 /// HTTP client of one endpoint. Each request has a connection of its own: on a kept one, a copy of an
 /// earlier response could arrive in place of the right one, and the protocol has no id to tell them
@@ -25,17 +30,37 @@
 pub(super) struct Http {
     client: Client,
     address: SocketAddr,
+    gate: Rc<EndpointGate>,
 }
 
 impl Http {
-    pub(super) fn new(address: SocketAddr) -> Self {
+    pub(super) fn new(address: SocketAddr, clock: Shared) -> Self {
         Self {
             client: Client::without_reuse(),
             address,
+            gate: Rc::new(EndpointGate {
+                closure: watch::Sender::default(),
+                started: watch::Sender::default(),
+                clock,
+            }),
         }
     }
 
-    /// Sends a request, and waits for the head of the response.
+    /// What the endpoint has said of itself.
+    pub(super) fn closure(&self) -> watch::Receiver<Closure> {
+        self.gate.closure.subscribe()
+    }
+
+    /// Notes the run of the endpoint. What a former run has said is dropped.
+    pub(super) fn set_run(&self, started: Option<Started>) {
+        let former = self.gate.started.send_replace(started);
+        if former.is_some() && started.is_some() && former != started {
+            self.gate.closure.send_replace(Closure::default());
+        }
+    }
+
+    /// Sends a request of a caller, if the endpoint takes requests, and waits for the head of the
+    /// response.
     pub(super) async fn send(
         &self,
         method: Method,
@@ -43,6 +68,33 @@
         headers: &[(HeaderName, &str)],
         body: Bytes,
     ) -> Result<upstream::Response> {
+        let head = self.head(method, path, headers)?;
+        let gate = Rc::clone(&self.gate) as Rc<dyn Gate>;
+        let response = self.client.send_through(gate, self.address, head, body);
+        response.await.map_err(|error| endpoint_lost(&error))
+    }
+
+    /// Sends a call of the agent itself, and waits for the head of the response.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, &str)],
+        body: Bytes,
+    ) -> Result<upstream::Response> {
+        let head = self.head(method, path, headers)?;
+        let response = self.client.send(self.address, head, body).await;
+        let response = response.map_err(|error| endpoint_lost(&error))?;
+        self.gate.record(&response.head);
+        Ok(response)
+    }
+
+    fn head(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, &str)],
+    ) -> Result<RequestHead> {
         let invalid = |error: &dyn std::fmt::Display| {
             let detail = format!("the request cannot be written: {error}");
             Error::new(Kind::BadRequest, detail).with_executed(Executed::No)
@@ -56,24 +108,27 @@
             let value = HeaderValue::from_str(value).map_err(|error| invalid(&error))?;
             head.headers.insert(name.clone(), value);
         }
-        let response = self.client.send(self.address, head, body).await;
-        response.map_err(|error| endpoint_lost(&error))
+        Ok(head)
     }
 
-    /// Sends a JSON document.
+    /// Sends a request of a caller as a JSON document.
     pub(super) async fn post_json(
         &self,
         path: &str,
         document: &impl Serialize,
     ) -> Result<upstream::Response> {
-        let body = serde_json::to_vec(document).map_err(|error| {
-            Error::new(Kind::Internal, "the request cannot be encoded")
-                .with_executed(Executed::No)
-                .with_source(error)
-        })?;
-        let headers = [(CONTENT_TYPE, "application/json")];
-        self.send(Method::POST, path, &headers, Bytes::from(body))
-            .await
+        let body = to_json(document)?;
+        self.send(Method::POST, path, &[JSON], body).await
+    }
+
+    /// Sends a control call with a JSON document.
+    pub(super) async fn control_json(
+        &self,
+        path: &str,
+        document: &impl Serialize,
+    ) -> Result<upstream::Response> {
+        let body = to_json(document)?;
+        self.call(Method::POST, path, &[JSON], body).await
     }
 
     /// Fetches a JSON document within `limit`.
@@ -83,7 +138,7 @@
         limit: Duration,
     ) -> Result<T> {
         let fetched = time::timeout(limit, async {
-            let mut response = self.send(Method::GET, path, &[], Bytes::new()).await?;
+            let mut response = self.call(Method::GET, path, &[], Bytes::new()).await?;
             let body = response.body.collect(CONTROL_RESPONSE_MAX).await;
             body.map_err(|error| endpoint_lost(&error))
         });
@@ -96,13 +151,82 @@
     }
 }
 
+/// Media type of a JSON document.
+const JSON: (HeaderName, &str) = (CONTENT_TYPE, "application/json");
+
+fn to_json(document: &impl Serialize) -> Result<Bytes> {
+    let body = serde_json::to_vec(document).map_err(|error| {
+        Error::new(Kind::Internal, "the request cannot be encoded")
+            .with_executed(Executed::No)
+            .with_source(error)
+    })?;
+    Ok(Bytes::from(body))
+}
+
+/// Keeps what the endpoint says of itself, and stops requests while it takes none.
+struct EndpointGate {
+    closure: watch::Sender<Closure>,
+    /// The run of the endpoint, if it tells its runs apart.
+    started: watch::Sender<Option<Started>>,
+    clock: Shared,
+}
+
+impl fmt::Debug for EndpointGate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EndpointGate")
+            .field("closure", &*self.closure.borrow())
+            .finish_non_exhaustive()
+    }
+}
+
+impl EndpointGate {
+    fn record(&self, head: &ResponseHead) {
+        let notice = decode_notice(head);
+        if !notice.is_empty() {
+            let now = self.clock.now();
+            self.closure.send_modify(|closure| closure.add(notice, now));
+            let closure = *self.closure.borrow();
+            log::info!(standing:% = closure.standing(now),
+                pause_ms:? = closure.opens_in(now).map(|time| time.as_millis());
+                "endpoint asked for no new requests in its answer");
+        }
+    }
+}
+
+impl Gate for EndpointGate {
+    fn may_send(&self) -> bool {
+        self.closure.borrow().standing(self.clock.now()) == Standing::Open
+    }
+
+    fn on_head(&self, head: &ResponseHead) -> bool {
+        self.record(head);
+        true
+    }
+}
+
+/// Decodes what an endpoint says of itself. Of several pauses the longest counts; one that is no
+/// number of seconds is ignored.
+fn decode_notice(head: &ResponseHead) -> Notice {
+    let headers = head.headers();
+    let pauses = headers.get_all(RETRY_AFTER);
+    let pause = pauses.filter_map(|value| value.to_str().ok()?.parse::<Pause>().ok());
+    Notice {
+        leaving: headers.get_all(ENDPOINT_LEAVING).any(|value| value == "1"),
+        pause: pause
+            .max()
+            .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
 /// Maps a failed request. Only one that was not sent has certainly not run.
 pub(super) fn endpoint_lost(error: &upstream::Error) -> Error {
-    let executed = match error.kind() {
-        upstream::Kind::NotSent | upstream::Kind::Withheld => Executed::No,
-        upstream::Kind::Lost | upstream::Kind::Malformed => Executed::Unknown,
+    let (kind, executed) = match error.kind() {
+        // It closed after the worker had started the attempt, which is no failure.
+        upstream::Kind::Withheld => (Kind::Leaving, Executed::No),
+        upstream::Kind::NotSent => (Kind::EndpointLost, Executed::No),
+        upstream::Kind::Lost | upstream::Kind::Malformed => (Kind::EndpointLost, Executed::Unknown),
     };
-    Error::new(Kind::EndpointLost, "the answer of the endpoint was lost")
+    Error::new(kind, "there is no answer of the endpoint")
         .with_executed(executed)
         .with_source(error.clone())
 }
--- a/src/work/imp.rs
+++ b/src/work/imp.rs
@@ -1,10 +1,12 @@
 use std::fmt;
 
 use futures_util::{future::LocalBoxFuture, stream::LocalBoxStream};
+use tokio::sync::watch;
 
 use super::Result;
 use crate::{
     id::{Fence, Model},
+    notice::Closure,
     unit::Tokens,
     wire::{Change, Load, Role, Work},
 };
@@ -60,6 +62,9 @@
     /// An error has `executed: no` only if the endpoint certainly did not run the job.
     fn run(&self, job: Job) -> ResponseStream;
 
+    /// What the endpoint has said of itself in its answers.
+    fn closure(&self) -> watch::Receiver<Closure>;
+
     /// Fetches the current load and state.
     fn state(&self) -> LocalBoxFuture<'_, Result<EndpointState>>;
 
--- a/src/work/plain.rs
+++ b/src/work/plain.rs
@@ -7,14 +7,18 @@
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use serde::Deserialize;
+use tokio::sync::watch;
 
 use super::{
     EndpointClient, EndpointState, Job, ResponsePart, ResponseStream, Result,
     http::{Http, endpoint_lost},
 };
 use crate::{
+    clock::Shared,
+    directory::Started,
     error::{Error, Executed, Kind},
     id::Fence,
+    notice::Closure,
     unit::Tokens,
     wire::{Change, Invoke, Load, Work},
 };
@@ -36,9 +40,9 @@
 impl ServiceClient {
     /// Creates a client of the service at `address`. It connects with its first request.
     #[must_use]
-    pub fn open(address: SocketAddr) -> Self {
+    pub fn open(address: SocketAddr, clock: Shared) -> Self {
         Self {
-            http: Http::new(address),
+            http: Http::new(address, clock),
         }
     }
 
@@ -90,6 +94,7 @@
     async fn fetch_state(&self) -> Result<EndpointState> {
         let report = self.http.get_json("/control/load", LOAD_REPORT_TIMEOUT);
         let report: ServiceLoad = report.await?;
+        self.http.set_run(report.started.map(Started::from_millis));
         let load = Load {
             waiting: report.waiting,
             decoding: report.running,
@@ -106,6 +111,8 @@
 /// Load report of a service.
 #[derive(Deserialize)]
 struct ServiceLoad {
+    /// Unix time of the start of this run, in milliseconds.
+    started: Option<u64>,
     #[serde(default)]
     running: u32,
     #[serde(default)]
@@ -128,6 +135,10 @@
         stream::once(call).flat_map(parts).boxed_local()
     }
 
+    fn closure(&self) -> watch::Receiver<Closure> {
+        self.http.closure()
+    }
+
     fn state(&self) -> LocalBoxFuture<'_, Result<EndpointState>> {
         self.fetch_state().boxed_local()
     }
--- a/src/work/tests.rs
+++ b/src/work/tests.rs
@@ -9,8 +9,10 @@
 
 use super::*;
 use crate::{
+    clock::{Clock as _, System},
     id::{Attempt, Fence, Incarnation, Revision},
     link::{Outbox, Session, WriterItem},
+    notice::{Closure, Notice},
     testing::with_paused_time,
     unit::{Bytes, Tokens},
     wire::{Change, Frame, Generate, Prompt, Report, Sampling, Submit, Work},
@@ -20,6 +22,7 @@
 #[derive(Debug, Default)]
 struct ScriptedEndpoint {
     responses: RefCell<Vec<mpsc::UnboundedReceiver<Result<ResponsePart>>>>,
+    closure: watch::Sender<Closure>,
 }
 
 impl EndpointClient for ScriptedEndpoint {
@@ -35,6 +38,10 @@
         .boxed_local()
     }
 
+    fn closure(&self) -> watch::Receiver<Closure> {
+        self.closure.subscribe()
+    }
+
     fn state(&self) -> LocalBoxFuture<'_, Result<EndpointState>> {
         async { Ok(EndpointState::default()) }.boxed_local()
     }
@@ -60,6 +67,7 @@
     let worker = spawn(Config {
         name: "review-1".parse().expect("valid name"),
         incarnation: INCARNATION,
+        clock: System::shared(),
         ledger: None,
         endpoint: Rc::clone(&script) as Rc<dyn EndpointClient>,
         revision,
@@ -229,6 +237,30 @@
     insta::assert_debug_snapshot!(log);
 }
 
+/// Guards against an attempt that starts at an endpoint which pauses or leaves, and against entries that
+/// do not learn of it.
+#[actix::test]
+async fn closed_endpoint_refuses_attempts() {
+    let mut rig = rig();
+    let mut log = Vec::new();
+    for (leaving, pause) in [(false, "60"), (true, "60")] {
+        let notice = Notice {
+            leaving,
+            pause: pause.parse().ok(),
+        };
+        let now = System.now();
+        rig.script
+            .closure
+            .send_modify(|closure| closure.add(notice, now));
+        rig.submit(submit(1, 1000));
+        log.push(rig.next().await);
+        let report = rig.worker.send(GetReport).await.expect("a running worker");
+        let pauses = report.paused_for > Duration::from_secs(50);
+        log.push(format!("leaving {}, pauses {pauses}", report.leaving));
+    }
+    insta::assert_debug_snapshot!(log);
+}
+
 /// Guards against a stopping agent that accepts attempts again because the holder of its group
 /// finds no reason for the drain and resumes the endpoint.
 #[actix::test]
@@ -283,6 +315,7 @@
             ledger: None,
             name: "review-1".parse().expect("valid name"),
             incarnation: INCARNATION,
+            clock: System::shared(),
             endpoint: Rc::new(ScriptedEndpoint::default()),
             revision,
             report: Box::new(move |report: Report| {
--- a/src/work/tests/clients.rs
+++ b/src/work/tests/clients.rs
@@ -10,7 +10,10 @@
 };
 
 use super::{super::*, submit};
-use crate::wire::{Invoke, Work};
+use crate::{
+    clock::{Clock as _, System},
+    wire::{Invoke, Work},
+};
 
 /// Starts an endpoint that answers each request on the n-th connection with the n-th of these.
 async fn endpoint(answers: Vec<Vec<u8>>) -> SocketAddr {
@@ -60,7 +63,7 @@
     );
     let outcomes = actix::System::new().block_on(async move {
         let address = endpoint(vec![REFUSAL.to_vec(), served.into_bytes()]).await;
-        let client = EngineClient::open(address);
+        let client = EngineClient::open(address, System::shared());
         let work = submit(1, 100).work;
         [run(&client, work.clone()).await, run(&client, work).await]
     });
@@ -82,7 +85,7 @@
     ];
     let outcomes = actix::System::new().block_on(async move {
         let address = endpoint(answers.iter().cloned().map(String::into_bytes).collect()).await;
-        let client = ServiceClient::open(address);
+        let client = ServiceClient::open(address, System::shared());
         let mut outcomes = Vec::new();
         for answer in &answers {
             let work = Work::Invoke(Invoke {
@@ -100,3 +103,47 @@
     });
     insta::assert_debug_snapshot!(outcomes);
 }
+
+/// Guards against requests to an engine that has said that it leaves or pauses (DRAIN, BUDGET), and
+/// against one that stays closed after it has started again.
+#[test]
+fn closed_engine_gets_no_requests() {
+    const EVENTS: &str = "data: {\"choices\":[{\"text\":\"no nuts\",\"finish_reason\":\"stop\"}]}\n\n\
+                          data: [DONE]\n\n";
+    let answer = |head: &str, body: &str| {
+        let length = body.len();
+        format!("HTTP/1.1 {head}content-length: {length}\r\n\r\n{body}").into_bytes()
+    };
+    let load = |started: u64| answer("200 OK\r\n", &format!("{{\"started\":{started}}}"));
+    let answers = vec![
+        load(1),
+        answer("200 OK\r\nendpoint-leaving: 1\r\n", EVENTS),
+        load(1),
+        // The connection is opened, but no request is sent on it.
+        answer("200 OK\r\n", EVENTS),
+        load(2),
+        answer("503 Service Unavailable\r\nretry-after: 60\r\n", ""),
+        answer("200 OK\r\n", EVENTS),
+        load(3),
+        answer("200 OK\r\n", EVENTS),
+    ];
+    let outcomes = actix::System::new().block_on(async move {
+        let client = EngineClient::open(endpoint(answers).await, System::shared());
+        let work = submit(1, 100).work;
+        let mut outcomes = Vec::new();
+        for step in [
+            "load", "run", "load", "run", "load", "run", "run", "load", "run",
+        ] {
+            let outcome = if step == "load" {
+                client.state().await.expect("a load report");
+                Vec::new()
+            } else {
+                run(&client, work.clone()).await
+            };
+            let standing = client.closure().borrow().standing(System.now());
+            outcomes.push(format!("{step}: {outcome:?}, then {standing}"));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -2,13 +2,14 @@
     collections::{HashMap, HashSet},
     fmt,
     rc::Rc,
+    time::Duration,
 };
 
 use actix::{
     Actor, ActorStreamExt, Addr, AsyncContext, Context, Handler, Message, MessageResult,
     ResponseFuture, fut::wrap_stream,
 };
-use futures_util::stream;
+use futures_util::{Stream, stream};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::AbortHandle,
@@ -20,10 +21,12 @@
     attempt::{AttemptTask, PROBE_PERIOD, final_frame},
 };
 use crate::{
+    clock::Shared,
     error::{Error, Executed, Kind},
     id::{self, Attempt, Incarnation, Revision},
     invariant::{self, Invariant},
     link::Session,
+    notice::{Closure, Standing},
     unit::Bytes,
     wire::{Frame, Load, Report, Submit, Work},
 };
@@ -34,6 +37,8 @@
     pub name: id::Endpoint,
     /// Incarnation of this agent. Attempts addressed to another incarnation are refused.
     pub incarnation: Incarnation,
+    /// Time source for the pauses of the endpoint.
+    pub clock: Shared,
     /// Client of the endpoint.
     pub endpoint: Rc<dyn EndpointClient>,
     /// Arbitrates operations that run at most once. `None` at an engine.
@@ -56,6 +61,8 @@
 #[derive(Debug)]
 pub struct Worker {
     config: Config,
+    /// What the endpoint has said of itself in its answers.
+    closure: watch::Receiver<Closure>,
     attempts: HashMap<Attempt, RunningAttempt>,
     /// Connections of entries.
     sessions: HashSet<Session>,
@@ -83,6 +90,7 @@
 #[must_use]
 pub fn spawn(config: Config) -> Addr<Worker> {
     let worker = Worker {
+        closure: config.endpoint.closure(),
         config,
         attempts: HashMap::new(),
         sessions: HashSet::new(),
@@ -105,10 +113,9 @@
         });
         // Reports a new document revision at once. Entries that lack the document learn of it from
         // reports, and the periodic ones would delay an edit at each agent that it passes through.
-        let changes = stream::unfold(self.config.revision.clone(), |mut revision| async move {
-            revision.changed().await.ok()?;
-            Some(((), revision))
-        });
+        let revisions = changes(self.config.revision.clone());
+        // Entries stop sending to an endpoint that has closed as soon as they know.
+        let changes = stream::select(revisions, changes(self.closure.clone()));
         let reports = wrap_stream(changes).map(|(), worker: &mut Self, _ctx| worker.send_report());
         ctx.spawn(reports.finish());
     }
@@ -120,6 +127,14 @@
     }
 }
 
+/// The changes of a watched value.
+fn changes<T: 'static>(receiver: watch::Receiver<T>) -> impl Stream<Item = ()> + 'static {
+    Box::pin(stream::unfold(receiver, |mut receiver| async move {
+        receiver.changed().await.ok()?;
+        Some(((), receiver))
+    }))
+}
+
 /// Fetches the state of the endpoint in a separate task, so that the worker is not blocked.
 fn probe(worker: Addr<Worker>, endpoint: Rc<dyn EndpointClient>) {
     tokio::task::spawn_local(async move {
@@ -138,7 +153,8 @@
         Report {
             endpoint: self.config.name.clone(),
             revision: *self.config.revision.borrow(),
-            leaving: self.is_leaving(),
+            leaving: self.is_leaving() || self.standing() == Standing::Leaving,
+            paused_for: self.opens_in().unwrap_or_default(),
             drained: self.draining,
             role: self.state.role,
             models: self.state.models.clone(),
@@ -158,12 +174,25 @@
         self.draining || self.stopping || self.state.draining
     }
 
+    fn standing(&self) -> Standing {
+        self.closure.borrow().standing(self.config.clock.now())
+    }
+
+    fn opens_in(&self) -> Option<Duration> {
+        self.closure.borrow().opens_in(self.config.clock.now())
+    }
+
     /// Returns an error if the attempt must not start. Nothing has been sent to the endpoint then.
     fn refusal(&self, submit: &Submit) -> Option<Error> {
         let error = if submit.incarnation != self.config.incarnation {
             Error::new(Kind::WrongIncarnation, "the agent was restarted")
         } else if self.is_leaving() {
             Error::new(Kind::Leaving, "the endpoint is leaving")
+        } else if self.standing() == Standing::Leaving {
+            Error::new(Kind::Leaving, "the endpoint says that it is leaving")
+        } else if let Some(opens_in) = self.opens_in() {
+            Error::new(Kind::Paused, "the endpoint has asked for a pause")
+                .with_retry_after(opens_in)
         } else if self.attempts.contains_key(&submit.attempt) {
             Error::new(Kind::BadRequest, "the attempt is in progress")
         } else if submit.time_left.is_zero() {
