Let endpoints of the soak lie about leaving and pauses, and share the decoding of pauses

The two adapters decode pauses with one function, and heads of answers with each kind of notice are decoded in a test.

--- a/mulberrymill-bench/src/soak/backend.rs
+++ b/mulberrymill-bench/src/soak/backend.rs
@@ -41,7 +41,7 @@
 
 /// What an endpoint says of itself in its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Speech {
+pub(super) struct Notice {
     pub(super) leaving: bool,
     /// Pause that it asks for with each refusal; it refuses all requests then.
     pub(super) pause: Option<Duration>,
@@ -56,7 +56,7 @@
     pub(super) started: u64,
     pub(super) at: Instant,
     /// What its answer said.
-    pub(super) speech: Speech,
+    pub(super) notice: Notice,
 }
 
 /// All arrivals of a soak test, shared by its endpoints.
@@ -74,7 +74,7 @@
 #[derive(Clone, Copy, Debug)]
 struct State {
     started: u64,
-    speech: Speech,
+    notice: Notice,
 }
 
 struct Shared {
@@ -88,7 +88,7 @@
     pub(super) fn bind(id: String, runs: &Runs, arrivals: &Arrivals) -> Result<Self> {
         let state = Arc::new(Mutex::new(State {
             started: 1,
-            speech: Speech::default(),
+            notice: Notice::default(),
         }));
         let data = web::Data::new(Shared {
             id: id.clone(),
@@ -103,15 +103,15 @@
     }
 
     /// Sets what its answers say from now on.
-    pub(super) fn say(&self, speech: Speech) {
-        lock(&self.state).speech = speech;
+    pub(super) fn set_notice(&self, notice: Notice) {
+        lock(&self.state).notice = notice;
     }
 
     /// Starts a new run, which says nothing of itself.
     pub(super) fn start_again(&self) {
         let mut state = lock(&self.state);
         state.started += 1;
-        state.speech = Speech::default();
+        state.notice = Notice::default();
     }
 
     /// The current run, from 1.
@@ -152,15 +152,15 @@
             .insert_header(("Instance-Id", shared.id.clone()))
             .finish();
     }
-    let State { started, speech } = *lock(&shared.state);
+    let State { started, notice } = *lock(&shared.state);
     lock(&shared.arrivals).push(Arrival {
         request: id.clone(),
         endpoint: shared.id.clone(),
         started,
         at: Instant::now(),
-        speech,
+        notice,
     });
-    if let Some(pause) = speech.pause {
+    if let Some(pause) = notice.pause {
         return HttpResponse::ServiceUnavailable()
             .insert_header(("Not-Executed", "1"))
             .insert_header(("Request-Id", id))
@@ -175,7 +175,7 @@
         at: Instant::now(),
     });
     let mut response = HttpResponse::Ok();
-    if speech.leaving {
+    if notice.leaving {
         response.insert_header(("Server-Leaving", "1"));
     }
     response.insert_header(("Server-Stamp", shared.id.clone()));
--- a/mulberrymill-bench/src/soak/check.rs
+++ b/mulberrymill-bench/src/soak/check.rs
@@ -143,7 +143,7 @@
 /// [`PAUSED_ARRIVALS_MAX`] from it, from [`PAUSE_TOLERANCE`] after that until the end of the pause.
 ///
 /// A gateway that did not run in between is excused, and so is one whose link to the endpoint was harmed
-/// when the endpoint spoke.
+/// when the endpoint answered.
 pub(super) fn check_notices(
     sent: &[Sent],
     arrivals: &[Arrival],
@@ -173,7 +173,7 @@
             let is_same_run = arrival.endpoint == said.endpoint && arrival.started == said.started;
             from.gateway == to.gateway && is_same_run && !is_excused
         });
-        if said.speech.leaving {
+        if said.notice.leaving {
             let late = later
                 .clone()
                 .find(|(_, from)| from.at > said.at + LEAVING_TOLERANCE);
@@ -182,7 +182,7 @@
                 detail: format!("{late:?} after {said:?}"),
             }));
         }
-        if let Some(pause) = said.speech.pause {
+        if let Some(pause) = said.notice.pause {
             let closed = said.at + PAUSE_TOLERANCE..said.at + pause;
             let early: Vec<_> = later
                 .filter(|(arrival, _)| closed.contains(&arrival.at))
--- a/mulberrymill-bench/src/soak/imp.rs
+++ b/mulberrymill-bench/src/soak/imp.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Breach, Fault, Mode, Plan, Proxy, Result, Step,
-    backend::{Arrivals, Backend, Runs, SLOTS, Speech, lock},
+    backend::{Arrivals, Backend, Notice, Runs, SLOTS, lock},
     check::{self, EndpointWindow, GatewayWindow},
     client::{self, Shared},
 };
@@ -245,6 +245,7 @@
             | Fault::Drain(_)
             | Fault::Reload(_)
             | Fault::Leave(_)
+            | Fault::LeaveFalsely(_)
             | Fault::Shed(..)
     );
     if disturbs {
@@ -253,24 +254,8 @@
         soak.disturbances.borrow_mut().push((begin, end));
     }
     match step.fault {
-        Fault::Leave(number) => {
-            let backend = &soak.backends[number].0;
-            backend.say(Speech {
-                leaving: true,
-                pause: None,
-            });
-            time::sleep(step.lasts).await;
-            backend.start_again();
-            announce(soak, number, "ready");
-        }
-        Fault::Shed(number, pause) => {
-            let backend = &soak.backends[number].0;
-            backend.say(Speech {
-                leaving: false,
-                pause: Some(pause),
-            });
-            time::sleep(step.lasts).await;
-            backend.say(Speech::default());
+        Fault::Leave(number) | Fault::LeaveFalsely(number) | Fault::Shed(number, _) => {
+            play_notice(soak, number, step).await;
         }
         Fault::Endpoint(number, mode) => {
             let proxy = &soak.backends[number].1;
@@ -337,6 +322,26 @@
     Ok(())
 }
 
+/// Lets an endpoint say something of itself for the duration of a fault.
+async fn play_notice(soak: &Soak, number: usize, step: Step) {
+    let backend = &soak.backends[number].0;
+    let pause = match step.fault {
+        Fault::Shed(_, pause) => Some(pause),
+        _ => None,
+    };
+    backend.set_notice(Notice {
+        leaving: pause.is_none(),
+        pause,
+    });
+    time::sleep(step.lasts).await;
+    if step.fault == Fault::Leave(number) {
+        backend.start_again();
+        announce(soak, number, "ready");
+    } else {
+        backend.set_notice(Notice::default());
+    }
+}
+
 /// Signals a gateway, unless another fault is restarting its process.
 fn signal(
     soak: &Soak,
--- a/mulberrymill-bench/src/soak/plan.rs
+++ b/mulberrymill-bench/src/soak/plan.rs
@@ -10,6 +10,9 @@
 /// Number of faults by which endpoints say something of themselves.
 const NOTICE_COUNT: std::ops::RangeInclusive<usize> = 0..=2;
 
+/// Pause that an endpoint at fault asks for.
+const ABSURD_PAUSE: Duration = Duration::from_hours(24);
+
 /// A fault to inject. Numbers are indexes of endpoints or gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -36,6 +39,8 @@
     /// An endpoint says in its answers that it is leaving, while its entry stays as it was, and starts
     /// again later.
     Leave(usize),
+    /// An endpoint says so for a while, and goes on in the same run.
+    LeaveFalsely(usize),
     /// An endpoint refuses requests, each time with a pause that it asks for.
     Shed(usize, Duration),
 }
@@ -97,13 +102,14 @@
 
 fn notice(rng: &mut StdRng, endpoints: usize) -> Fault {
     let endpoint = rng.random_range(0..endpoints);
-    if rng.random_bool(0.5) {
-        Fault::Leave(endpoint)
-    } else {
-        Fault::Shed(
-            endpoint,
-            Duration::from_millis(rng.random_range(600..2_500)),
-        )
+    match rng.random_range(0..6) {
+        0 | 1 => Fault::Leave(endpoint),
+        2 => Fault::LeaveFalsely(endpoint),
+        3 => Fault::Shed(endpoint, ABSURD_PAUSE),
+        _ => {
+            let pause = Duration::from_millis(rng.random_range(600..2_500));
+            Fault::Shed(endpoint, pause)
+        }
     }
 }
 
--- a/mulberrymill-bench/src/soak/tests.rs
+++ b/mulberrymill-bench/src/soak/tests.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Mode, Plan, Proxy,
-    backend::{Arrival, Run, Speech},
+    backend::{Arrival, Notice, Run},
     check::{EndpointWindow, GatewayWindow, check, check_notices},
     client::{Answer, Sent},
 };
@@ -162,22 +162,22 @@
 fn requests_to_closed_endpoints_are_reported() {
     let now = Instant::now();
     let at = |millis: u64| now + Duration::from_millis(millis);
-    let leaving = Speech {
+    let leaving = Notice {
         leaving: true,
         pause: None,
     };
-    let paused = Speech {
+    let paused = Notice {
         leaving: false,
         pause: Some(Duration::from_secs(2)),
     };
-    let found = |speech, started, times: &[u64], restarted: Option<u64>, cut: Option<u64>| {
+    let found = |notice, started, times: &[u64], restarted: Option<u64>, cut: Option<u64>| {
         let times = [&[0], times].concat();
         let arrivals = times.iter().map(|millis| Arrival {
             request: format!("r{millis}"),
             endpoint: "free-0".to_owned(),
             started: if *millis == 0 { 1 } else { started },
             at: at(*millis),
-            speech,
+            notice,
         });
         let sent = times.iter().map(|millis| Sent {
             request: format!("r{millis}"),
--- a/src/notice/board.rs
+++ b/src/notice/board.rs
@@ -6,8 +6,8 @@
 /// Endpoints whose notices are kept. Beyond that, those without an entry in the store are dropped.
 const ENTRIES_MAX: usize = 4_096;
 
-/// The endpoints that have said something of themselves, each with its run. A notice binds as long as
-/// the run lasts, whatever the store says of it, and no longer.
+/// The notices of endpoints, by run. A notice binds as long as the run lasts, whatever the store says of
+/// it, and no longer.
 #[derive(Debug, Default)]
 pub struct Board {
     entries: BTreeMap<Endpoint, Entry>,
@@ -15,7 +15,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    /// The run that has spoken; `None` if the store does not tell runs apart.
+    /// The run that the notices are of; `None` if the store does not say when runs started.
     started: Option<Started>,
     closure: Closure,
     /// Whether it was last seen to pause.
--- a/src/notice/imp.rs
+++ b/src/notice/imp.rs
@@ -37,6 +37,11 @@
 pub struct Pause(Duration);
 
 impl Pause {
+    /// Returns the longest of several pauses. Texts that are no pause are ignored.
+    pub fn longest<'a>(texts: impl Iterator<Item = &'a str>) -> Option<Self> {
+        texts.filter_map(|text| text.parse().ok()).max()
+    }
+
     /// The length of the pause.
     #[must_use]
     pub const fn duration(self) -> Duration {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -177,17 +177,17 @@
 
 /// Decodes what an endpoint says of itself. Of several pauses the longest counts; one that cannot be
 /// read is ignored.
-fn decode_notice(head: &ResponseHead) -> Notice {
+pub(super) fn decode_notice(head: &ResponseHead) -> Notice {
     let headers = head.headers();
     let leaving = headers
         .get_all(names::SERVER_LEAVING)
         .any(|value| value == "1");
-    let pauses = headers.get_all(RETRY_AFTER);
-    let pause = pauses.filter_map(|value| value.to_str().ok()?.parse::<Pause>().ok());
+    let values = headers.get_all(RETRY_AFTER);
+    let pause = Pause::longest(values.filter_map(|value| value.to_str().ok()));
     let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
     Notice {
         leaving,
-        pause: pause.max().filter(|_| is_refusal),
+        pause: pause.filter(|_| is_refusal),
     }
 }
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,6 +1,14 @@
 use std::time::Instant;
 
-use actix_web::{http::header::HeaderMap, test::TestRequest, web::Bytes};
+use actix_http::ResponseHead;
+use actix_web::{
+    http::{
+        StatusCode,
+        header::{HeaderMap, HeaderName, HeaderValue},
+    },
+    test::TestRequest,
+    web::Bytes,
+};
 use proptest::prelude::*;
 
 use super::*;
@@ -195,3 +203,36 @@
         drop(Protocol.decode(&request, Bytes::new(), Instant::now()));
     }
 }
+
+/// Guards against a notice that is misread: an endpoint that is closed for good, or not at all.
+#[test]
+fn notices_are_decoded_from_the_head_of_any_answer() {
+    let heads: [(u16, &[(&str, &str)]); 11] = [
+        (200, &[]),
+        (200, &[("server-leaving", "1")]),
+        (500, &[("server-leaving", "1"), ("retry-after", "3")]),
+        (200, &[("server-leaving", "0")]),
+        (503, &[("retry-after", "2")]),
+        (503, &[("retry-after", "0.25")]),
+        (503, &[("retry-after", "2"), ("retry-after", "5")]),
+        (503, &[("retry-after", "-1"), ("retry-after", "4")]),
+        (503, &[("retry-after", "Fri, 04 Dec 2026 23:00:00 GMT")]),
+        (503, &[("retry-after", "99999999")]),
+        (429, &[("retry-after", "2")]),
+    ];
+    let notices = heads.map(|(status, headers)| {
+        let status = StatusCode::from_u16(status).expect("a status");
+        let mut head = ResponseHead::new(status);
+        for (name, value) in headers {
+            let name = HeaderName::from_static(name);
+            head.headers_mut()
+                .append(name, HeaderValue::from_static(value));
+        }
+        format!(
+            "{} {headers:?}: {:?}",
+            status.as_u16(),
+            engine::decode_notice(&head)
+        )
+    });
+    insta::assert_debug_snapshot!(notices);
+}
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -75,14 +75,7 @@
     }
 
     /// Sends a call of the agent itself, and waits for the head of the response.
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        headers: &[(HeaderName, &str)],
-        body: Bytes,
-    ) -> Result<upstream::Response> {
-        let head = self.head(method, path, headers)?;
+    async fn call(&self, head: RequestHead, body: Bytes) -> Result<upstream::Response> {
         let response = self.client.send(self.address, head, body).await;
         let response = response.map_err(|error| endpoint_lost(&error))?;
         self.gate.record(&response.head);
@@ -128,7 +121,8 @@
         document: &impl Serialize,
     ) -> Result<upstream::Response> {
         let body = to_json(document)?;
-        self.call(Method::POST, path, &[JSON], body).await
+        let head = self.head(Method::POST, path, &[JSON])?;
+        self.call(head, body).await
     }
 
     /// Fetches a JSON document within `limit`.
@@ -138,7 +132,8 @@
         limit: Duration,
     ) -> Result<T> {
         let fetched = time::timeout(limit, async {
-            let mut response = self.call(Method::GET, path, &[], Bytes::new()).await?;
+            let head = self.head(Method::GET, path, &[])?;
+            let mut response = self.call(head, Bytes::new()).await?;
             let body = response.body.collect(CONTROL_RESPONSE_MAX).await;
             body.map_err(|error| endpoint_lost(&error))
         });
@@ -166,7 +161,7 @@
 /// Keeps what the endpoint says of itself, and stops requests while it takes none.
 struct EndpointGate {
     closure: watch::Sender<Closure>,
-    /// The run of the endpoint, if it tells its runs apart.
+    /// When the current run of the endpoint started, as in its last load report.
     started: watch::Sender<Option<Started>>,
     clock: Shared,
 }
@@ -208,13 +203,12 @@
 /// number of seconds is ignored.
 fn decode_notice(head: &ResponseHead) -> Notice {
     let headers = head.headers();
-    let pauses = headers.get_all(RETRY_AFTER);
-    let pause = pauses.filter_map(|value| value.to_str().ok()?.parse::<Pause>().ok());
+    let values = headers.get_all(RETRY_AFTER);
+    let pause = Pause::longest(values.filter_map(|value| value.to_str().ok()));
+    let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
     Notice {
         leaving: headers.get_all(ENDPOINT_LEAVING).any(|value| value == "1"),
-        pause: pause
-            .max()
-            .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE),
+        pause: pause.filter(|_| is_refusal),
     }
 }
 
