Log the notice of an endpoint once, not for each answer that prolongs its pause

With hundreds of requests on their way each refusal moved the end of the pause by a little, and was a line in the log. A line is now written when the standing of the endpoint changes.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -167,6 +167,7 @@
         if member.is_some_and(|member| !is_same_run(&member.instance, instance)) {
             return;
         }
+        let before = self.notices.closure(&instance.id).standing(now);
         let changed = self
             .notices
             .record(&instance.id, instance.started, *notice, now);
@@ -176,11 +177,15 @@
         if let Some(member) = member {
             member.closure.send_replace(closure);
         }
-        log::info!(endpoint:% = instance.id, call:? = call.as_ref().map(ToString::to_string),
-            standing:% = closure.standing(now),
-            pause_ms:? = closure.opens_in(now).map(|time| time.as_millis());
-            "endpoint asked for no new requests in its answer");
-        self.count_closed(now);
+        let standing = closure.standing(now);
+        // Answers to requests that were on their way prolong a pause by little.
+        if standing != before {
+            log::info!(endpoint:% = instance.id, call:? = call.as_ref().map(ToString::to_string),
+                standing:% = standing,
+                pause_ms:? = closure.opens_in(now).map(|time| time.as_millis());
+                "endpoint asked for no new requests in its answer");
+            self.count_closed(now);
+        }
     }
 
     /// Logs the pauses that have ended, and counts the endpoints that get no requests.
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -179,11 +179,15 @@
         let notice = decode_notice(head);
         if !notice.is_empty() {
             let now = self.clock.now();
+            let before = self.closure.borrow().standing(now);
             self.closure.send_modify(|closure| closure.add(notice, now));
             let closure = *self.closure.borrow();
-            log::info!(standing:% = closure.standing(now),
-                pause_ms:? = closure.opens_in(now).map(|time| time.as_millis());
-                "endpoint asked for no new requests in its answer");
+            let standing = closure.standing(now);
+            if standing != before {
+                log::info!(standing:% = standing,
+                    pause_ms:? = closure.opens_in(now).map(|time| time.as_millis());
+                    "endpoint asked for no new requests in its answer");
+            }
         }
     }
 }
