--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -166,7 +166,8 @@
     pub shared_parts: Arc<[PromptPart]>,
 }
 
-/// Reports what an endpoint said of itself in the head of an answer. Sent by the [`Permit`].
+/// Reports what an endpoint said of itself in the head of an answer. Sent by the
+/// [`Permit`](super::Permit).
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct NoticeReceived {
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -1,6 +1,6 @@
 //! The listener for callers: their connections, and what happens when a caller leaves.
 //!
-//! [`bind`] runs an `actix-web` application on [`connection::Connection`]s, so that the request of a
+//! [`bind`] runs an `actix-web` application on connections of its own, so that the request of a
 //! caller that leaves is dropped at once, whatever the state of its response.
 
 mod connection;
