Count requests by how they ended for the caller

The hypotheses on LOST could not be told apart: that an answer was cut off, and why, stood only in the last log line of the request. requests_finished_total counts whole answers, errors, cut answers and departures by route and kind of error; a line names the cause of each interrupted stream.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -101,8 +101,7 @@
     match exchange.obtain_response(resume_after).await {
         Ok(accepted) => Ok(stream::relay_response(exchange, accepted)),
         Err(error) => {
-            exchange.log.answered(error.kind().answer().status);
-            exchange.log.ended(error.to_string());
+            exchange.log.failed(&error);
             Err(error)
         }
     }
@@ -140,6 +139,11 @@
 }
 
 impl Exchange {
+    /// Endpoints that the request was sent to.
+    pub(super) const fn sends(&self) -> u32 {
+        self.sends
+    }
+
     /// Time to the deadline.
     pub(super) fn remaining(&self) -> Duration {
         self.deadline
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -8,10 +8,36 @@
 use crate::{
     clock::Shared,
     dispatch::Choice,
+    error::{Error, Kind},
     id::{self, Endpoint, PromptPart},
     unit::Tokens,
 };
 
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The caller received the whole answer of an endpoint.
+    Complete,
+    /// The caller received an error of this process.
+    Failed(Kind),
+    /// The answer ended before it was whole, after its head had been sent.
+    CutOff(Kind),
+    /// The connection to the caller ended first.
+    CallerLeft,
+}
+
+impl End {
+    /// Labels of the end and of its reason in metrics.
+    const fn labels(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Complete => ("complete", ""),
+            Self::Failed(kind) => ("failed", kind.answer().slug),
+            Self::CutOff(kind) => ("cut-off", kind.answer().slug),
+            Self::CallerLeft => ("caller-left", ""),
+        }
+    }
+}
+
 /// Collects the outcome of a request. Logs it and records the latency metrics when dropped, so that
 /// canceled requests are covered too.
 #[derive(Debug)]
@@ -31,6 +57,7 @@
     endpoint: Option<Endpoint>,
     sends: u32,
     status: u16,
+    end: End,
     outcome: String,
 }
 
@@ -49,6 +76,7 @@
             endpoint: None,
             sends: 0,
             status: 0,
+            end: End::CallerLeft,
             outcome: "caller left".to_owned(),
         }
     }
@@ -93,9 +121,24 @@
         self.answered_at.get_or_insert(self.clock.now());
     }
 
-    /// Sets the outcome; without it the request counts as canceled by the caller.
-    pub(super) fn ended(&mut self, outcome: impl Into<String>) {
-        self.outcome = outcome.into();
+    /// Notes that the caller receives the whole answer. Without an outcome the request counts as
+    /// canceled by the caller.
+    pub(super) fn completed(&mut self) {
+        self.end = End::Complete;
+        "complete".clone_into(&mut self.outcome);
+    }
+
+    /// Notes that the caller receives an error instead of an answer.
+    pub(super) fn failed(&mut self, error: &Error) {
+        self.answered(error.kind().answer().status);
+        self.end = End::Failed(error.kind());
+        self.outcome = error.to_string();
+    }
+
+    /// Notes that the answer ends before it is whole.
+    pub(super) fn cut_off(&mut self, error: &Error) {
+        self.end = End::CutOff(error.kind());
+        self.outcome = error.to_string();
     }
 }
 
@@ -110,6 +153,10 @@
             metrics::histogram!("first_byte_seconds", "route" => route.clone())
                 .record(first.as_secs_f64());
         }
+        let (end, reason) = self.end.labels();
+        metrics::counter!("requests_finished_total",
+            "route" => route.clone(), "end" => end, "reason" => reason)
+        .increment(1);
         metrics::histogram!("request_seconds", "route" => route).record(total.as_secs_f64());
         log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
             endpoint:% = OrDash(self.endpoint.as_ref()), sends = self.sends,
@@ -119,7 +166,7 @@
             tokens_ahead:? = self.forecast.map(|(_, tokens)| tokens.get()),
             prefill_ms:? = self.prefilled_at.map(|at| (at - self.arrived).as_millis()),
             first_ms:? = first.map(|first| first.as_millis()),
-            total_ms = total.as_millis(), outcome = self.outcome; "request finished");
+            total_ms = total.as_millis(), end = end, outcome = self.outcome; "request finished");
     }
 }
 
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -52,7 +52,7 @@
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
             Ok(None) => None,
             Err(error) => {
-                relay.exchange.log.ended(error.to_string());
+                relay.exchange.log.cut_off(&error);
                 Some((Err(error), None))
             }
         }
@@ -206,7 +206,7 @@
                 Ending::Served
             });
         }
-        self.exchange.log.ended("complete");
+        self.exchange.log.completed();
         Ok(())
     }
 
@@ -227,6 +227,9 @@
         let Some(splitter) = &mut self.splitter else {
             return Err(error);
         };
+        log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
+            endpoint:? = endpoint.as_ref().map(ToString::to_string), sends = self.exchange.sends(),
+            cause:% = error; "stream was interrupted");
         let last = splitter.last_id().or(self.resume_after);
         let Some(endpoint) = endpoint else {
             return Err(error);
