Keep the answer of a silent engine until another one has taken over

Callers of resumable streams whose engine fell silent for a second or more got some events and a cut connection, and those that still waited for the head a 502, although the engine was sound and most of their time was left.

Cause: the connection was closed after one second without an event, and only then were attempts, budget, time and another engine looked for; before the head likewise. The class of fault: giving up a resource before its replacement is secured.

Now another engine and a retry are reserved first; without them the wait goes on. A stalled stream stays with its engine until the other one has answered, so that a rejection there costs nothing. If the engine goes on meanwhile, its events wait for up to 400 ms, so that two engines do not work on one request. The stall timeout is 1.5 s, since sound engines may be silent for about one. A stalled engine counts as failed, no longer as lost, which a single stream no longer reports to peers.

Test: silent_engine_completes_its_answer_unless_another_takes_over.

--- a/src/forward/event.rs
+++ b/src/forward/event.rs
@@ -53,7 +53,7 @@
 /// assert_eq!(splitter.last_id(), Some(EventId::new(2)));
 /// # Ok::<(), mulberrymill::error::Error>(())
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
     /// Offset in `buffer` at which the incomplete line starts.
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -98,7 +98,7 @@
         last_failure: None,
     };
     let resume_after = exchange.call.resume_after;
-    match exchange.obtain_response(resume_after).await {
+    match exchange.obtain_response(None, resume_after).await {
         Ok(accepted) => Ok(stream::relay_response(exchange, accepted)),
         Err(error) => {
             exchange.log.failed(&error);
@@ -113,6 +113,32 @@
     pub(super) ticket: Ticket,
 }
 
+/// Outcome of an attempt.
+enum Sent {
+    /// The response is relayed to the caller.
+    Accepted(Accepted),
+    /// Another endpoint is tried: that of the ticket, or one that is to be chosen.
+    Retry(Option<Ticket>),
+}
+
+/// Outcome of a prefill step.
+enum Prefill {
+    /// The request is ready to run.
+    Done(Ticket, Step),
+    /// It failed, and the request has not run. Another endpoint is tried, as in [`Sent::Retry`].
+    Retry(Option<Ticket>),
+}
+
+/// Outcome of the wait for an answer.
+enum Wait {
+    /// The endpoint answered, or the attempt failed.
+    Ended(std::result::Result<EndpointResponse, SendError>),
+    /// The endpoint is silent, and another one is reserved.
+    Moved(Ticket),
+    /// The deadline has passed.
+    TimedOut,
+}
+
 /// Whether a failed attempt is retried.
 enum Decision {
     /// Choose another endpoint.
@@ -150,9 +176,11 @@
             .saturating_duration_since(self.ports.clock.now())
     }
 
-    /// Sends the request until an endpoint responds, or until no retry is allowed.
+    /// Sends the request until an endpoint responds, or until no retry is allowed. The first
+    /// endpoint is that of `reserved`, if given.
     pub(super) async fn obtain_response(
         &mut self,
+        mut reserved: Option<Ticket>,
         resume_after: Option<EventId>,
     ) -> Result<Accepted> {
         let mut need = Need::Start;
@@ -160,40 +188,39 @@
             if self.remaining().is_zero() {
                 return Err(self.give_up("the deadline has passed"));
             }
-            let ticket = self.choose_open(need, None).await?;
+            let ticket = match reserved.take() {
+                Some(ticket) => ticket,
+                None => self.choose_open(need, None).await?,
+            };
+            need = Need::PrefillAndDecode;
             self.log.placed(ticket.choice());
             let prefills = ticket.choice().instance.stage == Some(Stage::Prefill);
             let (ticket, step) = if prefills {
-                need = Need::PrefillAndDecode;
                 match self.prefill(ticket, resume_after).await? {
-                    Some(prepared) => prepared,
-                    None => continue,
+                    Prefill::Done(ticket, step) => (ticket, step),
+                    Prefill::Retry(next) => {
+                        reserved = next;
+                        continue;
+                    }
                 }
             } else {
                 (ticket, Step::Whole)
             };
             match self.send_attempt(ticket, step, resume_after).await? {
-                Some(accepted) => return Ok(accepted),
-                None => need = Need::PrefillAndDecode,
+                Sent::Accepted(accepted) => return Ok(accepted),
+                Sent::Retry(next) => reserved = next,
             }
         }
     }
 
-    /// Runs the prefill step, and chooses the engine for the decode step. Returns `None` if the
-    /// prefill failed; the request has not run then.
-    async fn prefill(
-        &mut self,
-        ticket: Ticket,
-        resume_after: Option<EventId>,
-    ) -> Result<Option<(Ticket, Step)>> {
+    /// Runs the prefill step, and chooses the engine for the decode step.
+    async fn prefill(&mut self, ticket: Ticket, resume_after: Option<EventId>) -> Result<Prefill> {
         let instance = Arc::clone(&ticket.choice().instance);
         let permit = ticket.permit();
         let attempt = self.new_attempt(&ticket, Step::Prefill, resume_after);
         let limit = silent_after(ticket.choice().forecast);
-        let sent = self.ports.upstream.send(attempt);
-        let outcome = self.wait_for_answer(ticket.choice(), sent, limit).await;
-        let handle = match outcome {
-            Some(Ok(EndpointResponse {
+        let handle = match self.send_and_wait(&ticket, attempt, limit).await {
+            Wait::Ended(Ok(EndpointResponse {
                 cache: Some(handle),
                 load,
                 ..
@@ -204,33 +231,37 @@
                 ticket.end(Ending::Served);
                 handle
             }
-            Some(Ok(response)) => {
+            Wait::Ended(Ok(response)) => {
                 self.log
                     .retried(&format!("prefill: status {}", response.status));
                 ticket.end(self.ending_of(&response, true));
                 self.excluded.push(instance.id.clone());
-                return self.check_prefill_retry().await.map(|()| None);
+                return self.check_prefill_retry().await;
             }
-            Some(Err(error @ SendError::Withheld)) => {
+            Wait::Ended(Err(error @ SendError::Withheld)) => {
                 self.log.retried(&format!("prefill: {error}"));
-                return Ok(None);
+                return Ok(Prefill::Retry(None));
             }
-            Some(Err(error)) => {
+            Wait::Ended(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
                 self.excluded.push(instance.id.clone());
                 if matches!(error, SendError::Refused(_)) {
                     ticket.end(Ending::Down);
-                    return Ok(None);
+                    return Ok(Prefill::Retry(None));
                 }
                 self.end_lost(ticket);
-                return self.check_prefill_retry().await.map(|()| None);
+                return self.check_prefill_retry().await;
             }
-            None => {
+            Wait::Moved(next) => {
                 self.log.retried("prefill: no answer in time");
                 let ending = self.ending_of_timeout(ticket.choice()).await;
                 ticket.end(ending);
-                self.excluded.push(instance.id.clone());
-                return self.check_prefill_retry().await.map(|()| None);
+                return Ok(Prefill::Retry(Some(next)));
+            }
+            Wait::TimedOut => {
+                let ending = self.ending_of_timeout(ticket.choice()).await;
+                ticket.end(ending);
+                return Err(self.give_up("the deadline has passed"));
             }
         };
         let cache = KvCache {
@@ -243,28 +274,30 @@
         };
         let preferred_zone = Some(instance.zone.clone());
         let ticket = self.choose_open(Need::Decode, preferred_zone).await?;
-        Ok(guard.take().map(|cache| (ticket, Step::Decode(cache))))
+        let cache = guard.take();
+        Ok(cache.map_or(Prefill::Retry(None), |cache| {
+            Prefill::Done(ticket, Step::Decode(cache))
+        }))
     }
 
     /// Fails unless the retry budget allows another attempt after a failed prefill.
-    async fn check_prefill_retry(&mut self) -> Result<()> {
+    async fn check_prefill_retry(&mut self) -> Result<Prefill> {
         if self.remaining() <= RETRY_TIME_MIN {
             return Err(self.give_up("the deadline has passed"));
         }
         if self.spend_retry_budget().await? {
-            return Ok(());
+            return Ok(Prefill::Retry(None));
         }
         Err(self.give_up("the retry budget is used up"))
     }
 
-    /// Sends the request to an endpoint that runs it. Returns `None` if another endpoint should be
-    /// tried.
+    /// Sends the request to an endpoint that runs it.
     async fn send_attempt(
         &mut self,
         mut ticket: Ticket,
         step: Step,
         resume_after: Option<EventId>,
-    ) -> Result<Option<Accepted>> {
+    ) -> Result<Sent> {
         let what = match &step {
             Step::Decode(_) => "decode",
             _ => "whole",
@@ -272,45 +305,51 @@
         self.log.sent(ticket.choice(), what);
         self.sends += 1;
         let attempt = self.new_attempt(&ticket, step, resume_after);
-        let sent = self.ports.upstream.send(attempt);
-        let outcome = self
-            .wait_for_answer(ticket.choice(), sent, self.attempt_timeout())
-            .await;
+        let limit = self.attempt_timeout();
+        let outcome = self.send_and_wait(&ticket, attempt, limit).await;
         let id = ticket.choice().instance.id.clone();
         let decision = match outcome {
-            Some(Ok(response)) => {
+            Wait::Ended(Ok(response)) => {
                 ticket.record_first_response(response.load, response.status < 300);
                 match self.classify(&response).await? {
-                    None => return Ok(Some(Accepted { response, ticket })),
+                    None => return Ok(Sent::Accepted(Accepted { response, ticket })),
                     Some(decision) => {
                         ticket.end(self.ending_of(&response, false));
                         decision
                     }
                 }
             }
-            Some(Err(error @ SendError::Withheld)) => {
+            Wait::Ended(Err(error @ SendError::Withheld)) => {
                 self.log.retried(&error.to_string());
                 self.sends -= 1;
-                return Ok(None);
+                return Ok(Sent::Retry(None));
             }
-            Some(Err(SendError::Refused(detail))) => {
+            Wait::Ended(Err(SendError::Refused(detail))) => {
                 ticket.end(Ending::Down);
                 self.sends -= 1;
                 // Each endpoint is tried once, and a refusal takes one round trip.
                 self.after_unsent(&detail)
             }
-            Some(Err(SendError::NotSent(detail))) => {
+            Wait::Ended(Err(SendError::NotSent(detail))) => {
                 ticket.end(Ending::Lost);
                 self.sends -= 1;
                 self.failed_connections += 1;
                 self.after_unsent(&detail)
             }
-            Some(Err(SendError::Lost(detail))) => {
+            Wait::Ended(Err(SendError::Lost(detail))) => {
                 self.end_lost(ticket);
                 self.may_have_run = true;
                 self.after_possible_execution(&detail).await?
             }
-            None => {
+            Wait::Moved(next) => {
+                let ending = self.ending_of_timeout(ticket.choice()).await;
+                ticket.end(ending);
+                self.may_have_run = true;
+                self.last_failure = Some("no answer in time".to_owned());
+                self.log.retried("no answer in time");
+                return Ok(Sent::Retry(Some(next)));
+            }
+            Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
                 ticket.end(ending);
                 self.may_have_run = true;
@@ -319,7 +358,7 @@
         };
         self.excluded.push(id);
         match decision {
-            Decision::Retry => Ok(None),
+            Decision::Retry => Ok(Sent::Retry(None)),
             Decision::GiveUp(error) => Err(error),
         }
     }
@@ -350,7 +389,7 @@
     /// remaining time.
     fn attempt_timeout(&self) -> Duration {
         let remaining = self.remaining() + DEADLINE_GRACE;
-        if !self.route.kind.is_repeatable() || self.sends >= self.route.attempts {
+        if !self.has_attempts() {
             return remaining;
         }
         let timeout =
@@ -358,26 +397,31 @@
         timeout.min(remaining.mul_f64(ATTEMPT_TIMEOUT_FRACTION))
     }
 
-    /// Waits for an answer until the deadline, or for `limit` if the endpoint is silent: if it has
-    /// answered no request since it was selected. Otherwise it is only busy, and a second attempt
-    /// would add work and wait again. Returns `None` without an answer.
-    async fn wait_for_answer(
-        &self,
-        choice: &Choice,
-        sent: impl Future<Output = std::result::Result<EndpointResponse, SendError>>,
-        limit: Duration,
-    ) -> Option<std::result::Result<EndpointResponse, SendError>> {
-        let mut sent = pin!(sent);
+    /// Sends an attempt and waits for its answer. After `limit`, and from then on at an interval, the
+    /// request moves to another endpoint if this one is silent: if it has answered no request since
+    /// it was selected. Otherwise it is only busy, and a second attempt would add work and wait again.
+    /// Without another endpoint the wait goes on, because a silent endpoint may still answer.
+    async fn send_and_wait(&mut self, ticket: &Ticket, attempt: Attempt, limit: Duration) -> Wait {
+        let choice = ticket.choice();
+        let is_prefill = attempt.step == Step::Prefill;
+        let upstream = Rc::clone(&self.ports.upstream);
+        let mut sent = pin!(upstream.send(attempt));
         let mut limit = limit;
         loop {
             let remaining = self.remaining() + DEADLINE_GRACE;
             match time::timeout(limit.min(remaining), sent.as_mut()).await {
-                Ok(answer) => return Some(answer),
-                Err(_elapsed) if limit >= remaining => return None,
+                Ok(answer) => return Wait::Ended(answer),
+                Err(_elapsed) if limit >= remaining => return Wait::TimedOut,
                 Err(_elapsed) => {}
             }
-            if self.is_silent(choice).await {
-                return None;
+            let may_move = is_prefill || self.has_attempts();
+            if may_move
+                && self.is_silent(choice).await
+                && let Some(next) = self
+                    .reserve(&choice.instance.id, Need::PrefillAndDecode)
+                    .await
+            {
+                return Wait::Moved(next);
             }
             limit = ATTEMPT_TIMEOUT_MIN;
         }
@@ -440,7 +484,7 @@
 
     async fn after_possible_execution(&mut self, why: &str) -> Result<Decision> {
         self.last_failure = Some(why.to_owned());
-        let allowed = self.route.kind.is_repeatable() && self.sends < self.route.attempts;
+        let allowed = self.has_attempts();
         if allowed && self.remaining() > RETRY_TIME_MIN && self.spend_retry_budget().await? {
             self.log.retried(why);
             return Ok(Decision::Retry);
@@ -465,9 +509,39 @@
         Decision::GiveUp(self.give_up(why))
     }
 
+    /// Whether the request may be sent once more although it may have run.
+    pub(super) fn has_attempts(&self) -> bool {
+        self.route.kind.is_repeatable() && self.sends < self.route.attempts
+    }
+
+    /// Reserves an endpoint other than the given one, which keeps the request if there is none, or
+    /// if the retry budget is used up.
+    pub(super) async fn reserve(&mut self, endpoint: &Endpoint, need: Need) -> Option<Ticket> {
+        if self.remaining() <= RETRY_TIME_MIN {
+            return None;
+        }
+        self.excluded.push(endpoint.clone());
+        let reserved = match self.choose(need, None).await {
+            Ok(ticket) => self
+                .spend_retry_budget()
+                .await
+                .map(|allowed| allowed.then_some(ticket)),
+            Err(error) => Err(error),
+        };
+        let reserved = reserved.unwrap_or_else(|error| {
+            log::debug!(endpoint:% = endpoint, error:% = error;
+                "no other endpoint can take the request of a silent one");
+            None
+        });
+        if reserved.is_none() {
+            self.excluded.pop();
+        }
+        reserved
+    }
+
     /// Whether a broken stream may be resumed at an endpoint other than the given one.
     pub(super) async fn may_resume(&mut self, endpoint: &Endpoint) -> bool {
-        let allowed = self.route.kind.is_repeatable() && self.sends < self.route.attempts;
+        let allowed = self.has_attempts();
         self.excluded.push(endpoint.clone());
         if !allowed || self.remaining() <= RETRY_TIME_MIN {
             return false;
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,4 +1,8 @@
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use actix_web::http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::Bytes;
@@ -10,15 +14,18 @@
     exchange::{Accepted, Exchange},
 };
 use crate::{
-    dispatch::{Ending, Ticket},
+    dispatch::{Ending, Need, Ticket},
     error::{Error, Kind},
+    id::Endpoint,
     invariant::{self, Invariant},
-    upstream::Body,
+    upstream::{self, Body},
 };
 
-/// Silence after which a resumable stream is resumed at another endpoint. Callers give up after two
-/// seconds.
-const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Silence after which another endpoint is asked to continue a resumable stream. A sound endpoint can
+/// be silent for a second or so; callers give up after two seconds.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time that the other endpoint has to answer if the silent one sends its next event meanwhile.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Builds the response to the caller, with a body that is relayed from the endpoint.
 pub(super) fn relay_response(mut exchange: Exchange, accepted: Accepted) -> Response {
@@ -44,6 +51,7 @@
         waiting_since: exchange.ports.clock.now(),
         exchange,
         body: Some(response.body),
+        held: VecDeque::new(),
         ticket: Some(ticket),
     };
     let body = stream::unfold(Some(relay), |relay| async move {
@@ -79,10 +87,23 @@
     }
 }
 
+/// What was read from an endpoint.
+enum Read {
+    /// Bytes of the body.
+    Part(Bytes),
+    /// The end of the body.
+    End,
+    /// Nothing: the endpoint has been silent for [`STALL_TIMEOUT`], and the stream may continue at
+    /// another one.
+    Stalled,
+}
+
 /// Relays the body of a response, and resumes a stream that breaks if its route allows that.
 struct BodyRelay {
     exchange: Exchange,
     body: Option<Body>,
+    /// Read from the body while another endpoint was asked to continue the stream.
+    held: VecDeque<upstream::Result<Option<Bytes>>>,
     ticket: Option<Ticket>,
     splitter: Option<EventSplitter>,
     resume_after: Option<EventId>,
@@ -103,7 +124,16 @@
         // The time that a slow caller takes between reads is no silence of the endpoint.
         self.waiting_since = self.exchange.ports.clock.now();
         loop {
-            match self.read().await {
+            let read = match self.read().await {
+                Ok(Read::Stalled) => {
+                    self.hand_over().await?;
+                    continue;
+                }
+                Ok(Read::Part(bytes)) => Ok(Some(bytes)),
+                Ok(Read::End) => Ok(None),
+                Err(error) => Err(error),
+            };
+            match read {
                 Ok(Some(bytes)) => {
                     if self.count_bytes(bytes.len()) {
                         // The HTTP server does not poll the body beyond its length, so the end is
@@ -144,8 +174,8 @@
     /// Reads the end of a body whose length is reached, so that its connection can be reused.
     async fn read_end(&mut self) -> Result<()> {
         match self.read().await {
-            Ok(None) => self.complete(),
-            Ok(Some(_)) => Err(Error::new(
+            Ok(Read::End | Read::Stalled) => self.complete(),
+            Ok(Read::Part(_)) => Err(Error::new(
                 Kind::EndpointFailed,
                 "the body exceeds its length",
             )),
@@ -158,13 +188,13 @@
     }
 
     /// Reads the next bytes from the endpoint, within the deadline and the stall timeout.
-    async fn read(&mut self) -> Result<Option<Bytes>> {
+    async fn read(&mut self) -> Result<Read> {
         let remaining = self.exchange.remaining();
         if remaining.is_zero() {
             // A timeout of zero would still return a part that is ready.
             return Err(past_deadline());
         }
-        let resumable = self.splitter.is_some() && self.exchange.route.kind.is_repeatable();
+        let resumable = self.splitter.is_some() && self.exchange.has_attempts();
         let limit = if resumable {
             // Counted in events, since a stalled endpoint may still send a byte now and then.
             let silent = self.exchange.ports.clock.now() - self.waiting_since;
@@ -173,14 +203,18 @@
             remaining
         };
         let Some(body) = &mut self.body else {
-            return Ok(None);
+            return Ok(Read::End);
+        };
+        let read = match self.held.pop_front() {
+            Some(held) => Ok(held),
+            None => time::timeout(limit, body.next()).await,
         };
-        match time::timeout(limit, body.next()).await {
-            Ok(read) => read.map_err(|error| {
-                Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
-            }),
+        match read {
+            Ok(Ok(Some(bytes))) => Ok(Read::Part(bytes)),
+            Ok(Ok(None)) => Ok(Read::End),
+            Ok(Err(error)) => Err(cut_off(error)),
             Err(_elapsed) if limit == remaining => Err(past_deadline()),
-            Err(_elapsed) => Err(Error::new(Kind::EndpointLost, "the stream has stalled")),
+            Err(_elapsed) => Ok(Read::Stalled),
         }
     }
 
@@ -210,6 +244,73 @@
         Ok(())
     }
 
+    /// Asks another endpoint to continue a stalled stream. The silent endpoint keeps the stream until
+    /// the other one has answered, since it may be sound and go on.
+    async fn hand_over(&mut self) -> Result<()> {
+        // If the stream stays, the next endpoint is asked after the same time.
+        self.waiting_since = self.exchange.ports.clock.now();
+        let Some(endpoint) = self.endpoint() else {
+            return Ok(());
+        };
+        let Some(reserved) = self.exchange.reserve(&endpoint, Need::Start).await else {
+            record_stall("no other endpoint");
+            return Ok(());
+        };
+        let Some(mut body) = self.body.take() else {
+            return Ok(());
+        };
+        let last = self.last_id();
+        let mut held = VecDeque::new();
+        let answer = {
+            let mut answer = pin!(self.exchange.obtain_response(Some(reserved), last));
+            let mut handover_timeout = pin!(time::sleep(HANDOVER_TIMEOUT));
+            let mut splitter = self.splitter.clone().unwrap_or_default();
+            let (mut goes_on, mut broken) = (false, false);
+            loop {
+                tokio::select! {
+                    biased;
+                    answer = &mut answer => break Some(answer),
+                    () = &mut handover_timeout, if goes_on => break None,
+                    part = body.next(), if !goes_on && !broken => {
+                        match &part {
+                            // Without a whole event the stream is still stalled.
+                            Ok(Some(bytes)) => {
+                                let ready = splitter.push(bytes);
+                                goes_on = ready.map_or(true, |ready| !ready.is_empty());
+                            }
+                            Ok(None) => goes_on = true,
+                            Err(_lost) => broken = true,
+                        }
+                        held.push_back(part);
+                    }
+                }
+            }
+        };
+        let error = match answer {
+            Some(Ok(accepted)) if self.continues(&accepted) => {
+                record_stall("continued elsewhere");
+                if let Some(ticket) = self.ticket.take() {
+                    ticket.end(Ending::Failed);
+                }
+                drop(body);
+                self.relay_from(accepted, last, "the stream has stalled");
+                return Ok(());
+            }
+            Some(Ok(accepted)) => {
+                accepted.ticket.end(Ending::Failed);
+                "the other endpoint did not continue the stream".to_owned()
+            }
+            Some(Err(error)) => error.to_string(),
+            None => "the endpoint goes on".to_owned(),
+        };
+        record_stall("stayed");
+        log::info!(call:? = self.call_id(), endpoint:% = endpoint, why = error;
+            "stalled stream stays at its endpoint");
+        self.body = Some(body);
+        self.held = held;
+        Ok(())
+    }
+
     /// Resumes a stream at another endpoint, or fails with the error that interrupted it.
     async fn resume(&mut self, error: Error) -> Result<()> {
         // Closes the connection, so that the endpoint stops before another one continues.
@@ -224,30 +325,46 @@
             }
             endpoint
         });
-        let Some(splitter) = &mut self.splitter else {
+        if self.splitter.is_none() {
             return Err(error);
-        };
-        log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
-            endpoint:? = endpoint.as_ref().map(ToString::to_string), sends = self.exchange.sends(),
-            cause:% = error; "stream was interrupted");
-        let last = splitter.last_id().or(self.resume_after);
+        }
+        log::info!(call:? = self.call_id(), endpoint:? = endpoint.as_ref().map(ToString::to_string),
+            sends = self.exchange.sends(), cause:% = error; "stream was interrupted");
+        let last = self.last_id();
         let Some(endpoint) = endpoint else {
             return Err(error);
         };
         if !self.exchange.may_resume(&endpoint).await {
             return Err(error);
         }
-        let accepted = self.exchange.obtain_response(last).await?;
-        let Accepted { response, ticket } = accepted;
-        if response.status != self.status || media_type(&response.headers) != self.media {
-            log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
-                endpoint:% = ticket.choice().instance.id, status = response.status;
-                "endpoint did not continue the stream");
-            ticket.end(Ending::Failed);
+        let accepted = self.exchange.obtain_response(None, last).await?;
+        if !self.continues(&accepted) {
+            accepted.ticket.end(Ending::Failed);
             return Err(error);
         }
-        log::info!(call:? = self.exchange.call.id.as_ref().map(ToString::to_string),
-            after:? = last.map(|id| id.to_string()), cause:% = error;
+        self.relay_from(accepted, last, &error.to_string());
+        Ok(())
+    }
+
+    /// Returns whether a response continues the stream.
+    fn continues(&self, accepted: &Accepted) -> bool {
+        let Accepted { response, ticket } = accepted;
+        let continues =
+            response.status == self.status && media_type(&response.headers) == self.media;
+        if !continues {
+            log::info!(call:? = self.call_id(), endpoint:% = ticket.choice().instance.id,
+                status = response.status; "endpoint did not continue the stream");
+        }
+        continues
+    }
+
+    /// Relays the rest of the stream from another endpoint.
+    fn relay_from(&mut self, accepted: Accepted, last: Option<EventId>, cause: &str) {
+        let Accepted {
+            response,
+            mut ticket,
+        } = accepted;
+        log::info!(call:? = self.call_id(), after:? = last.map(|id| id.to_string()), cause = cause;
             "stream resumed at another endpoint");
         if let Some(splitter) = &mut self.splitter {
             splitter.restart();
@@ -256,11 +373,34 @@
         self.body = Some(response.body);
         self.remaining_bytes = response.length;
         self.may_be_cut_unseen = response.ends_with_connection;
-        let mut ticket = ticket;
         start_pace(&self.exchange, &mut ticket);
         self.ticket = Some(ticket);
-        Ok(())
     }
+
+    /// The last event that the caller has received.
+    fn last_id(&self) -> Option<EventId> {
+        let splitter = self.splitter.as_ref()?;
+        splitter.last_id().or(self.resume_after)
+    }
+
+    /// The endpoint that sends the stream.
+    fn endpoint(&self) -> Option<Endpoint> {
+        let ticket = self.ticket.as_ref()?;
+        Some(ticket.choice().instance.id.clone())
+    }
+
+    fn call_id(&self) -> Option<String> {
+        self.exchange.call.id.as_ref().map(ToString::to_string)
+    }
+}
+
+/// Counts a stalled stream by what became of it.
+fn record_stall(result: &'static str) {
+    metrics::counter!("stalled_streams_total", "result" => result).increment(1);
+}
+
+fn cut_off(error: upstream::Error) -> Error {
+    Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
 }
 
 fn past_deadline() -> Error {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -61,6 +61,8 @@
     Flood,
     /// Sends one of these parts of a stream every 400 ms, in turn.
     Dribble(&'static [&'static str]),
+    /// Sends the head after this time, and each part of a complete stream after its delay.
+    Delayed(Duration, &'static [(Duration, &'static str)]),
 }
 
 /// Endpoints that follow one common script, whichever of them is chosen. Records what they receive.
@@ -115,6 +117,10 @@
                     let interval = Duration::from_millis(400);
                     (200, Execution::MayHaveRun, Body::dribbling(parts, interval))
                 }
+                Act::Delayed(before_head, parts) => {
+                    time::sleep(before_head).await;
+                    (200, Execution::MayHaveRun, Body::delayed(parts))
+                }
                 Act::Flood => (200, Execution::MayHaveRun, Body::endless("label")),
                 Act::Refuse => return Err(SendError::Refused("refused".to_owned())),
                 Act::Unreachable => return Err(SendError::NotSent("no route".to_owned())),
@@ -729,3 +735,70 @@
     });
     insta::assert_debug_snapshot!(outcomes);
 }
+
+const SILENCE: Duration = Duration::from_millis(1_600);
+/// An engine that is silent before its second event, and then completes its answer.
+const SILENT_MIDWAY: Act = Act::Delayed(
+    Duration::ZERO,
+    &[
+        (Duration::ZERO, "id: 1\ndata: a\n\n"),
+        (SILENCE, "id: 2\ndata: b\n\n"),
+    ],
+);
+/// An engine that is silent before its answer, and then completes it.
+const SILENT_AT_FIRST: Act = Act::Delayed(
+    SILENCE,
+    &[(Duration::ZERO, EVENTS[0]), (Duration::ZERO, EVENTS[1])],
+);
+
+/// An engine that is silent before it resumes a stream.
+const SILENT_TO_RESUME: Act = Act::Delayed(SILENCE, &[(Duration::ZERO, EVENTS_AFTER_1[0])]);
+
+/// Guards against an answer that is given up because its engine is silent for a while, although no
+/// other engine takes the request over (LOST).
+#[test]
+fn silent_engine_completes_its_answer_unless_another_takes_over() {
+    const REJECT: Act = Act::Respond(503, Execution::Rejected);
+    let outcome = |name: &str, stages: &[Option<Stage>], attempts: u32, acts: &[Act]| {
+        let route = route(route::Kind::ResumableStream, attempts);
+        outcomes(&[(name, acts)], &route, stages, Some(100)).concat()
+    };
+    let one = &[None];
+    let outcomes = [
+        outcome("midway, only engine", one, 2, &[SILENT_MIDWAY]),
+        outcome("midway, only attempt", PLAIN, 1, &[SILENT_MIDWAY]),
+        outcome(
+            "midway, others reject",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, REJECT, REJECT],
+        ),
+        outcome(
+            "midway, others refuse",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Refuse, Act::Refuse, Act::Refuse],
+        ),
+        outcome(
+            "midway, others are silent",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, SILENT_TO_RESUME],
+        ),
+        outcome(
+            "midway, another takes over",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Stream(EVENTS_AFTER_1)],
+        ),
+        outcome("at first, only engine", one, 2, &[SILENT_AT_FIRST]),
+        outcome("at first, only attempt", PLAIN, 1, &[SILENT_AT_FIRST]),
+        outcome(
+            "at first, another takes over",
+            PLAIN,
+            2,
+            &[SILENT_AT_FIRST, Act::Stream(EVENTS)],
+        ),
+    ];
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -137,6 +137,25 @@
         Self::new(parts)
     }
 
+    /// A body that sends each part after its delay, and then ends.
+    #[cfg(test)]
+    pub(crate) fn delayed(parts_after: &'static [(std::time::Duration, &'static str)]) -> Self {
+        let (sender, parts) = mpsc::channel(2);
+        tokio::task::spawn_local(async move {
+            for (delay, part) in parts_after {
+                tokio::time::sleep(*delay).await;
+                let part = BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+                if sender.send(part).await.is_err() {
+                    return;
+                }
+            }
+            if sender.send(BodyPart::End).await.is_err() {
+                log::debug!("nobody reads the end of the body");
+            }
+        });
+        Self::new(parts)
+    }
+
     /// Returns the next bytes, or `None` at the end of a complete body.
     ///
     /// # Errors
