Let a refusal reach a caller that still sends its request

A request that was refused by its head (no plan yet, unknown route, body over the limit) was answered and its connection closed at once; the bytes of the body that followed reset it, and the caller had neither an answer nor a refusal. Routes are added and removed by changes of the configuration, so such refusals come beside them.

It reads on for up to a second now.

--- a/src/listener/imp.rs
+++ b/src/listener/imp.rs
@@ -14,6 +14,9 @@
     error::{Error, Kind},
 };
 
+/// Time for which a connection is read on after an answer that came before the end of the request,
+/// and the limit of its shutdown. A caller that still sends would lose the answer to a reset.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections that the kernel keeps until they are accepted.
 const BACKLOG: i32 = 1_024;
 
@@ -81,6 +84,7 @@
             })
             .keep_alive(idle_timeout)
             .client_request_timeout(head_timeout)
+            .client_disconnect_timeout(DISCONNECT_TIMEOUT)
             // A caller that closes its side of the connection cancels its request.
             .h1_allow_half_closed(false)
             .local_addr(address)
