Judge the end of a sized stream with its last part

A whole stream of known length was cut off if its last event arrived in two parts: its caller got all but the last event and a cut connection, from a sound engine. A truncated one counted as served.

Cause: the end of the body was read and judged before the bytes that complete it were split into events. They are split first now. A stream that ends inside an event, or repeats one, is continued at another endpoint like one whose connection breaks, if its route allows that; it was cut off.

Test: end_of_a_sized_stream_is_judged_with_its_last_part; before, the whole stream was cut off for both kinds of streams. The case 'ends within an event' now has an endpoint to continue at, and is whole.

--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -135,15 +135,23 @@
             };
             match read {
                 Ok(Some(bytes)) => {
-                    if self.count_bytes(bytes.len()) {
-                        // The HTTP server does not poll the body beyond its length, so the end is
-                        // read here.
-                        self.read_end().await?;
-                    }
+                    let is_last = self.count_bytes(bytes.len());
                     let ready = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes)?,
-                        None => bytes,
+                        Some(splitter) => splitter.push(&bytes),
+                        None => Ok(bytes),
+                    };
+                    let ready = match ready {
+                        Ok(ready) => ready,
+                        Err(error) => {
+                            self.resume(error).await?;
+                            continue;
+                        }
                     };
+                    // The HTTP server does not poll the body beyond its length, so the end is read
+                    // here.
+                    if is_last && let Err(error) = self.read_end().await {
+                        self.resume(error).await?;
+                    }
                     if !ready.is_empty() {
                         self.may_be_cut_unseen = false;
                         if let Some(ticket) = &mut self.ticket {
@@ -156,7 +164,10 @@
                     let detail = "the stream ended before its first event";
                     self.resume(Error::new(Kind::EndpointLost, detail)).await?;
                 }
-                Ok(None) => return self.complete().map(|()| None),
+                Ok(None) => match self.complete() {
+                    Ok(()) => return Ok(None),
+                    Err(error) => self.resume(error).await?,
+                },
                 Err(error) => self.resume(error).await?,
             }
         }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -45,6 +45,8 @@
     Unframed(&'static [&'static str]),
     /// Sends a part of a stream of this length, then closes the connection.
     BreakSized(u64, &'static [&'static str]),
+    /// Sends a stream of this length.
+    Sized(u64, &'static [&'static str]),
     /// Responds with this status, this media type and a complete body.
     Answer(u16, &'static str, &'static str),
     /// Refuses the connection.
@@ -108,7 +110,7 @@
                     Execution::MayHaveRun,
                     Body::scripted(&[body], Some(Ok(()))),
                 ),
-                Act::Stream(chunks) | Act::Unframed(chunks) => (
+                Act::Stream(chunks) | Act::Unframed(chunks) | Act::Sized(_, chunks) => (
                     200,
                     Execution::MayHaveRun,
                     Body::scripted(chunks, Some(Ok(()))),
@@ -138,7 +140,7 @@
                 status,
                 headers,
                 length: match act {
-                    Act::BreakSized(length, _) => Some(length),
+                    Act::BreakSized(length, _) | Act::Sized(length, _) => Some(length),
                     _ => None,
                 },
                 ends_with_connection: matches!(act, Act::Unframed(_)),
@@ -407,7 +409,10 @@
             "broken twice",
             &[Act::Break(TRUNCATED_EVENTS), Act::Break(&[])],
         ),
-        ("ends within an event", &[Act::Stream(TRUNCATED_EVENTS)]),
+        (
+            "ends within an event",
+            &[Act::Stream(TRUNCATED_EVENTS), Act::Stream(EVENTS_AFTER_1)],
+        ),
     ];
     let route = route(route::Kind::ResumableStream, 2);
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
@@ -802,3 +807,24 @@
     ];
     insta::assert_debug_snapshot!(outcomes);
 }
+
+/// Guards against a whole stream of known length that is cut off because its last event arrives in two
+/// parts, and against a truncated one that looks whole because it arrives in one (LOST, ORDER).
+#[test]
+fn end_of_a_sized_stream_is_judged_with_its_last_part() {
+    let whole: usize = EVENTS.iter().map(|part| part.len()).sum();
+    let truncated = "id: 1\ndata: a\n\nid: 2\nda";
+    let whole = Act::Sized(whole as u64, EVENTS);
+    let truncated = Act::Sized(truncated.len() as u64, &["id: 1\ndata: a\n\nid: 2\nda"]);
+    let cases: [(&str, &[Act]); 3] = [
+        ("whole", &[whole]),
+        ("truncated", &[truncated]),
+        (
+            "truncated and resumed",
+            &[truncated, Act::Stream(EVENTS_AFTER_1)],
+        ),
+    ];
+    let outcomes = [route::Kind::Stream, route::Kind::ResumableStream]
+        .map(|kind| outcomes(&cases, &route(kind, 2), &[None, None], Some(100)));
+    insta::assert_debug_snapshot!(outcomes);
+}
