Keep a silent engine until another one has sent an event

The silent engine now keeps the request until the other one has answered, and a stream until the other one has sent a whole event. What the other endpoint is asked for counts as an attempt with its own prefill, since only the first prefill elsewhere is free. A stream that breaks off, ends inside an event or repeats one while the other endpoint is asked no longer cancels the latter, and its crash is noticed.

Test: silent_engine_completes_its_answer_unless_another_takes_over has five more cases, all whole.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,11 +1,12 @@
 use std::{
-    pin::pin,
+    pin::{Pin, pin},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use actix::{MailboxError, Recipient};
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use tokio::{task, time};
 
 use super::{
@@ -117,24 +118,26 @@
 enum Sent {
     /// The response is relayed to the caller.
     Accepted(Accepted),
-    /// Another endpoint is tried: that of the ticket, or one that is to be chosen.
-    Retry(Option<Ticket>),
+    /// Another endpoint is tried.
+    Retry,
 }
 
 /// Outcome of a prefill step.
 enum Prefill {
     /// The request is ready to run.
     Done(Ticket, Step),
-    /// It failed, and the request has not run. Another endpoint is tried, as in [`Sent::Retry`].
-    Retry(Option<Ticket>),
+    /// Another endpoint has answered the whole request.
+    Accepted(Accepted),
+    /// It failed, and the request has not run. Another endpoint is tried.
+    Retry,
 }
 
 /// Outcome of the wait for an answer.
 enum Wait {
     /// The endpoint answered, or the attempt failed.
     Ended(std::result::Result<EndpointResponse, SendError>),
-    /// The endpoint is silent, and another one is reserved.
-    Moved(Ticket),
+    /// Another endpoint has answered instead of a silent one, or of one that was lost.
+    Elsewhere { accepted: Accepted, lost: bool },
     /// The deadline has passed.
     TimedOut,
 }
@@ -198,17 +201,14 @@
             let (ticket, step) = if prefills {
                 match self.prefill(ticket, resume_after).await? {
                     Prefill::Done(ticket, step) => (ticket, step),
-                    Prefill::Retry(next) => {
-                        reserved = next;
-                        continue;
-                    }
+                    Prefill::Accepted(accepted) => return Ok(accepted),
+                    Prefill::Retry => continue,
                 }
             } else {
                 (ticket, Step::Whole)
             };
-            match self.send_attempt(ticket, step, resume_after).await? {
-                Sent::Accepted(accepted) => return Ok(accepted),
-                Sent::Retry(next) => reserved = next,
+            if let Sent::Accepted(accepted) = self.send_attempt(ticket, step, resume_after).await? {
+                return Ok(accepted);
             }
         }
     }
@@ -240,23 +240,21 @@
             }
             Wait::Ended(Err(error @ SendError::Withheld)) => {
                 self.log.retried(&format!("prefill: {error}"));
-                return Ok(Prefill::Retry(None));
+                return Ok(Prefill::Retry);
             }
             Wait::Ended(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
                 self.excluded.push(instance.id.clone());
                 if matches!(error, SendError::Refused(_)) {
                     ticket.end(Ending::Down);
-                    return Ok(Prefill::Retry(None));
+                    return Ok(Prefill::Retry);
                 }
                 self.end_lost(ticket);
                 return self.check_prefill_retry().await;
             }
-            Wait::Moved(next) => {
-                self.log.retried("prefill: no answer in time");
-                let ending = self.ending_of_timeout(ticket.choice()).await;
-                ticket.end(ending);
-                return Ok(Prefill::Retry(Some(next)));
+            Wait::Elsewhere { accepted, lost } => {
+                self.end_silent(ticket, lost).await;
+                return Ok(Prefill::Accepted(accepted));
             }
             Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
@@ -275,7 +273,7 @@
         let preferred_zone = Some(instance.zone.clone());
         let ticket = self.choose_open(Need::Decode, preferred_zone).await?;
         let cache = guard.take();
-        Ok(cache.map_or(Prefill::Retry(None), |cache| {
+        Ok(cache.map_or(Prefill::Retry, |cache| {
             Prefill::Done(ticket, Step::Decode(cache))
         }))
     }
@@ -286,7 +284,7 @@
             return Err(self.give_up("the deadline has passed"));
         }
         if self.spend_retry_budget().await? {
-            return Ok(Prefill::Retry(None));
+            return Ok(Prefill::Retry);
         }
         Err(self.give_up("the retry budget is used up"))
     }
@@ -322,7 +320,7 @@
             Wait::Ended(Err(error @ SendError::Withheld)) => {
                 self.log.retried(&error.to_string());
                 self.sends -= 1;
-                return Ok(Sent::Retry(None));
+                return Ok(Sent::Retry);
             }
             Wait::Ended(Err(SendError::Refused(detail))) => {
                 ticket.end(Ending::Down);
@@ -341,13 +339,9 @@
                 self.may_have_run = true;
                 self.after_possible_execution(&detail).await?
             }
-            Wait::Moved(next) => {
-                let ending = self.ending_of_timeout(ticket.choice()).await;
-                ticket.end(ending);
-                self.may_have_run = true;
-                self.last_failure = Some("no answer in time".to_owned());
-                self.log.retried("no answer in time");
-                return Ok(Sent::Retry(Some(next)));
+            Wait::Elsewhere { accepted, lost } => {
+                self.end_silent(ticket, lost).await;
+                return Ok(Sent::Accepted(accepted));
             }
             Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
@@ -358,7 +352,7 @@
         };
         self.excluded.push(id);
         match decision {
-            Decision::Retry => Ok(Sent::Retry(None)),
+            Decision::Retry => Ok(Sent::Retry),
             Decision::GiveUp(error) => Err(error),
         }
     }
@@ -397,13 +391,15 @@
         timeout.min(remaining.mul_f64(ATTEMPT_TIMEOUT_FRACTION))
     }
 
-    /// Sends an attempt and waits for its answer. After `limit`, and from then on at an interval, the
-    /// request moves to another endpoint if this one is silent: if it has answered no request since
-    /// it was selected. Otherwise it is only busy, and a second attempt would add work and wait again.
-    /// Without another endpoint the wait goes on, because a silent endpoint may still answer.
+    /// Sends an attempt and waits for its answer. After `limit`, and from then on at an interval,
+    /// another endpoint is asked too if this one is silent: if it has answered no request since it was
+    /// selected. Otherwise it is only busy, and a second attempt would add work and wait again. The
+    /// silent endpoint keeps the request until the other one has answered, since it may be sound.
     async fn send_and_wait(&mut self, ticket: &Ticket, attempt: Attempt, limit: Duration) -> Wait {
         let choice = ticket.choice();
+        let id = choice.instance.id.clone();
         let is_prefill = attempt.step == Step::Prefill;
+        let resume_after = attempt.resume_after;
         let upstream = Rc::clone(&self.ports.upstream);
         let mut sent = pin!(upstream.send(attempt));
         let mut limit = limit;
@@ -414,17 +410,36 @@
                 Err(_elapsed) if limit >= remaining => return Wait::TimedOut,
                 Err(_elapsed) => {}
             }
-            let may_move = is_prefill || self.has_attempts();
-            if may_move
-                && self.is_silent(choice).await
-                && let Some(next) = self
-                    .reserve(&choice.instance.id, Need::PrefillAndDecode)
-                    .await
-            {
-                return Wait::Moved(next);
-            }
             limit = ATTEMPT_TIMEOUT_MIN;
+            if !(is_prefill || self.has_attempts()) || !self.is_silent(choice).await {
+                continue;
+            }
+            let Some(reserved) = self.reserve(&id, Need::PrefillAndDecode).await else {
+                continue;
+            };
+            // A prefill alone does not run the request.
+            self.may_have_run |= !is_prefill;
+            self.log.retried("no answer in time");
+            let other = self.obtain_response(Some(reserved), resume_after);
+            let (answer, accepted) = first_answer(sent.as_mut(), other.boxed_local()).await;
+            if let Some(accepted) = accepted {
+                let lost = matches!(answer, Some(Err(SendError::Lost(_))));
+                return Wait::Elsewhere { accepted, lost };
+            }
+            self.log.stayed(&id, "no other endpoint has answered");
+            if let Some(answer) = answer {
+                return Wait::Ended(answer);
+            }
+        }
+    }
+
+    /// Ends the attempt at an endpoint instead of which another one has answered.
+    async fn end_silent(&self, ticket: Ticket, lost: bool) {
+        if lost {
+            return self.end_lost(ticket);
         }
+        let ending = self.ending_of_timeout(ticket.choice()).await;
+        ticket.end(ending);
     }
 
     /// Returns whether the endpoint has answered no request since it was selected.
@@ -663,6 +678,29 @@
     }
 }
 
+/// Answer of an endpoint, or the reason why there is none.
+type Answer = std::result::Result<EndpointResponse, SendError>;
+
+/// Waits for the first useful answer of a silent endpoint and of the other one that was asked, and
+/// cancels the other attempt. If both fail, only the answer of the silent endpoint is returned, if it
+/// has sent one.
+async fn first_answer(
+    mut sent: Pin<&mut impl Future<Output = Answer>>,
+    mut other: LocalBoxFuture<'_, Result<Accepted>>,
+) -> (Option<Answer>, Option<Accepted>) {
+    tokio::select! {
+        biased;
+        answer = sent.as_mut() => {
+            let useful = answer.as_ref().is_ok_and(|response| {
+                response.status < 500 && response.execution == Execution::MayHaveRun
+            });
+            let accepted = if useful { None } else { other.await.ok() };
+            (Some(answer), accepted)
+        }
+        accepted = &mut other => (None, accepted.ok()),
+    }
+}
+
 /// Frees a KV cache on drop, unless a decode step has taken it.
 struct UnusedCache {
     cache: Option<(KvCache, Permit)>,
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -108,6 +108,13 @@
             "attempt failed; retrying at another endpoint");
     }
 
+    /// Logs that a silent endpoint keeps the request although another one was asked.
+    pub(super) fn stayed(&mut self, endpoint: &Endpoint, why: &str) {
+        log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
+            endpoint:% = endpoint, why = why; "request stays at its endpoint");
+        self.endpoint = Some(endpoint.clone());
+    }
+
     /// Logs that the request waits until an endpoint takes requests again.
     pub(super) fn waits(&self, opens_in: Duration) {
         log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -24,7 +24,7 @@
 /// Silence after which another endpoint is asked to continue a resumable stream. A sound endpoint can
 /// be silent for a second or so; callers give up after two seconds.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time that the other endpoint has to answer if the silent one sends its next event meanwhile.
+/// Time that the other endpoint has for its first event if the silent one goes on meanwhile.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Builds the response to the caller, with a body that is relayed from the endpoint.
@@ -256,69 +256,67 @@
     }
 
     /// Asks another endpoint to continue a stalled stream. The silent endpoint keeps the stream until
-    /// the other one has answered, since it may be sound and go on.
+    /// the other one has sent an event, since it may be sound and go on.
     async fn hand_over(&mut self) -> Result<()> {
         // If the stream stays, the next endpoint is asked after the same time.
         self.waiting_since = self.exchange.ports.clock.now();
         let Some(endpoint) = self.endpoint() else {
             return Ok(());
         };
-        let Some(reserved) = self.exchange.reserve(&endpoint, Need::Start).await else {
+        // Only the first prefill at an engine of its own is no attempt.
+        let need = Need::PrefillAndDecode;
+        let Some(reserved) = self.exchange.reserve(&endpoint, need).await else {
             record_stall("no other endpoint");
             return Ok(());
         };
-        let Some(mut body) = self.body.take() else {
+        let (Some(mut body), Some(mut splitter)) = (self.body.take(), self.splitter.clone()) else {
             return Ok(());
         };
-        let last = self.last_id();
-        let mut held = VecDeque::new();
-        let answer = {
-            let mut answer = pin!(self.exchange.obtain_response(Some(reserved), last));
+        let expected = Expected {
+            status: self.status,
+            media: self.media.clone(),
+            after: self.last_id(),
+            splitter: splitter.clone(),
+        };
+        let after = expected.after;
+        let may_be_cut_unseen = self.may_be_cut_unseen;
+        let mut state = Silence::Lasts;
+        let continuation = {
+            let mut continuation = pin!(continue_at(&mut self.exchange, reserved, expected));
             let mut handover_timeout = pin!(time::sleep(HANDOVER_TIMEOUT));
-            let mut splitter = self.splitter.clone().unwrap_or_default();
-            let (mut goes_on, mut broken) = (false, false);
             loop {
                 tokio::select! {
                     biased;
-                    answer = &mut answer => break Some(answer),
-                    () = &mut handover_timeout, if goes_on => break None,
-                    part = body.next(), if !goes_on && !broken => {
-                        match &part {
-                            // Without a whole event the stream is still stalled.
-                            Ok(Some(bytes)) => {
-                                let ready = splitter.push(bytes);
-                                goes_on = ready.map_or(true, |ready| !ready.is_empty());
-                            }
-                            Ok(None) => goes_on = true,
-                            Err(_lost) => broken = true,
-                        }
-                        held.push_back(part);
+                    continuation = &mut continuation => break Some(continuation),
+                    () = &mut handover_timeout, if state == Silence::Ended => break None,
+                    part = body.next(), if state == Silence::Lasts => {
+                        state = Silence::after(&part, &mut splitter, may_be_cut_unseen);
+                        self.held.push_back(part);
                     }
                 }
             }
         };
-        let error = match answer {
-            Some(Ok(accepted)) if self.continues(&accepted) => {
+        let why = match continuation {
+            Some(Ok(continuation)) => {
                 record_stall("continued elsewhere");
                 if let Some(ticket) = self.ticket.take() {
-                    ticket.end(Ending::Failed);
+                    if state == Silence::Broken {
+                        self.exchange.end_lost(ticket);
+                    } else {
+                        ticket.end(Ending::Failed);
+                    }
                 }
                 drop(body);
-                self.relay_from(accepted, last, "the stream has stalled");
+                self.held = continuation.held;
+                self.relay_from(continuation.accepted, after, "the stream has stalled");
                 return Ok(());
             }
-            Some(Ok(accepted)) => {
-                accepted.ticket.end(Ending::Failed);
-                "the other endpoint did not continue the stream".to_owned()
-            }
             Some(Err(error)) => error.to_string(),
             None => "the endpoint goes on".to_owned(),
         };
         record_stall("stayed");
-        log::info!(call:? = self.call_id(), endpoint:% = endpoint, why = error;
-            "stalled stream stays at its endpoint");
+        self.exchange.log.stayed(&endpoint, &why);
         self.body = Some(body);
-        self.held = held;
         Ok(())
     }
 
@@ -349,26 +347,15 @@
             return Err(error);
         }
         let accepted = self.exchange.obtain_response(None, last).await?;
-        if !self.continues(&accepted) {
+        if !continues(&accepted, self.status, self.media.as_deref()) {
             accepted.ticket.end(Ending::Failed);
             return Err(error);
         }
+        self.held.clear();
         self.relay_from(accepted, last, &error.to_string());
         Ok(())
     }
 
-    /// Returns whether a response continues the stream.
-    fn continues(&self, accepted: &Accepted) -> bool {
-        let Accepted { response, ticket } = accepted;
-        let continues =
-            response.status == self.status && media_type(&response.headers) == self.media;
-        if !continues {
-            log::info!(call:? = self.call_id(), endpoint:% = ticket.choice().instance.id,
-                status = response.status; "endpoint did not continue the stream");
-        }
-        continues
-    }
-
     /// Relays the rest of the stream from another endpoint.
     fn relay_from(&mut self, accepted: Accepted, last: Option<EventId>, cause: &str) {
         let Accepted {
@@ -405,6 +392,101 @@
     }
 }
 
+/// What becomes of the silence of an endpoint while another one is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// No whole event has arrived.
+    Lasts,
+    /// The endpoint goes on, or the stream is complete.
+    Ended,
+    /// The endpoint has broken off, or its stream is not valid.
+    Broken,
+}
+
+impl Silence {
+    /// The state after a part of the body, which `splitter` has not seen yet.
+    fn after(
+        part: &upstream::Result<Option<Bytes>>,
+        splitter: &mut EventSplitter,
+        may_be_cut_unseen: bool,
+    ) -> Self {
+        match part {
+            Ok(Some(bytes)) => match splitter.push(bytes) {
+                Ok(ready) if ready.is_empty() => Self::Lasts,
+                Ok(_) => Self::Ended,
+                Err(_invalid) => Self::Broken,
+            },
+            Ok(None) if splitter.is_between_events() && !may_be_cut_unseen => Self::Ended,
+            Ok(None) | Err(_) => Self::Broken,
+        }
+    }
+}
+
+/// What the continuation of a stream has to be like.
+struct Expected {
+    status: u16,
+    media: Option<String>,
+    after: Option<EventId>,
+    splitter: EventSplitter,
+}
+
+/// A stream that goes on at another endpoint.
+struct Continuation {
+    accepted: Accepted,
+    /// The parts of the body up to its first whole event.
+    held: VecDeque<upstream::Result<Option<Bytes>>>,
+}
+
+/// Continues a stream at the endpoint of `reserved`. Returns once its first event has arrived.
+async fn continue_at(
+    exchange: &mut Exchange,
+    reserved: Ticket,
+    expected: Expected,
+) -> Result<Continuation> {
+    let Expected {
+        status,
+        media,
+        after,
+        mut splitter,
+    } = expected;
+    let mut accepted = exchange.obtain_response(Some(reserved), after).await?;
+    if !continues(&accepted, status, media.as_deref()) {
+        accepted.ticket.end(Ending::Failed);
+        let detail = "the other endpoint did not continue the stream";
+        return Err(Error::new(Kind::EndpointFailed, detail));
+    }
+    splitter.restart();
+    let mut held = VecDeque::new();
+    loop {
+        let remaining = exchange.remaining();
+        let part = time::timeout(remaining, accepted.response.body.next()).await;
+        let part = part.map_err(|_elapsed| past_deadline())?;
+        let cut_unseen = accepted.response.ends_with_connection;
+        let state = Silence::after(&part, &mut splitter, cut_unseen);
+        held.push_back(part);
+        match state {
+            Silence::Lasts => {}
+            Silence::Ended => return Ok(Continuation { accepted, held }),
+            Silence::Broken => {
+                exchange.end_lost(accepted.ticket);
+                let detail = "the other endpoint broke off";
+                return Err(Error::new(Kind::EndpointLost, detail));
+            }
+        }
+    }
+}
+
+/// Returns whether a response continues a stream of this status and media type.
+fn continues(accepted: &Accepted, status: u16, media: Option<&str>) -> bool {
+    let Accepted { response, ticket } = accepted;
+    let continues = response.status == status && media_type(&response.headers).as_deref() == media;
+    if !continues {
+        log::info!(endpoint:% = ticket.choice().instance.id, status = response.status;
+            "endpoint did not continue the stream");
+    }
+    continues
+}
+
 /// Counts a stalled stream by what became of it.
 fn record_stall(result: &'static str) {
     metrics::counter!("stalled_streams_total", "result" => result).increment(1);
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -804,6 +804,36 @@
             2,
             &[SILENT_AT_FIRST, Act::Stream(EVENTS)],
         ),
+        outcome(
+            "at first, others reject",
+            PLAIN,
+            2,
+            &[SILENT_AT_FIRST, REJECT, REJECT],
+        ),
+        outcome(
+            "at first, others are lost",
+            PLAIN,
+            3,
+            &[SILENT_AT_FIRST, Act::Lose, Act::Lose],
+        ),
+        outcome(
+            "midway, another begins and breaks off",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Break(&[])],
+        ),
+        outcome(
+            "midway, another begins and is silent",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Stall(&[])],
+        ),
+        outcome(
+            "midway, another repeats an event",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Stream(EVENTS)],
+        ),
     ];
     insta::assert_debug_snapshot!(outcomes);
 }
