Count the notices of a silent endpoint in the soak from its answer

The endpoint was silent before it answered, so the gateway learned it later, or never if it gave up the request. Arrivals now record when their answer began, and the times of notices are measured from there; a notice without an answer binds nobody.

--- a/mulberrymill-bench/src/soak/tests.rs
+++ b/mulberrymill-bench/src/soak/tests.rs
@@ -183,6 +183,7 @@
             endpoint: "free-0".to_owned(),
             started: if *millis == 0 { 1 } else { started },
             at: at(*millis),
+            answered: Some(at(*millis)),
             notice,
         });
         let sent = times.iter().map(|millis| Sent {
@@ -233,6 +234,34 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Guards against a check that counts from the arrival of a request although its endpoint was silent
+/// before it answered, as in seed 312 (8 s).
+#[test]
+fn notices_count_from_their_answers() {
+    let now = Instant::now();
+    let outcomes = [Some(0), Some(1_000), None].map(|answered| {
+        let arrival = |request: &str, millis, answered: Option<u64>| Arrival {
+            request: request.to_owned(),
+            endpoint: "free-0".to_owned(),
+            started: 1,
+            at: now + Duration::from_millis(millis),
+            answered: answered.map(|millis| now + Duration::from_millis(millis)),
+            notice: Notice {
+                leaving: true,
+                pause: None,
+            },
+        };
+        let arrivals = [arrival("r0", 0, answered), arrival("r1", 2_100, None)];
+        let sent = arrivals.clone().map(|arrival| Sent {
+            request: arrival.request,
+            at: arrival.at,
+            ..sent("plain", 200, None)
+        });
+        (answered, check_notices(&sent, &arrivals, &[], &[]).len())
+    });
+    assert_eq!(outcomes, [(Some(0), 1), (Some(1_000), 0), (None, 0)]);
+}
+
 /// Guards against a check that misses a request which got neither an answer nor a refusal, or that
 /// blames a gateway for what others broke.
 #[test]
