--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -117,7 +117,7 @@
 /// Outcome of an attempt.
 enum Sent {
     /// The response is relayed to the caller.
-    Accepted(Accepted),
+    Accepted(Box<Accepted>),
     /// Another endpoint is tried.
     Retry,
 }
@@ -125,9 +125,9 @@
 /// Outcome of a prefill step.
 enum Prefill {
     /// The request is ready to run.
-    Done(Ticket, Step),
+    Done(Box<Ticket>, Step),
     /// Another endpoint has answered the whole request.
-    Accepted(Accepted),
+    Accepted(Box<Accepted>),
     /// It failed, and the request has not run. Another endpoint is tried.
     Retry,
 }
@@ -137,7 +137,7 @@
     /// The endpoint answered, or the attempt failed.
     Ended(std::result::Result<EndpointResponse, SendError>),
     /// Another endpoint has answered instead of a silent one, or of one that was lost.
-    Elsewhere { accepted: Accepted, lost: bool },
+    Elsewhere { accepted: Box<Accepted>, lost: bool },
     /// The deadline has passed.
     TimedOut,
 }
@@ -200,15 +200,15 @@
             let prefills = ticket.choice().instance.stage == Some(Stage::Prefill);
             let (ticket, step) = if prefills {
                 match self.prefill(ticket, resume_after).await? {
-                    Prefill::Done(ticket, step) => (ticket, step),
-                    Prefill::Accepted(accepted) => return Ok(accepted),
+                    Prefill::Done(ticket, step) => (*ticket, step),
+                    Prefill::Accepted(accepted) => return Ok(*accepted),
                     Prefill::Retry => continue,
                 }
             } else {
                 (ticket, Step::Whole)
             };
             if let Sent::Accepted(accepted) = self.send_attempt(ticket, step, resume_after).await? {
-                return Ok(accepted);
+                return Ok(*accepted);
             }
         }
     }
@@ -274,7 +274,7 @@
         let ticket = self.choose_open(Need::Decode, preferred_zone).await?;
         let cache = guard.take();
         Ok(cache.map_or(Prefill::Retry, |cache| {
-            Prefill::Done(ticket, Step::Decode(cache))
+            Prefill::Done(Box::new(ticket), Step::Decode(cache))
         }))
     }
 
@@ -310,7 +310,10 @@
             Wait::Ended(Ok(response)) => {
                 ticket.record_first_response(response.load, response.status < 300);
                 match self.classify(&response).await? {
-                    None => return Ok(Sent::Accepted(Accepted { response, ticket })),
+                    None => {
+                        let accepted = Accepted { response, ticket };
+                        return Ok(Sent::Accepted(Box::new(accepted)));
+                    }
                     Some(decision) => {
                         ticket.end(self.ending_of(&response, false));
                         decision
@@ -424,6 +427,7 @@
             let (answer, accepted) = first_answer(sent.as_mut(), other.boxed_local()).await;
             if let Some(accepted) = accepted {
                 let lost = matches!(answer, Some(Err(SendError::Lost(_))));
+                let accepted = Box::new(accepted);
                 return Wait::Elsewhere { accepted, lost };
             }
             self.log.stayed(&id, "no other endpoint has answered");
