Refuse requests in a stop whose answers could be lost at its end

Cause: whatever arrived in the stop delay was taken, without a look at its deadline or at what is left of the grace. A request whose body ended after the delay was passed on at any later moment. Its endpoint got the whole time of the caller, beyond the end of the process.

The new slice `shutdown` holds the moments of a stop and decides, from the time left, the deadline and the kind of the route, whether a request is still taken. The decision falls right before the request is passed on; the deadline that the endpoint gets ends with the stop. Others are refused as `leaving` (503, not run, Retry-After 0.010, connection closed). Answers to requests that began before the stop now announce the close, too. A slow store no longer delays the close of the listener, and the stop as a whole is bounded by the grace period instead of by whole seconds of the server.

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -18,6 +18,8 @@
 mod faulty;
 #[path = "gateway/notices.rs"]
 mod notices;
+#[path = "gateway/stop.rs"]
+mod stop;
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -52,10 +54,13 @@
     })
 }
 
-async fn open_gateway(process: &str, store: SocketAddr) -> Gateway {
+/// Settings of the stop in most tests.
+const STOP_SETTINGS: &str = r#""stop_delay": "200ms""#;
+
+async fn open_gateway(process: &str, store: SocketAddr, stop_settings: &str) -> Gateway {
     let text = format!(
         r#"{{"process": "{process}", "zone": "a", "listen": "127.0.0.1:0", "peers": "127.0.0.1:0",
-            "readiness": "127.0.0.1:0", "store": "{store}", "stop_delay": "200ms"}}"#,
+            "readiness": "127.0.0.1:0", "store": "{store}", {stop_settings}}}"#,
     );
     let settings = settings::Gateway::parse("gateway.jsonc", &text).expect("valid settings");
     let adapter = platform::open(settings.store).expect("valid key names");
@@ -64,8 +69,13 @@
 
 impl Harness {
     async fn open() -> Self {
+        Self::with_settings(STOP_SETTINGS).await
+    }
+
+    /// Starts a gateway with these settings of its stop.
+    async fn with_settings(stop: &str) -> Self {
         let store = Store::bind().expect("a free port");
-        let gateway = open_gateway("gateway-1", store.address()).await;
+        let gateway = open_gateway("gateway-1", store.address(), stop).await;
         let client = Client::builder().timeout(Duration::from_secs(20)).finish();
         Self {
             store,
@@ -336,7 +346,7 @@
 #[actix_web::test]
 async fn gateways_are_registered_until_they_stop() {
     let harness = Harness::open().await;
-    let other = open_gateway("gateway-2", harness.store.address()).await;
+    let other = open_gateway("gateway-2", harness.store.address(), STOP_SETTINGS).await;
     let wait_until_registered = async |expected: &[&str]| {
         for _ in 0..MAX_POLLS {
             if harness.store.keys("gateways/") == expected {
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -14,7 +14,7 @@
     ingress::{self, Protocol},
     link::{self, Identity},
     peers::{self, Presence},
-    settings,
+    settings, shutdown,
     store::{Path, Reader, Store},
 };
 
@@ -30,8 +30,6 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay of a timer from which on a line is logged.
 const TIMER_DELAY_MIN: Duration = Duration::from_millis(250);
-/// Part of the process's grace period that is left after the responses in progress have ended.
-const STOP_RESERVE: Duration = Duration::from_millis(500);
 
 /// The platform of a gateway: its store, formats and protocol.
 #[derive(Debug)]
@@ -57,8 +55,10 @@
 #[derive(Debug)]
 pub struct Gateway {
     server: ingress::Server,
-    stopping: watch::Sender<bool>,
+    shutdown: shutdown::Trigger,
     stop_delay: Duration,
+    grace: Duration,
+    clock: Shared,
     tasks: Vec<AbortHandle>,
     links: Option<PeerLinks>,
 }
@@ -77,10 +77,12 @@
     }
 
     /// Stops gracefully: reports that it is not ready, serves requests for the stop delay until the
-    /// load balancer has noticed, and then waits for the responses in progress.
+    /// load balancer has noticed, and then waits for the responses in progress. All of it ends within
+    /// the grace period.
     pub async fn stop(self) {
         log::info!("gateway is stopping");
-        self.stopping.send_replace(true);
+        let schedule = shutdown::Schedule::new(self.clock.now(), self.stop_delay, self.grace);
+        self.shutdown.begin(schedule);
         // The links stay open until the end, so that peers still count the work in progress.
         let (presence, _links) = self
             .links
@@ -91,8 +93,14 @@
                 presence.deregister().await;
             }
         };
-        futures_util::future::join(withdraw, time::sleep(self.stop_delay)).await;
-        self.server.stop().await;
+        let exit_at = schedule.exit_at();
+        let serve = async {
+            time::sleep_until(schedule.accept_until().into()).await;
+            self.server.stop(exit_at).await;
+        };
+        // A slow store must not delay the end.
+        let withdraw = time::timeout_at(exit_at.into(), withdraw);
+        let _ = futures_util::future::join(withdraw, serve).await;
         for task in &self.tasks {
             task.abort();
         }
@@ -147,26 +155,20 @@
         }),
     );
 
-    let (stopping, stopping_receiver) = watch::channel(false);
-    let stop_timeout = settings
-        .grace
-        .saturating_sub(settings.stop_delay + STOP_RESERVE);
-    let server = ingress::bind(
-        ingress::Config {
-            listen: settings.listen,
-            readiness: settings.readiness,
-            protocol: adapter.protocol,
-            plan,
-            endpoints,
-            stopping: stopping_receiver,
-            choose: dispatcher.clone().recipient(),
-            may_retry: dispatcher.clone().recipient(),
-            is_silent: dispatcher.clone().recipient(),
-            clock: Arc::clone(&clock),
-            metrics: metrics.clone(),
-        },
-        stop_timeout,
-    )?;
+    let (shutdown, shutdown_watch) = shutdown::channel();
+    let server = ingress::bind(ingress::Config {
+        listen: settings.listen,
+        readiness: settings.readiness,
+        protocol: adapter.protocol,
+        plan,
+        endpoints,
+        shutdown: shutdown_watch,
+        choose: dispatcher.clone().recipient(),
+        may_retry: dispatcher.clone().recipient(),
+        is_silent: dispatcher.clone().recipient(),
+        clock: Arc::clone(&clock),
+        metrics: metrics.clone(),
+    })?;
     let (links, follow_gateways) = match settings.peers {
         Some(address) => {
             let port = link::BoundListener::bind(address).await?;
@@ -185,14 +187,16 @@
     let mut tasks = vec![
         follow_plan,
         follow_endpoints,
-        tokio::task::spawn_local(run_expiry(publisher, clock)).abort_handle(),
+        tokio::task::spawn_local(run_expiry(publisher, Arc::clone(&clock))).abort_handle(),
         tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
     ];
     tasks.extend(follow_gateways);
     Ok(Gateway {
         server,
-        stopping,
+        shutdown,
         stop_delay: settings.stop_delay,
+        grace: settings.grace,
+        clock,
         tasks,
         links,
     })
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -13,7 +13,7 @@
     web::{self, Bytes},
 };
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::sync::watch;
+use tokio::{sync::watch, time};
 
 use super::{Result, serve};
 use crate::{
@@ -23,6 +23,7 @@
     forward::{Call, Ports, Upstream},
     id, listener,
     route::Plan,
+    shutdown,
 };
 
 /// Time within which the head of a request must arrive.
@@ -30,6 +31,8 @@
 /// Time after which an idle connection of a caller is closed. It is longer than any idle time that
 /// callers are allowed, so that a connection is not closed while a request arrives on it.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+/// Limit of the wait for connections of callers in a stop, which [`Server::stop`] ends before.
+const STOP_TIMEOUT: Duration = Duration::from_mins(1);
 /// Limit of concurrent connections of callers.
 const CONNECTIONS_MAX: usize = 3_000;
 /// Threads that serve callers; a host of the platform has only a part of one core.
@@ -68,8 +71,8 @@
     pub plan: watch::Receiver<Option<Arc<Plan>>>,
     /// Whether at least one endpoint is known.
     pub endpoints: watch::Receiver<bool>,
-    /// Set when the graceful shutdown begins.
-    pub stopping: watch::Receiver<bool>,
+    /// Follows whether the process stops.
+    pub shutdown: shutdown::Watch,
     /// Chooses an endpoint for each attempt.
     pub choose: Recipient<Choose>,
     /// Grants retries within the retry budget of the service.
@@ -94,7 +97,7 @@
 impl Config {
     /// Fails with the reason if the process is not ready.
     pub(super) fn readiness(&self) -> Result<()> {
-        if *self.stopping.borrow() {
+        if self.shutdown.schedule().is_some() {
             return Err(Error::new(Kind::Leaving, "the process is stopping"));
         }
         if self.plan.borrow().is_none() || !*self.endpoints.borrow() {
@@ -135,23 +138,25 @@
         self.readiness
     }
 
-    /// Stops accepting connections of callers, waits for the responses in progress, and then stops
-    /// the server for readiness and metrics.
-    pub async fn stop(self) {
-        self.callers.stop(true).await;
+    /// Stops accepting connections of callers, waits for the responses in progress until `exit_at`, and
+    /// then stops the server for readiness and metrics.
+    pub async fn stop(self, exit_at: Instant) {
+        let ended = time::timeout_at(exit_at.into(), self.callers.stop(true)).await;
+        if ended.is_err() {
+            log::warn!("connections of callers were still open at the end of the stop");
+        }
         self.control.stop(false).await;
     }
 }
 
-/// Binds both addresses and starts to serve. `stop_timeout` limits the wait for responses in
-/// progress during a graceful shutdown; fractions of a second are dropped.
+/// Binds both addresses and starts to serve.
 ///
 /// # Errors
 ///
 /// Fails if an address cannot be bound.
-pub fn bind(config: Config, stop_timeout: Duration) -> Result<Server> {
+pub fn bind(config: Config) -> Result<Server> {
     let (control, readiness) = bind_control(&config)?;
-    let (callers, address) = bind_callers(config, stop_timeout)?;
+    let (callers, address) = bind_callers(config)?;
     Ok(Server {
         address,
         readiness,
@@ -160,14 +165,14 @@
     })
 }
 
-fn bind_callers(config: Config, stop_timeout: Duration) -> Result<(ServerHandle, SocketAddr)> {
+fn bind_callers(config: Config) -> Result<(ServerHandle, SocketAddr)> {
     let parameters = listener::Config {
         address: config.listen,
         workers: WORKERS,
         connections_max: CONNECTIONS_MAX,
         head_timeout: HEAD_TIMEOUT,
         idle_timeout: IDLE_TIMEOUT,
-        stop_timeout,
+        stop_timeout: STOP_TIMEOUT,
         clock: Arc::clone(&config.clock),
     };
     let new_app = move || {
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use actix_web::{
     HttpRequest, HttpResponse,
@@ -24,6 +24,8 @@
 
 /// Bytes of a header line in addition to its name and value: colon, space, CR and LF.
 const HEADER_LINE_OVERHEAD: usize = 4;
+/// Retry-after period of a refusal by a stopping process. The next attempt reaches another one.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// Handles a request from a caller.
 pub(super) async fn request(
@@ -31,12 +33,12 @@
     payload: web::Payload,
     context: web::Data<Context>,
 ) -> HttpResponse {
-    let stopping = *context.config.stopping.borrow();
     let mut response = match forward(&request, payload, &context).await {
         Ok(response) => to_http_response(response),
         Err(error) => error_response(&error),
     };
-    if stopping {
+    // A stop may have begun after the request.
+    if context.config.shutdown.schedule().is_some() {
         // Closes the caller's connection, so that its next request reaches another process.
         response
             .head_mut()
@@ -83,11 +85,36 @@
     let limits = plan.limits();
     check_head(request.headers(), limits.head)?;
     let arrived = context.ports.clock.now();
-    let body = receive::read_body(payload, limits.body).await?;
+    let shutdown = context.config.shutdown.clone();
+    let body = tokio::select! {
+        body = receive::read_body(payload, limits.body) => body?,
+        () = shutdown.cut(&*context.ports.clock) => return Err(leaving()),
+    };
     let call = context.config.protocol.decode(request, body, arrived)?;
+    let call = admit(call, &route, context)?;
     Ok((call, route))
 }
 
+/// Refuses a request that a stopping process may be unable to answer, and limits the time of others
+/// to that of the stop.
+fn admit(mut call: Call, route: &Route, context: &Context) -> Result<Call> {
+    let Some(schedule) = context.config.shutdown.schedule() else {
+        return Ok(call);
+    };
+    let timeout = call.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let now = context.ports.clock.now();
+    let deadline = schedule
+        .admit(now, call.arrived + timeout, route.kind)
+        .ok_or_else(leaving)?;
+    call.timeout = Some(deadline.saturating_duration_since(call.arrived));
+    Ok(call)
+}
+
+fn leaving() -> Error {
+    let detail = "the process is stopping and takes no request of this length";
+    Error::new(Kind::Leaving, detail).with_retry_after(LEAVING_RETRY_AFTER)
+}
+
 fn check_head(headers: &HeaderMap, limit: Bytes) -> Result<()> {
     let size: usize = headers
         .iter()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,7 @@
 pub mod route;
 pub mod routing;
 pub mod settings;
+pub mod shutdown;
 pub mod spread;
 pub mod store;
 pub mod subset;
