Answer requests that are in progress at the end of a stop

Callers whose requests began before a planned stop and lasted until its end saw their connection closed without an answer. The log said "caller left" for them, or nothing, since the process ended before.

Cause: the server drops its connections when its time is up; nothing told the requests. Now each of them follows the stop. Without a head yet, it ends in 504 `executed: unknown`, or in 503 if no endpoint got it, written and flushed before the process ends. A stream that has begun ends without its last chunk, as before. Each is counted in `stop_cuts_total` by phase, and its line `request finished` says that the process stops.

--- a/mulberrymill-bench/tests/gateway/stop.rs
+++ b/mulberrymill-bench/tests/gateway/stop.rs
@@ -270,3 +270,37 @@
     stopping.await.expect("the stop does not panic");
     insta::assert_debug_snapshot!(outcomes);
 }
+
+/// Guards against a request that is cut without an answer at the end of a stop that began after it, or
+/// whose answer does not say that the connection ends (LOST).
+#[actix_web::test]
+async fn requests_before_a_stop_are_answered_at_its_end() {
+    let rig = Rig::open().await;
+    let address = rig.harness.gateway.address();
+    let calls = [
+        Call::new("once", "500", 20_000, "1"),
+        Call::new("once", LONG, 20_000, "1"),
+        Call::new("plain", LONG, 20_000, "1"),
+        Call::new("stream", LONG, 20_000, "1"),
+    ];
+    let mut sent = Vec::new();
+    for call in calls {
+        let mut caller = connect(address).await.expect("a connection");
+        let sent_head = caller.write_all(call.head(0).as_bytes()).await;
+        sent_head.expect("a gateway that reads");
+        while !rig.seen.borrow().contains(&call.id) {
+            time::sleep(EVENT_INTERVAL).await;
+        }
+        sent.push((call, caller));
+    }
+    let stopping = task::spawn_local(rig.harness.gateway.stop());
+    let outcomes = sent.into_iter().map(async |(call, mut caller)| {
+        let answer = read_rest(&mut caller).await;
+        let closes = answer.to_lowercase().contains("connection: close");
+        let what = outcome(Some(&answer), true);
+        format!("{}: {what}, announces its close: {closes}", call.id)
+    });
+    let outcomes = join_all(outcomes).await;
+    stopping.await.expect("the stop does not panic");
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -22,6 +22,7 @@
     id::{Endpoint, Service, Zone},
     invariant::{self, Invariant},
     route::Route,
+    shutdown,
     unit::Tokens,
 };
 
@@ -67,6 +68,8 @@
     pub is_silent: Recipient<IsSilent>,
     /// Sends attempts to endpoints.
     pub upstream: Rc<dyn Upstream>,
+    /// Follows whether the process stops.
+    pub shutdown: shutdown::Watch,
     /// Time source of deadlines and latencies.
     pub clock: Shared,
 }
@@ -98,7 +101,14 @@
         last_failure: None,
     };
     let resume_after = exchange.call.resume_after;
-    match exchange.obtain_response(resume_after).await {
+    let shutdown = exchange.ports.shutdown.clone();
+    let clock = Arc::clone(&exchange.ports.clock);
+    let obtained = tokio::select! {
+        biased;
+        obtained = exchange.obtain_response(resume_after) => Some(obtained),
+        () = shutdown.cut(&*clock) => None,
+    };
+    match obtained.unwrap_or_else(|| Err(exchange.cut_by_stop())) {
         Ok(accepted) => Ok(stream::relay_response(exchange, accepted)),
         Err(error) => {
             exchange.log.answered(error.kind().answer().status);
@@ -497,6 +507,16 @@
         error
     }
 
+    /// The error for a request that is in progress at the end of a stop.
+    fn cut_by_stop(&self) -> Error {
+        metrics::counter!("stop_cuts_total", "phase" => "waiting").increment(1);
+        // An attempt in progress is not marked as possibly run before it has ended.
+        if self.may_have_run || self.sends > 0 {
+            return Error::new(Kind::Deadline, "the process stops before the answer");
+        }
+        Error::new(Kind::Leaving, "the process stops; not run")
+    }
+
     /// Chooses an endpoint, and waits if all of them pause and one opens early enough.
     async fn choose_open(&mut self, need: Need, preferred_zone: Option<Zone>) -> Result<Ticket> {
         loop {
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,4 +1,7 @@
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix_web::http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::Bytes;
@@ -11,7 +14,7 @@
 };
 use crate::{
     dispatch::{Ending, Ticket},
-    error::{Error, Kind},
+    error::{Error, Executed, Kind},
     invariant::{self, Invariant},
     upstream::Body,
 };
@@ -46,10 +49,18 @@
         body: Some(response.body),
         ticket: Some(ticket),
     };
-    let body = stream::unfold(Some(relay), |relay| async move {
-        let mut relay = relay?;
-        match relay.next().await {
-            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+    let shutdown = relay.exchange.ports.shutdown.clone();
+    let clock = Arc::clone(&relay.exchange.ports.clock);
+    let cut = Box::pin(async move { shutdown.cut(&*clock).await });
+    let body = stream::unfold(Some((relay, cut)), |state| async move {
+        let (mut relay, mut cut) = state?;
+        let next = tokio::select! {
+            biased;
+            next = relay.next() => next,
+            () = &mut cut => Err(cut_by_stop()),
+        };
+        match next {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some((relay, cut)))),
             Ok(None) => None,
             Err(error) => {
                 relay.exchange.log.ended(error.to_string());
@@ -260,6 +271,16 @@
     }
 }
 
+/// The error that ends the body of a response that is in progress at the end of a stop.
+fn cut_by_stop() -> Error {
+    metrics::counter!("stop_cuts_total", "phase" => "answering").increment(1);
+    Error::new(
+        Kind::Leaving,
+        "the process stops before the end of the answer",
+    )
+    .with_executed(Executed::Unknown)
+}
+
 fn past_deadline() -> Error {
     Error::new(Kind::Deadline, "the answer is not complete in time")
 }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -25,6 +25,7 @@
     error::Kind,
     notice::Notice,
     route::{self, Route, Target},
+    shutdown,
     testing::with_paused_time,
     unit::Tokens,
     upstream::{self, Body},
@@ -230,6 +231,7 @@
         may_retry: dispatcher.clone().recipient(),
         is_silent: dispatcher.clone().recipient(),
         upstream: Rc::clone(script) as Rc<dyn Upstream>,
+        shutdown: shutdown::Watch::default(),
         clock: System::shared(),
     };
     Rig { dispatcher, ports }
@@ -338,6 +340,35 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, None));
 }
 
+/// Guards against a request in progress that is cut without an answer at the end of a stop, or that is
+/// reported as not executed although it may have run (LOST, REFUSED).
+#[test]
+fn requests_in_progress_are_answered_at_the_end_of_a_stop() {
+    const GRACE: Duration = Duration::from_millis(800);
+    let cases = [
+        ("sent", Act::Hang, PLAIN, None),
+        ("prefill sent", Act::Hang, STAGED, Some(900)),
+        ("stream begun", Act::Stall(EVENTS), PLAIN, None),
+        ("stream complete", Act::Stream(EVENTS), PLAIN, None),
+    ];
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for (name, act, stages, prompt) in cases {
+            let script = Rc::new(Script::default());
+            script.acts.borrow_mut().push_back(act);
+            let mut ports = ports(&script, stages).await.ports;
+            let (trigger, watch) = shutdown::channel();
+            ports.shutdown = watch;
+            let schedule = shutdown::Schedule::new(System.now(), Duration::ZERO, GRACE);
+            trigger.begin(schedule);
+            let answer = start(call(prompt), route(route::Kind::Stream, 1), ports);
+            outcomes.push(format!("{name}: {}", describe(answer, &script).await));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against idempotent requests that fail although another endpoint could serve them, and
 /// against more sends than the route allows.
 #[test]
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -190,6 +190,7 @@
         may_retry: config.may_retry.clone(),
         is_silent: config.is_silent.clone(),
         upstream: config.protocol.upstream(),
+        shutdown: config.shutdown.clone(),
         clock: Arc::clone(&config.clock),
     };
     Context {
