--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::VecDeque,
     pin::pin,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -15,7 +16,7 @@
 };
 use crate::{
     dispatch::{Ending, Need, Ticket},
-    error::{Error, Kind},
+    error::{Error, Executed, Kind},
     id::Endpoint,
     invariant::{self, Invariant},
     upstream::{self, Body},
@@ -54,10 +55,18 @@
         held: VecDeque::new(),
         ticket: Some(ticket),
     };
-    let body = stream::unfold(Some(relay), |relay| async move {
-        let mut relay = relay?;
-        match relay.next().await {
-            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+    let shutdown = relay.exchange.ports.shutdown.clone();
+    let clock = Arc::clone(&relay.exchange.ports.clock);
+    let cut = Box::pin(async move { shutdown.cut(&*clock).await });
+    let body = stream::unfold(Some((relay, cut)), |state| async move {
+        let (mut relay, mut cut) = state?;
+        let next = tokio::select! {
+            biased;
+            next = relay.next() => next,
+            () = &mut cut => Err(cut_by_stop()),
+        };
+        match next {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some((relay, cut)))),
             Ok(None) => None,
             Err(error) => {
                 relay.exchange.log.cut_off(&error);
@@ -496,6 +505,16 @@
     Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
 }
 
+/// The error that ends the body of a response that is in progress at the end of a stop.
+fn cut_by_stop() -> Error {
+    metrics::counter!("stop_cuts_total", "phase" => "answering").increment(1);
+    Error::new(
+        Kind::Leaving,
+        "the process stops before the end of the answer",
+    )
+    .with_executed(Executed::Unknown)
+}
+
 fn past_deadline() -> Error {
     Error::new(Kind::Deadline, "the answer is not complete in time")
 }
