Decode each item of a page and of a batch of the store on its own

One item that could not be read (a key, revision or value of another type, a number too large, 500 levels of nesting) made its whole page or batch unreadable. The gateway then knew no endpoint, or lost track of all of them, and read the list again and again.

Cause: a page was parsed as one JSON document. Now its list is split into the texts of its elements, without recursion, and each is decoded by itself; an unreadable `asOf` is still an error. A value that cannot be decoded is empty, so its key does not keep the value that it had. A truncated page that does not advance ends the read with an error, instead of an endless loop.

--- a/mulberrymill-bench/src/platform/store.rs
+++ b/mulberrymill-bench/src/platform/store.rs
@@ -32,6 +32,10 @@
     last_lease: u64,
     /// Keys attached to each live lease.
     leases: BTreeMap<u64, Vec<String>>,
+    /// Keys that are listed with this text in place of their item.
+    odd_items: BTreeMap<String, String>,
+    /// Range calls so far.
+    range_calls: usize,
 }
 
 #[derive(Debug)]
@@ -129,6 +133,24 @@
         self.shared.apply(key, Some(value.to_string().into_bytes()));
     }
 
+    /// Sets a key to any bytes, without a lease.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
+        self.shared.apply(key, Some(value));
+    }
+
+    /// Sets a key that pages and events list as `text`, whatever it is, in place of an item.
+    pub fn put_odd_item(&self, key: &str, text: &str) {
+        let odd = (key.to_owned(), text.to_owned());
+        self.shared.keys().odd_items.extend([odd]);
+        self.shared.apply(key, Some(Vec::new()));
+    }
+
+    /// Number of range calls so far.
+    #[must_use]
+    pub fn range_calls(&self) -> usize {
+        self.shared.keys().range_calls
+    }
+
     /// Removes a key and records the removal for watches, even if the key is absent.
     pub fn remove(&self, key: &str) {
         self.shared.apply(key, None);
@@ -158,25 +180,41 @@
     wait_ms: u64,
 }
 
-fn item(key: &str, value: &[u8], revision: u64) -> Value {
-    json!({
-        "key": key, "value": STANDARD.encode(value), "rev": revision, "createRev": revision,
-        "lease": 0,
-    })
+impl Keys {
+    /// JSON text of an item.
+    fn item(&self, key: &str, value: &[u8], revision: u64) -> String {
+        self.odd_items.get(key).cloned().unwrap_or_else(|| {
+            json!({
+                "key": key, "value": STANDARD.encode(value), "rev": revision,
+                "createRev": revision, "lease": 0,
+            })
+            .to_string()
+        })
+    }
+}
+
+fn json_response(body: String) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .body(body)
 }
 
 async fn range(shared: web::Data<Shared>, query: Query<Range>) -> HttpResponse {
-    let keys = shared.keys();
+    let mut keys = shared.keys();
+    keys.range_calls += 1;
     let matching = keys
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(&query.prefix) && **key > query.after);
-    let items: Vec<Value> = matching
-        .map(|(key, (value, revision))| item(key, value, *revision))
+    let items: Vec<String> = matching
+        .map(|(key, (value, revision))| keys.item(key, value, *revision))
         .collect();
     let truncated = items.len() > PAGE_ITEMS;
-    let page = &items[..items.len().min(PAGE_ITEMS)];
-    HttpResponse::Ok().json(json!({ "items": page, "truncated": truncated, "asOf": keys.revision }))
+    let page = items[..items.len().min(PAGE_ITEMS)].join(",");
+    let revision = keys.revision;
+    json_response(format!(
+        r#"{{"items":[{page}],"truncated":{truncated},"asOf":{revision}}}"#
+    ))
 }
 
 async fn watch_changes(shared: web::Data<Shared>, query: Query<Watch>) -> HttpResponse {
@@ -184,29 +222,27 @@
     let deadline = time::Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         changed.borrow_and_update();
-        let answer = {
+        let (events, revision) = {
             let keys = shared.keys();
             if query.after < keys.compacted {
                 return HttpResponse::Gone().finish();
             }
-            let events: Vec<Value> = keys
+            let events: Vec<String> = keys
                 .history
                 .iter()
                 .filter(|(revision, key, _)| {
                     *revision > query.after && key.starts_with(&query.prefix)
                 })
                 .map(|(revision, key, value)| match value {
-                    Some(value) => item(key, value, *revision),
-                    None => json!({ "key": key, "rev": revision, "removed": true }),
+                    Some(value) => keys.item(key, value, *revision),
+                    None => json!({ "key": key, "rev": revision, "removed": true }).to_string(),
                 })
                 .collect();
-            json!({ "events": events, "asOf": keys.revision })
+            (events, keys.revision)
         };
-        let any = answer["events"]
-            .as_array()
-            .is_some_and(|events| !events.is_empty());
-        if any || time::timeout_at(deadline, changed.changed()).await.is_err() {
-            return HttpResponse::Ok().json(answer);
+        if !events.is_empty() || time::timeout_at(deadline, changed.changed()).await.is_err() {
+            let events = events.join(",");
+            return json_response(format!(r#"{{"events":[{events}],"asOf":{revision}}}"#));
         }
     }
 }
--- /dev/null
+++ b/mulberrymill-bench/tests/gateway/odd_entries.rs
@@ -0,0 +1,80 @@
+//! Entries of other writers among those of the endpoints.
+
+use std::collections::BTreeSet;
+
+use super::*;
+
+/// Requests after which a test has met every endpoint that is in use.
+const REQUESTS: usize = 30;
+
+/// Opens a gateway with the endpoints `e1` and `e2` of service `s1`, and an endpoint that has no
+/// entry of its own.
+async fn open_harness() -> (Harness, [Endpoint; 3]) {
+    let harness = Harness::open().await;
+    let endpoints = ["e1", "e2", "decoy"].map(|id| Endpoint::bind(id).expect("a free port"));
+    for (id, endpoint) in ["e1", "e2"].iter().zip(&endpoints) {
+        let entry = endpoint.entry("s1", "ready");
+        harness.store.put(&format!("servers/{id}"), &entry);
+    }
+    (harness, endpoints)
+}
+
+/// The answers to some requests, without repetitions.
+async fn answers(harness: &Harness) -> BTreeSet<String> {
+    let mut answers = BTreeSet::new();
+    for _ in 0..REQUESTS {
+        answers.insert(harness.send("/plain/1").await);
+    }
+    answers
+}
+
+/// Adds an endpoint, and returns the answers once it is in use.
+async fn answers_after_change(harness: &Harness, id: &str) -> (Endpoint, BTreeSet<String>) {
+    let endpoint = Endpoint::bind(id).expect("a free port");
+    let entry = endpoint.entry("s1", "ready");
+    harness.store.put(&format!("servers/{id}"), &entry);
+    harness.wait_until_answered_by(id).await;
+    (endpoint, answers(harness).await)
+}
+
+/// Guards against an item of the store that cannot be read and makes its whole page or batch
+/// unreadable, so that the gateway knows no endpoint and reads the list again and again.
+#[actix_web::test]
+async fn unreadable_items_cost_only_themselves() {
+    let (harness, _endpoints) = open_harness().await;
+    let deep = |key: &str| {
+        let (open, close) = ("[".repeat(500), "]".repeat(500));
+        format!(r#"{{"key":"{key}","rev":1000,"value":{open}{close}}}"#)
+    };
+    let items = [
+        ("servers/e1a", "7"),
+        ("servers/e1b", r#"{"key":"servers/e1b","rev":2.5}"#),
+        ("servers/e1c", r#"{"key":"\ud800","rev":1,"value":"e30="}"#),
+        ("servers/e1d", &deep("servers/e1d")),
+        ("servers/e1e", r#"{"key":"servers/e1e","rev":1e999}"#),
+        (
+            "servers/e1f",
+            r#"{"key":"servers/e1f","rev":1,"value":null}"#,
+        ),
+        (
+            "servers/e1g",
+            r#"{"key":"servers/e1g","rev":1,"value":"?"}"#,
+        ),
+    ];
+    for (key, text) in items {
+        harness.store.put_odd_item(key, text);
+    }
+    harness.store.put("op/config", &config(3, "s1"));
+    harness.wait_until_ready().await;
+    let mut steps = vec![answers(&harness).await];
+    let calls = harness.store.range_calls();
+    let (_e3, later) = answers_after_change(&harness, "e3").await;
+    steps.push(later);
+    harness
+        .store
+        .put_odd_item("servers/e2", &deep("servers/e2"));
+    let (_e4, later) = answers_after_change(&harness, "e4").await;
+    steps.push(later);
+    assert_eq!(harness.store.range_calls(), calls);
+    insta::assert_debug_snapshot!(steps);
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod codec;
 mod engine;
 mod ingress;
+mod list;
 mod names;
 mod record;
 mod store;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -80,11 +80,12 @@
     }
 
     /// Reads JSON from the store. Only status 200 is a success.
-    async fn call<T: DeserializeOwned>(
+    async fn call<T>(
         &self,
         path: &'static str,
         query: &[(&str, &str)],
         limit: Duration,
+        decode: impl FnOnce(&[u8]) -> serde_json::Result<T>,
     ) -> Result<T> {
         let request = self.client.get(format!("http://{}{path}", self.address));
         let request = request
@@ -94,7 +95,7 @@
             .call_with_timeout(path, limit, send(request.send()))
             .await?
         {
-            (StatusCode::OK, body) => parse(&body),
+            (StatusCode::OK, body) => decode(&body).map_err(malformed),
             (status, _) => Err(status_error(status)),
         }
     }
@@ -139,18 +140,21 @@
             } else {
                 &query
             };
-            let page: Page = self.call(names::STORE_RANGE, query, CALL_TIMEOUT).await?;
+            let page = self
+                .call(names::STORE_RANGE, query, CALL_TIMEOUT, Page::parse)
+                .await?;
             // Later pages can have newer revisions. Starting the watch after the revision of the
             // first page repeats some changes but misses none.
             if range.revision == Revision::default() {
                 range.revision = Revision::new(page.revision);
             }
-            let last = page.items.last().map(|entry| entry.key.clone());
             range.items.extend(page.items.iter().filter_map(item));
-            match last {
-                Some(last) if page.truncated => after = last,
-                _ => return Ok(range),
+            if !page.truncated {
+                return Ok(range);
             }
+            // A page without a key to continue after would be read again and again.
+            let next = page.last_key.filter(|last| *last > after);
+            after = next.ok_or_else(|| unavailable("a truncated page does not advance"))?;
         }
     }
 }
@@ -159,9 +163,11 @@
     fn get(&self, path: Path) -> Future<'_, Range> {
         async move {
             let query = [("key", key(&path))];
-            let single: Single = self.call(names::STORE_KEY, &query, CALL_TIMEOUT).await?;
+            let single = self
+                .call(names::STORE_KEY, &query, CALL_TIMEOUT, Single::parse)
+                .await?;
             Ok(Range {
-                items: item(&single.entry).into_iter().collect(),
+                items: single.entry.iter().filter_map(item).collect(),
                 revision: Revision::new(single.revision),
             })
         }
@@ -185,8 +191,8 @@
                     ("after", since.as_str()),
                     ("waitMs", wait_text.as_str()),
                 ];
-                let call =
-                    store.call::<Batch>(names::STORE_WATCH, &query, wait + WATCH_TIMEOUT_MARGIN);
+                let limit = wait + WATCH_TIMEOUT_MARGIN;
+                let call = store.call(names::STORE_WATCH, &query, limit, Batch::parse);
                 match call.await {
                     Ok(batch) => {
                         let next = batch.revision.max(after);
@@ -215,9 +221,10 @@
                     found: Vec::new(),
                 }),
                 StatusCode::PRECONDITION_FAILED => {
-                    let items = parse::<PreconditionFailed>(&body)?.items;
+                    let failed = PreconditionFailed::parse(&body).map_err(malformed)?;
                     // The store lists a missing key with revision 0.
-                    let found: Vec<Item> = items
+                    let found: Vec<Item> = failed
+                        .items
                         .iter()
                         .filter(|entry| entry.rev > 0 && !entry.removed)
                         .filter_map(item)
@@ -299,11 +306,13 @@
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|error| {
-        unavailable("malformed answer")
-            .with_source(error)
-            .with_executed(Executed::Unknown)
-    })
+    serde_json::from_slice(body).map_err(malformed)
+}
+
+fn malformed(error: serde_json::Error) -> Error {
+    unavailable("malformed answer")
+        .with_source(error)
+        .with_executed(Executed::Unknown)
 }
 
 /// Error for a response of the store that reports that nothing was executed.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -15,7 +15,7 @@
 use crate::{
     directory::Codec as _,
     ingress::Protocol as _,
-    store::{Path, Reader as _},
+    store::{Item, Path, Reader as _},
 };
 
 const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"santiago-a",
@@ -170,7 +170,64 @@
     assert_eq!(error.kind(), Kind::StoreUnavailable);
 }
 
+fn any_json() -> impl Strategy<Value = String> {
+    let scalar = prop_oneof![
+        Just("null".to_owned()),
+        Just("1e999".to_owned()),
+        Just("\"\\ud800\"".to_owned()),
+        any::<i128>().prop_map(|number| number.to_string()),
+        "[ -~]{0,20}".prop_map(|text| serde_json::Value::from(text).to_string()),
+    ];
+    let name = prop_oneof![
+        Just("key"),
+        Just("value"),
+        Just("rev"),
+        Just("createRev"),
+        Just("removed"),
+        Just("items")
+    ];
+    scalar.prop_recursive(4, 24, 4, move |inner| {
+        let field = (name.clone(), inner.clone());
+        prop_oneof![
+            inner.clone().prop_map(|value| format!(
+                "{}{value}{}",
+                "[".repeat(200),
+                "]".repeat(200)
+            )),
+            prop::collection::vec(inner, 0..4)
+                .prop_map(|values| format!("[ {} ]", values.join(" , "))),
+            prop::collection::vec(field, 0..4).prop_map(|fields| {
+                let fields = fields
+                    .iter()
+                    .map(|(name, value)| format!("\"{name}\" : {value}"));
+                format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+            }),
+        ]
+    })
+}
+
 proptest! {
+    /// Guards against an item that changes how the others of its page or batch are read.
+    #[test]
+    fn any_item_leaves_the_others_readable(odd in any_json(), place in 0..3_usize) {
+        let good = |key: &str| format!(r#"{{"key":"servers/{key}","value":"e30=","rev":7}}"#);
+        let mut items = vec![good("i-1"), good("i-2")];
+        items.insert(place, odd);
+        let list = items.join(",");
+        let page = format!(r#"{{"truncated":true,"items":[{list}],"asOf":9}}"#);
+        let page = record::Page::parse(page.as_bytes()).expect("a page");
+        let batch = format!(r#"{{"events":[{list}],"asOf":9}}"#);
+        let batch = record::Batch::parse(batch.as_bytes()).expect("a batch");
+        prop_assert_eq!((page.revision, page.truncated, batch.revision), (9, true, 9));
+        let items: Vec<_> = page.items.iter().filter_map(record::item).collect();
+        let events: Vec<_> = batch.events.iter().filter_map(record::event).collect();
+        for id in ["/servers/i-1", "/servers/i-2"] {
+            let is_whole = |item: &Item| item.path == path(id) && item.value == b"\x7b\x7d";
+            prop_assert!(items.iter().any(is_whole));
+            prop_assert!(events.iter().any(|event| event.path == path(id)));
+        }
+    }
+
     /// Guards against a panic on bytes that are neither an entry nor a configuration.
     #[test]
     fn arbitrary_bytes_are_rejected(
