Use no entry of another writer as an endpoint

An entry with 4,294,967,295 slots took the requests of a plain service, as their cost is counted per slot. Entries without slots, without fields that every endpoint writes, with port 0, or with an address at which nothing can listen were used too, as were ones that only a lenient reader can read: very deep, or with a number too large in a field that is not used here. An entry whose key has a further level took the place of the endpoint named by its last part.

All fields of an entry are now required and checked, slots up to 65,536, and the id is the whole key below the prefix.

--- a/mulberrymill-bench/tests/gateway/odd_entries.rs
+++ b/mulberrymill-bench/tests/gateway/odd_entries.rs
@@ -78,3 +78,51 @@
     assert_eq!(harness.store.range_calls(), calls);
     insta::assert_debug_snapshot!(steps);
 }
+
+/// Guards against an entry of another writer that is used as an endpoint, displaces one, or sends
+/// requests back to the gateway itself.
+#[actix_web::test]
+async fn odd_entries_name_no_endpoint() {
+    let (harness, [_e1, _e2, decoy]) = open_harness().await;
+    let with = |field: &str, value: Value| {
+        let mut entry = decoy.entry("s1", "ready");
+        entry[field] = value;
+        entry.to_string()
+    };
+    let port = decoy.address().port();
+    let odd_seq = |seq: &str| with("seq", json!(123)).replace("123", seq);
+    let entries = [
+        (
+            "o01",
+            odd_seq(&format!("{}{}", "[".repeat(500), "]".repeat(500))),
+        ),
+        ("o02", odd_seq("1e999")),
+        ("o03", with("slots", json!(u64::MAX))),
+        ("o04", with("slots", json!(u32::MAX))),
+        ("o05", with("slots", json!(0))),
+        ("o06", with("address", json!("127.0.0.1:70000"))),
+        ("o07", with("address", json!("127.0.0.1:0"))),
+        ("o08", with("address", json!(format!("0.0.0.0:{port}")))),
+        ("o09", with("address", json!("224.0.0.1:80"))),
+        ("o11", with("state", json!("dancing"))),
+        ("o12", with("seq", Value::Null)),
+        ("o13", "[".repeat(100_000)),
+        ("z/e1", with("seq", json!(1))),
+    ];
+    for (id, entry) in entries {
+        harness
+            .store
+            .put_bytes(&format!("servers/{id}"), entry.into_bytes());
+    }
+    harness.store.put_bytes("servers/o14", vec![0xff, 0xfe, 0]);
+    harness.store.put("op/config", &config(3, "s1"));
+    harness.wait_until_ready().await;
+    let mut steps = vec![answers(&harness).await];
+    let calls = harness.store.range_calls();
+    harness.store.put_bytes("servers/e2", b"{}".to_vec());
+    let (_e3, later) = answers_after_change(&harness, "e3").await;
+    steps.push(later);
+    assert_eq!(harness.store.range_calls(), calls);
+    assert_eq!(decoy.seen(), []);
+    insta::assert_debug_snapshot!(steps);
+}
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -1,8 +1,11 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use serde::Deserialize;
 
-use super::Result;
+use super::{Result, names};
 use crate::{
     directory::{self, Instance, Started},
     error::{Error, Kind},
@@ -21,7 +24,12 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Codec;
 
-/// Entry of an endpoint in the store. Unused fields are omitted.
+/// Most slots that an entry may state: each running request takes a connection, and a host has no
+/// more of them.
+const SLOTS_MAX: u32 = 1 << 16;
+
+/// Entry of an endpoint in the store. An entry without a field that is unused here is not one of an
+/// endpoint.
 #[derive(Deserialize)]
 struct EndpointEntry {
     service: id::Service,
@@ -29,6 +37,12 @@
     zone: id::Zone,
     slots: u32,
     state: State,
+    #[serde(rename = "version")]
+    _version: String,
+    #[serde(rename = "coldLeftMs")]
+    _cold_left: f64,
+    #[serde(rename = "seq")]
+    _sequence: u64,
     #[serde(default)]
     stage: Option<String>,
     /// Unix time of the start of this run, in milliseconds.
@@ -94,12 +108,21 @@
 
 impl directory::Codec for Codec {
     fn instance(&self, path: &Path, value: &[u8]) -> Result<Instance> {
-        let id = path.as_str().rsplit('/').next().unwrap_or_default();
+        let id = path.as_str().strip_prefix(names::ENDPOINTS_PREFIX);
         let id = id
+            .unwrap_or_default()
             .parse()
             .map_err(|error| decode_error("endpoint id", error))?;
+        // Fields that are not used are checked too: their depth, numbers and characters.
+        serde_json::from_slice::<serde_json::Value>(value)
+            .map_err(|error| decode_error("entry", error))?;
         let entry: EndpointEntry =
             serde_json::from_slice(value).map_err(|error| decode_error("entry", error))?;
+        check_reachable(entry.address)?;
+        if !(1..=SLOTS_MAX).contains(&entry.slots) {
+            let detail = format!("unusable entry: {} slots", entry.slots);
+            return Err(Error::new(Kind::BadRequest, detail));
+        }
         let stage = entry.stage.as_deref();
         // A `colocated` engine runs both stages, like an engine without a stage.
         let stage = stage.filter(|stage| *stage != "colocated");
@@ -179,6 +202,17 @@
     Duration::try_from_secs_f64(number / 1000.0).unwrap_or_default()
 }
 
+/// Fails for an address at which no endpoint can listen.
+fn check_reachable(address: SocketAddr) -> Result<()> {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        let detail = format!("unusable entry: nothing can listen at {address}");
+        return Err(Error::new(Kind::BadRequest, detail));
+    }
+    Ok(())
+}
+
 fn decode_error(what: &str, error: impl std::error::Error + Send + Sync + 'static) -> Error {
     Error::new(Kind::BadRequest, format!("unusable {what}: {error}")).with_source(error)
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -66,6 +66,39 @@
     insta::assert_debug_snapshot!(results);
 }
 
+/// Guards against an entry of another writer that is used as an endpoint, or displaces one.
+#[test]
+fn odd_entries_name_no_endpoint() {
+    let deep = format!("\"seq\":{}{}", "[".repeat(200), "]".repeat(200));
+    let edits = [
+        ("\"seq\":4", deep.as_str()),
+        ("\"version\":1", "\"version\":1e999"),
+        ("\"version\":\"v1\",", ""),
+        ("\"coldLeftMs\":0", "\"coldLeftMs\":\"0\""),
+        ("\"slots\":64", "\"slots\":0"),
+        ("\"slots\":64", "\"slots\":4294967295"),
+        ("\"slots\":64", "\"slots\":4294967296"),
+        ("10.128.0.9:8080", "10.128.0.9:70000"),
+        ("10.128.0.9:8080", "10.128.0.9:0"),
+        ("10.128.0.9:8080", "0.0.0.0:8080"),
+        ("10.128.0.9:8080", "[ff02::1]:8080"),
+        ("10.128.0.9:8080", "255.255.255.255:80"),
+        ("1700000000000", "1700000000000.5"),
+    ];
+    let used: Vec<&str> = edits
+        .iter()
+        .filter(|(old, new)| {
+            let text = ENTRY.replacen(old, new, 1);
+            let entry = Codec.instance(&path("/servers/i-1"), text.as_bytes());
+            entry.is_ok()
+        })
+        .map(|(_, new)| *new)
+        .collect();
+    assert_eq!(used, Vec::<&str>::new());
+    let nested = Codec.instance(&path("/servers/other/i-1"), ENTRY.as_bytes());
+    assert!(nested.is_err(), "{nested:?}");
+}
+
 /// Guards against rejecting a whole configuration because of one invalid route, and against
 /// mixed-up fields of a route.
 #[test]
