Log once, and in short, why an entry is not used

Each write of an unusable entry logged a line, at the rate of its writer, and the line quoted the value: 100,103 bytes for a state of 100,000 characters. The reason is now cut after 200 characters, and logged again only when it changes or the key was removed.

The number of lines has no test of its own.

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -133,6 +133,8 @@
     codec: Arc<dyn Codec>,
     heartbeat: Duration,
     entries: BTreeMap<Path, Entry>,
+    /// Why the other entries in the store are not used.
+    unusable: BTreeMap<Path, String>,
     /// Time of the last update from the store.
     last_update: Option<Instant>,
     /// End of the last outage that was long enough for entries to expire.
@@ -150,6 +152,7 @@
             codec,
             heartbeat,
             entries: BTreeMap::new(),
+            unusable: BTreeMap::new(),
             last_update: None,
             recovered_at: None,
             unavailable: false,
@@ -222,6 +225,7 @@
         for path in missing {
             self.remove(&path, now);
         }
+        self.unusable.retain(|path, _| listed.contains_key(path));
         for item in listed.into_values() {
             self.put(item.path, &item.value, item.modified);
         }
@@ -230,7 +234,10 @@
     fn change(&mut self, event: Event, now: Instant) {
         match event.change {
             Change::Put(value) => self.put(event.path, &value, event.revision),
-            Change::Delete => self.remove(&event.path, now),
+            Change::Delete => {
+                self.unusable.remove(&event.path);
+                self.remove(&event.path, now);
+            }
         }
     }
 
@@ -242,12 +249,12 @@
         let instance = match self.codec.instance(&path, value) {
             Ok(instance) => instance,
             Err(error) => {
-                log::warn!(entry:% = path, revision:% = revision, error:% = error;
-                    "entry does not describe a usable endpoint; skipped");
                 self.entries.remove(&path);
+                self.record_unusable(path, revision, error.to_string());
                 return;
             }
         };
+        self.unusable.remove(&path);
         let unchanged = known.filter(|entry| *entry.instance == instance);
         let instance = if let Some(entry) = unchanged {
             Arc::clone(&entry.instance)
@@ -265,6 +272,15 @@
         self.entries.insert(path, entry);
     }
 
+    /// Logs why an entry is not used, once for each reason: its writer may repeat it without end.
+    fn record_unusable(&mut self, path: Path, revision: Revision, reason: String) {
+        if self.unusable.get(&path) != Some(&reason) {
+            log::warn!(entry:% = path, revision:% = revision, error = reason;
+                "entry does not describe a usable endpoint; skipped");
+            self.unusable.insert(path, reason);
+        }
+    }
+
     fn remove(&mut self, path: &Path, now: Instant) {
         let grace_end = self
             .recovered_at
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -27,6 +27,8 @@
 /// Most slots that an entry may state: each running request takes a connection, and a host has no
 /// more of them.
 const SLOTS_MAX: u32 = 1 << 16;
+/// Longest part of a reason why something cannot be decoded, in characters; it may quote the value.
+const REASON_MAX: usize = 200;
 
 /// Entry of an endpoint in the store. An entry without a field that is unused here is not one of an
 /// endpoint.
@@ -214,5 +216,6 @@
 }
 
 fn decode_error(what: &str, error: impl std::error::Error + Send + Sync + 'static) -> Error {
-    Error::new(Kind::BadRequest, format!("unusable {what}: {error}")).with_source(error)
+    let reason: String = error.to_string().chars().take(REASON_MAX).collect();
+    Error::new(Kind::BadRequest, format!("unusable {what}: {reason}")).with_source(error)
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -99,6 +99,15 @@
     assert!(nested.is_err(), "{nested:?}");
 }
 
+/// Guards against a reason that quotes a value of any size in a log line.
+#[test]
+fn reason_why_an_entry_is_not_used_is_short() {
+    let entry = ENTRY.replacen("ready", &"x".repeat(100_000), 1);
+    let error = Codec.instance(&path("/servers/i-1"), entry.as_bytes());
+    let reason = error.expect_err("an unknown state").to_string();
+    assert!(reason.len() < 1_000, "{} bytes", reason.len());
+}
+
 /// Guards against rejecting a whole configuration because of one invalid route, and against
 /// mixed-up fields of a route.
 #[test]
