Send no request back to the gateway itself

An entry with the gateway's own address made it an endpoint of itself: a request of that service went round in one process until the attempt timed out, and its caller got a 502, as if it might have run.

The directory now refuses entries with an address at which its process listens. Entries with the address of another gateway can't be recognized; that gateway refuses its own, so such a request makes one detour.

Now it is a 503 that promises that the request has not run.

--- a/mulberrymill-bench/tests/gateway/odd_entries.rs
+++ b/mulberrymill-bench/tests/gateway/odd_entries.rs
@@ -126,3 +126,16 @@
     assert_eq!(decoy.seen(), []);
     insta::assert_debug_snapshot!(steps);
 }
+
+/// Guards against an entry with the gateway's own address, to which it would send each request again
+/// and again until the deadline.
+#[actix_web::test]
+async fn request_is_not_sent_back_to_its_gateway() {
+    let (harness, [endpoint, ..]) = open_harness().await;
+    let mut own = endpoint.entry("s2", "ready");
+    own["address"] = json!(harness.gateway.address());
+    harness.store.put("servers/own", &own);
+    harness.store.put("op/config", &config(3, "s2"));
+    harness.wait_until_ready().await;
+    insta::assert_snapshot!(harness.send("/plain/1").await);
+}
--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -132,6 +132,8 @@
 pub struct Directory {
     codec: Arc<dyn Codec>,
     heartbeat: Duration,
+    /// Addresses at which this process listens.
+    own_addresses: Vec<SocketAddr>,
     entries: BTreeMap<Path, Entry>,
     /// Why the other entries in the store are not used.
     unusable: BTreeMap<Path, String>,
@@ -151,6 +153,7 @@
         Self {
             codec,
             heartbeat,
+            own_addresses: Vec::new(),
             entries: BTreeMap::new(),
             unusable: BTreeMap::new(),
             last_update: None,
@@ -159,6 +162,12 @@
         }
     }
 
+    /// Sets the addresses at which this process listens. Entries with one of them are not used: they
+    /// would send requests round and round.
+    pub fn set_own_addresses(&mut self, addresses: Vec<SocketAddr>) {
+        self.own_addresses = addresses;
+    }
+
     /// Applies an update from the store.
     pub fn apply(&mut self, update: Update, now: Instant) {
         match update {
@@ -246,7 +255,9 @@
         if known.is_some_and(|entry| entry.revision > revision) {
             return;
         }
-        let instance = match self.codec.instance(&path, value) {
+        let decoded = self.codec.instance(&path, value);
+        let decoded = decoded.and_then(|instance| self.check_foreign(instance));
+        let instance = match decoded {
             Ok(instance) => instance,
             Err(error) => {
                 self.entries.remove(&path);
@@ -272,6 +283,20 @@
         self.entries.insert(path, entry);
     }
 
+    /// Fails for an endpoint at an address of this process.
+    fn check_foreign(&self, instance: Instance) -> Result<Instance> {
+        let address = instance.address;
+        let is_own = self.own_addresses.iter().any(|own| {
+            let is_local = own.ip().is_unspecified() && address.ip().is_loopback();
+            own.port() == address.port() && (own.ip() == address.ip() || is_local)
+        });
+        if is_own {
+            let detail = format!("{address} is an address of this process");
+            return Err(Error::new(Kind::BadRequest, detail));
+        }
+        Ok(instance)
+    }
+
     /// Logs why an entry is not used, once for each reason: its writer may repeat it without end.
     fn record_unusable(&mut self, path: Path, revision: Revision, reason: String) {
         if self.unusable.get(&path) != Some(&reason) {
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -167,6 +167,11 @@
         },
         stop_timeout,
     )?;
+    // The follower has not run yet, as nothing has been awaited since it was started.
+    publisher
+        .borrow_mut()
+        .directory
+        .set_own_addresses(vec![server.address(), server.readiness()]);
     let (links, follow_gateways) = match settings.peers {
         Some(address) => {
             let port = link::BoundListener::bind(address).await?;
