Let an odd route cost only itself

A route with a value nested 200 levels deep, a number out of range or an invalid escape made the whole plan unreadable, and the last one stayed active. A `targetLatencyMs` of 1e22 was taken, and overflowed in the timeout of each attempt on its route, which ends the request without an answer.

The overflow was found by reading; the test covers it.

--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use super::{Result, names};
+use super::{Result, list, names};
 use crate::{
     directory::{self, Instance, Started},
     error::{Error, Kind},
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Codec;
 
+/// Upper bound of the durations of a route, so that sums and multiples of them do not overflow.
+const DURATION_MAX: Duration = Duration::from_hours(24);
 /// Most slots that an entry may state: each running request takes a connection, and a host has no
 /// more of them.
 const SLOTS_MAX: u32 = 1 << 16;
@@ -62,7 +64,6 @@
 #[derive(Deserialize)]
 struct Config {
     version: u64,
-    routes: Vec<serde_json::Value>,
     #[serde(default)]
     limits: ConfigLimits,
 }
@@ -141,10 +142,12 @@
     }
 
     fn plan(&self, value: &[u8]) -> Result<Plan> {
-        let config: Config =
-            serde_json::from_slice(value).map_err(|error| decode_error("configuration", error))?;
-        let routes = config.routes.into_iter().filter_map(|value| {
-            let route = serde_json::from_value::<ConfigRoute>(value)
+        let unusable = |error| decode_error("configuration", error);
+        let config: Config = serde_json::from_slice(value).map_err(unusable)?;
+        let text = String::from_utf8_lossy(value);
+        let routes = list::elements(&text, "routes").map_err(unusable)?;
+        let routes = routes.into_iter().filter_map(|text| {
+            let route = serde_json::from_str::<ConfigRoute>(text)
                 .map_err(|error| decode_error("route", error))
                 .and_then(to_route);
             route
@@ -190,7 +193,8 @@
         targets,
         timeout: route
             .timeout_ms
-            .map_or(DEFAULT_TIMEOUT, Duration::from_millis),
+            .map_or(DEFAULT_TIMEOUT, Duration::from_millis)
+            .min(DURATION_MAX),
         latency_target: route
             .target_latency_ms
             .map_or(DEFAULT_TARGET_LATENCY, duration_from_ms),
@@ -201,7 +205,8 @@
 }
 
 fn duration_from_ms(number: f64) -> Duration {
-    Duration::try_from_secs_f64(number / 1000.0).unwrap_or_default()
+    let seconds = (number / 1000.0).clamp(0.0, DURATION_MAX.as_secs_f64());
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
 /// Fails for an address at which no endpoint can listen.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -120,6 +120,24 @@
     insta::assert_debug_snapshot!((plan.version(), plan.limits(), plan.len(), routes));
 }
 
+/// Guards against a route that makes the others unusable, or whose numbers end requests on it.
+#[test]
+fn odd_routes_cost_only_themselves() {
+    let deep = format!("{}{}", "[".repeat(200), "]".repeat(200));
+    for odd in [deep.as_str(), "1e999", "\"\\ud800\""] {
+        let text = CONFIGURATION.replacen("\"priority\":0", &format!("\"priority\":{odd}"), 1);
+        let plan = Codec.plan(text.as_bytes()).map(|plan| plan.len());
+        assert_eq!(plan.ok(), Some(2), "{odd:.20}");
+    }
+    let text = CONFIGURATION
+        .replacen("6000", "18446744073709551615", 1)
+        .replacen("\"targetLatencyMs\":200", "\"targetLatencyMs\":1e22", 1);
+    let plan = Codec.plan(text.as_bytes()).expect("a plan");
+    let route = plan.find("ficu95.example", "/pufi791/1").expect("a route");
+    assert!(route.latency_target.checked_mul(1_000).is_some());
+    assert!(route.timeout.checked_mul(1_000).is_some());
+}
+
 fn header_lines(headers: &HeaderMap) -> Vec<String> {
     let mut lines: Vec<String> = headers
         .iter()
