Sum the weights of a route without overflow

Weights whose sum exceeds 32 bits panicked in debug builds, and in release builds sent all requests by a wrapped sum.

The sum has 64 bits now.

--- a/src/route/imp.rs
+++ b/src/route/imp.rs
@@ -127,14 +127,16 @@
     /// Returns the service for one request, selected at random by weight. If all weights are 0,
     /// this is the first target; without targets, it is `None`.
     pub fn select_service(&self, rng: &mut impl Rng) -> Option<&id::Service> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let weights = self.targets.iter().map(|target| u64::from(target.weight));
+        let total: u64 = weights.sum();
         if total == 0 {
             return self.targets.first().map(|target| &target.service);
         }
         let mut remaining = rng.random_range(0..total);
         let selected = self.targets.iter().find(|target| {
-            let hit = remaining < target.weight;
-            remaining = remaining.saturating_sub(target.weight);
+            let weight = u64::from(target.weight);
+            let hit = remaining < weight;
+            remaining = remaining.saturating_sub(weight);
             hit
         });
         selected.map(|target| &target.service)
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -77,6 +77,22 @@
     insta::assert_json_snapshot!(counts);
 }
 
+/// Guards against weights whose sum overflows, which ends a request or sends it to a single target.
+#[test]
+fn large_weights_are_shared() {
+    let mut rng = StdRng::seed_from_u64(7);
+    let route = route(
+        "split",
+        "/",
+        vec![target("a", u32::MAX), target("b", u32::MAX)],
+    );
+    let selected: std::collections::BTreeSet<String> = (0..100)
+        .filter_map(|_| route.select_service(&mut rng))
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(selected.len(), 2);
+}
+
 proptest! {
     /// Guards against a panic on unusual hosts and paths, such as ones with non-ASCII characters.
     #[test]
