Add up the numbers of other processes without overflow

In release builds an engine that reports absurd load looked idle, and a follower would have watched from revision 0. The sums saturate now.

The revision and the waiting tokens have no test of their own.

--- a/src/directory/follow.rs
+++ b/src/directory/follow.rs
@@ -112,7 +112,7 @@
         log::debug!(prefix:% = self.prefix, revision:% = range.revision,
             entries = range.items.len(); "read all keys with the prefix");
         (self.sink)(Update::Snapshot(range.items));
-        let from = Revision::new(range.revision.get() + 1);
+        let from = Revision::new(range.revision.get().saturating_add(1));
         let mut events = self.store.watch(self.prefix.clone(), from).await?;
         loop {
             let batch = events.next().await;
--- a/src/dispatch/backlog.rs
+++ b/src/dispatch/backlog.rs
@@ -10,7 +10,8 @@
     /// Adds the prompt tokens of a request with this rank.
     pub fn add(&mut self, rank: u8, tokens: Tokens) {
         if tokens > Tokens::ZERO {
-            *self.0.entry(rank).or_default() += tokens.get();
+            let waiting = self.0.entry(rank).or_default();
+            *waiting = waiting.saturating_add(tokens.get());
         }
     }
 
@@ -28,8 +29,9 @@
     /// all less urgent requests.
     #[must_use]
     pub fn split(&self, rank: u8) -> (u64, u64) {
-        let urgent = self.0.range(..=rank).map(|(_, tokens)| tokens).sum();
-        let total: u64 = self.0.values().sum();
+        let sum = |urgent, (_, tokens): (&u8, &u64)| u64::saturating_add(urgent, *tokens);
+        let urgent = self.0.range(..=rank).fold(0, sum);
+        let total = self.0.iter().fold(0, sum);
         (urgent, total - urgent)
     }
 
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -93,7 +93,8 @@
     /// Requests of peer processes in the last report; 0 if the report is missing or too old.
     pub(super) fn peer_requests(&self, now: Instant) -> u32 {
         self.fresh_report(now).map_or(0, |report| {
-            (report.load.running + report.load.waiting).saturating_sub(report.in_flight)
+            let requests = report.load.running.saturating_add(report.load.waiting);
+            requests.saturating_sub(report.in_flight)
         })
     }
 
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -413,6 +413,27 @@
     insta::assert_debug_snapshot!((fresh, outdated));
 }
 
+/// Guards against a load report whose numbers overflow, which makes its endpoint look idle.
+#[test]
+fn large_load_reports_do_not_overflow() {
+    let (mut balancer, now) = balancer(services());
+    let absurd = Progress {
+        endpoint: "s1".parse().expect("a valid name"),
+        rank: 0,
+        prompt: Tokens::ZERO,
+        load: Some(Load {
+            running: u32::MAX,
+            waiting: 1,
+            slots: 4,
+        }),
+        prefill: None,
+    };
+    balancer.progress(&absurd, now);
+    let demand = demand("print", Need::Start, 0, None);
+    let chosen = choices(&mut balancer, &demand, 4, now);
+    assert!(!chosen.contains(&"s1".to_owned()), "{chosen:?}");
+}
+
 /// Guards against more retries than the budget of a service allows, and against a budget that
 /// requests of another service raise.
 #[test]
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -73,11 +73,11 @@
         id.hash(&mut hasher);
         hasher.finish()
     });
-    let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+    let tokens: Tokens = shared.iter().map(|(_, tokens)| Tokens::new(*tokens)).sum();
     Ok(Some(Generation {
         prompt: Tokens::new(prompt),
         max_output: Tokens::new(max_output),
-        shared: Tokens::new(tokens.min(prompt)),
+        shared: tokens.min(Tokens::new(prompt)),
         affinity,
     }))
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -138,6 +138,21 @@
     assert!(route.timeout.checked_mul(1_000).is_some());
 }
 
+/// Guards against a request whose numbers overflow.
+#[test]
+fn shared_tokens_do_not_overflow() {
+    let request = TestRequest::get()
+        .insert_header(("Token-Count", "1460,80"))
+        .insert_header((
+            "Prefix-Hash",
+            "a:18446744073709551615,b:18446744073709551615,c:1",
+        ))
+        .to_http_request();
+    let call = Protocol.decode(&request, Bytes::new(), Instant::now());
+    let shared = call.map(|call| call.generation.map(|it| it.shared.get()));
+    assert_eq!(shared.ok(), Some(Some(1_460)));
+}
+
 fn header_lines(headers: &HeaderMap) -> Vec<String> {
     let mut lines: Vec<String> = headers
         .iter()
