--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -18,6 +18,8 @@
 mod faulty;
 #[path = "gateway/notices.rs"]
 mod notices;
+#[path = "gateway/odd_entries.rs"]
+mod odd_entries;
 #[path = "gateway/refusal.rs"]
 mod refusal;
 #[path = "gateway/stop.rs"]
--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -132,7 +132,11 @@
 pub struct Directory {
     codec: Arc<dyn Codec>,
     heartbeat: Duration,
+    /// Addresses at which this process listens.
+    own_addresses: Vec<SocketAddr>,
     entries: BTreeMap<Path, Entry>,
+    /// Why the other entries in the store are not used.
+    unusable: BTreeMap<Path, String>,
     /// Time of the last update from the store.
     last_update: Option<Instant>,
     /// End of the last outage that was long enough for entries to expire.
@@ -149,13 +153,21 @@
         Self {
             codec,
             heartbeat,
+            own_addresses: Vec::new(),
             entries: BTreeMap::new(),
+            unusable: BTreeMap::new(),
             last_update: None,
             recovered_at: None,
             unavailable: false,
         }
     }
 
+    /// Sets the addresses at which this process listens. Entries with one of them are not used: they
+    /// would send requests round and round.
+    pub fn set_own_addresses(&mut self, addresses: Vec<SocketAddr>) {
+        self.own_addresses = addresses;
+    }
+
     /// Applies an update from the store.
     pub fn apply(&mut self, update: Update, now: Instant) {
         match update {
@@ -222,6 +234,7 @@
         for path in missing {
             self.remove(&path, now);
         }
+        self.unusable.retain(|path, _| listed.contains_key(path));
         for item in listed.into_values() {
             self.put(item.path, &item.value, item.modified);
         }
@@ -230,7 +243,10 @@
     fn change(&mut self, event: Event, now: Instant) {
         match event.change {
             Change::Put(value) => self.put(event.path, &value, event.revision),
-            Change::Delete => self.remove(&event.path, now),
+            Change::Delete => {
+                self.unusable.remove(&event.path);
+                self.remove(&event.path, now);
+            }
         }
     }
 
@@ -239,15 +255,17 @@
         if known.is_some_and(|entry| entry.revision > revision) {
             return;
         }
-        let instance = match self.codec.instance(&path, value) {
+        let decoded = self.codec.instance(&path, value);
+        let decoded = decoded.and_then(|instance| self.check_foreign(instance));
+        let instance = match decoded {
             Ok(instance) => instance,
             Err(error) => {
-                log::warn!(entry:% = path, revision:% = revision, error:% = error;
-                    "entry does not describe a usable endpoint; skipped");
                 self.entries.remove(&path);
+                self.record_unusable(path, revision, error.to_string());
                 return;
             }
         };
+        self.unusable.remove(&path);
         let unchanged = known.filter(|entry| *entry.instance == instance);
         let instance = if let Some(entry) = unchanged {
             Arc::clone(&entry.instance)
@@ -265,6 +283,29 @@
         self.entries.insert(path, entry);
     }
 
+    /// Fails for an endpoint at an address of this process.
+    fn check_foreign(&self, instance: Instance) -> Result<Instance> {
+        let address = instance.address;
+        let is_own = self.own_addresses.iter().any(|own| {
+            let is_local = own.ip().is_unspecified() && address.ip().is_loopback();
+            own.port() == address.port() && (own.ip() == address.ip() || is_local)
+        });
+        if is_own {
+            let detail = format!("{address} is an address of this process");
+            return Err(Error::new(Kind::BadRequest, detail));
+        }
+        Ok(instance)
+    }
+
+    /// Logs why an entry is not used, once for each reason: its writer may repeat it without end.
+    fn record_unusable(&mut self, path: Path, revision: Revision, reason: String) {
+        if self.unusable.get(&path) != Some(&reason) {
+            log::warn!(entry:% = path, revision:% = revision, error = reason;
+                "entry does not describe a usable endpoint; skipped");
+            self.unusable.insert(path, reason);
+        }
+    }
+
     fn remove(&mut self, path: &Path, now: Instant) {
         let grace_end = self
             .recovered_at
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -15,7 +15,7 @@
 use crate::{
     directory::Codec as _,
     ingress::Protocol as _,
-    store::{Path, Reader as _},
+    store::{Item, Path, Reader as _},
 };
 
 const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"santiago-a",
@@ -66,6 +66,48 @@
     insta::assert_debug_snapshot!(results);
 }
 
+/// Guards against an entry of another writer that is used as an endpoint, or displaces one.
+#[test]
+fn odd_entries_name_no_endpoint() {
+    let deep = format!("\"seq\":{}{}", "[".repeat(200), "]".repeat(200));
+    let edits = [
+        ("\"seq\":4", deep.as_str()),
+        ("\"version\":1", "\"version\":1e999"),
+        ("\"version\":\"v1\",", ""),
+        ("\"coldLeftMs\":0", "\"coldLeftMs\":\"0\""),
+        ("\"slots\":64", "\"slots\":0"),
+        ("\"slots\":64", "\"slots\":4294967295"),
+        ("\"slots\":64", "\"slots\":4294967296"),
+        ("10.128.0.9:8080", "10.128.0.9:70000"),
+        ("10.128.0.9:8080", "10.128.0.9:0"),
+        ("10.128.0.9:8080", "0.0.0.0:8080"),
+        ("10.128.0.9:8080", "[ff02::1]:8080"),
+        ("10.128.0.9:8080", "255.255.255.255:80"),
+        ("1700000000000", "1700000000000.5"),
+    ];
+    let used: Vec<&str> = edits
+        .iter()
+        .filter(|(old, new)| {
+            let text = ENTRY.replacen(old, new, 1);
+            let entry = Codec.instance(&path("/servers/i-1"), text.as_bytes());
+            entry.is_ok()
+        })
+        .map(|(_, new)| *new)
+        .collect();
+    assert_eq!(used, Vec::<&str>::new());
+    let nested = Codec.instance(&path("/servers/other/i-1"), ENTRY.as_bytes());
+    assert!(nested.is_err(), "{nested:?}");
+}
+
+/// Guards against a reason that quotes a value of any size in a log line.
+#[test]
+fn reason_why_an_entry_is_not_used_is_short() {
+    let entry = ENTRY.replacen("ready", &"x".repeat(100_000), 1);
+    let error = Codec.instance(&path("/servers/i-1"), entry.as_bytes());
+    let reason = error.expect_err("an unknown state").to_string();
+    assert!(reason.len() < 1_000, "{} bytes", reason.len());
+}
+
 /// Guards against rejecting a whole configuration because of one invalid route, and against
 /// mixed-up fields of a route.
 #[test]
@@ -78,6 +120,39 @@
     insta::assert_debug_snapshot!((plan.version(), plan.limits(), plan.len(), routes));
 }
 
+/// Guards against a route that makes the others unusable, or whose numbers end requests on it.
+#[test]
+fn odd_routes_cost_only_themselves() {
+    let deep = format!("{}{}", "[".repeat(200), "]".repeat(200));
+    for odd in [deep.as_str(), "1e999", "\"\\ud800\""] {
+        let text = CONFIGURATION.replacen("\"priority\":0", &format!("\"priority\":{odd}"), 1);
+        let plan = Codec.plan(text.as_bytes()).map(|plan| plan.len());
+        assert_eq!(plan.ok(), Some(2), "{odd:.20}");
+    }
+    let text = CONFIGURATION
+        .replacen("6000", "18446744073709551615", 1)
+        .replacen("\"targetLatencyMs\":200", "\"targetLatencyMs\":1e22", 1);
+    let plan = Codec.plan(text.as_bytes()).expect("a plan");
+    let route = plan.find("ficu95.example", "/pufi791/1").expect("a route");
+    assert!(route.latency_target.checked_mul(1_000).is_some());
+    assert!(route.timeout.checked_mul(1_000).is_some());
+}
+
+/// Guards against a request whose numbers overflow.
+#[test]
+fn shared_tokens_do_not_overflow() {
+    let request = TestRequest::get()
+        .insert_header(("Token-Count", "1460,80"))
+        .insert_header((
+            "Prefix-Hash",
+            "a:18446744073709551615,b:18446744073709551615,c:1",
+        ))
+        .to_http_request();
+    let call = Protocol.decode(&request, Bytes::new(), Instant::now());
+    let shared = call.map(|call| call.generation.map(|it| it.shared.get()));
+    assert_eq!(shared.ok(), Some(Some(1_460)));
+}
+
 fn header_lines(headers: &HeaderMap) -> Vec<String> {
     let mut lines: Vec<String> = headers
         .iter()
@@ -170,7 +245,64 @@
     assert_eq!(error.kind(), Kind::StoreUnavailable);
 }
 
+fn any_json() -> impl Strategy<Value = String> {
+    let scalar = prop_oneof![
+        Just("null".to_owned()),
+        Just("1e999".to_owned()),
+        Just("\"\\ud800\"".to_owned()),
+        any::<i128>().prop_map(|number| number.to_string()),
+        "[ -~]{0,20}".prop_map(|text| serde_json::Value::from(text).to_string()),
+    ];
+    let name = prop_oneof![
+        Just("key"),
+        Just("value"),
+        Just("rev"),
+        Just("createRev"),
+        Just("removed"),
+        Just("items")
+    ];
+    scalar.prop_recursive(4, 24, 4, move |inner| {
+        let field = (name.clone(), inner.clone());
+        prop_oneof![
+            inner.clone().prop_map(|value| format!(
+                "{}{value}{}",
+                "[".repeat(200),
+                "]".repeat(200)
+            )),
+            prop::collection::vec(inner, 0..4)
+                .prop_map(|values| format!("[ {} ]", values.join(" , "))),
+            prop::collection::vec(field, 0..4).prop_map(|fields| {
+                let fields = fields
+                    .iter()
+                    .map(|(name, value)| format!("\"{name}\" : {value}"));
+                format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+            }),
+        ]
+    })
+}
+
 proptest! {
+    /// Guards against an item that changes how the others of its page or batch are read.
+    #[test]
+    fn any_item_leaves_the_others_readable(odd in any_json(), place in 0..3_usize) {
+        let good = |key: &str| format!(r#"{{"key":"servers/{key}","value":"e30=","rev":7}}"#);
+        let mut items = vec![good("i-1"), good("i-2")];
+        items.insert(place, odd);
+        let list = items.join(",");
+        let page = format!(r#"{{"truncated":true,"items":[{list}],"asOf":9}}"#);
+        let page = record::Page::parse(page.as_bytes()).expect("a page");
+        let batch = format!(r#"{{"events":[{list}],"asOf":9}}"#);
+        let batch = record::Batch::parse(batch.as_bytes()).expect("a batch");
+        prop_assert_eq!((page.revision, page.truncated, batch.revision), (9, true, 9));
+        let items: Vec<_> = page.items.iter().filter_map(record::item).collect();
+        let events: Vec<_> = batch.events.iter().filter_map(record::event).collect();
+        for id in ["/servers/i-1", "/servers/i-2"] {
+            let is_whole = |item: &Item| item.path == path(id) && item.value == b"\x7b\x7d";
+            prop_assert!(items.iter().any(is_whole));
+            prop_assert!(events.iter().any(|event| event.path == path(id)));
+        }
+    }
+
     /// Guards against a panic on bytes that are neither an entry nor a configuration.
     #[test]
     fn arbitrary_bytes_are_rejected(
