--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -22,6 +22,9 @@
 pub(super) const LEASE_REVOKE: &str = "/mulberrymill/kv-lease-end";
 pub(super) const KV_HANDLE: &str = "/mulberrymill/kv-handle";
 
+/// Number of restores of the store from an older copy, in all its answers.
+pub(super) const STORE_ERA: &str = "store-era";
+
 /// Request id that the caller sets for one attempt.
 pub(super) const REQUEST_ID: &str = "request-id";
 /// Time that the sender waits for the response, in milliseconds.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,9 @@
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_web::{http::StatusCode, web::Bytes};
+use actix_web::{
+    http::{StatusCode, header::HeaderMap},
+    web::Bytes,
+};
 use awc::{
     Client,
     error::{ConnectError, SendRequestError},
@@ -11,7 +14,7 @@
 };
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use tokio::time;
+use tokio::{sync::watch, time};
 
 use super::{
     Result, names,
@@ -23,7 +26,8 @@
     clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
-    store::{self, Commit, Events, Future, Item, Lease, Path, Range, Reader, Txn},
+    store::{self, Commit, Era, Events, Future, Item, Lease, Path, Range, Reader, Txn},
+    unit::as_f64,
 };
 
 /// Timeout of one call. A slow store responds within 200 ms.
@@ -43,6 +47,8 @@
     client: Client,
     clock: Shared,
     watch_wait: Duration,
+    /// Era of the last answer that stated one.
+    era: Rc<watch::Sender<Option<Era>>>,
 }
 
 impl fmt::Debug for Store {
@@ -62,6 +68,7 @@
             address,
             clock,
             watch_wait: WATCH_WAIT,
+            era: Rc::default(),
             // Each call has its own timeout.
             client: Client::builder()
                 .disable_timeout()
@@ -90,22 +97,17 @@
         let request = request
             .query(&query)
             .map_err(|error| unavailable("the query cannot be written").with_source(error))?;
-        match self
+        let answer = self
             .call_with_timeout(path, limit, send(request.send()))
-            .await?
-        {
-            (StatusCode::OK, body) => parse(&body),
-            (status, _) => Err(status_error(status)),
+            .await?;
+        match answer.status {
+            StatusCode::OK => parse(&answer.body),
+            status => Err(status_error(status)),
         }
     }
 
     /// Posts JSON to `path`. `route` labels the metric and has no variable parts.
-    async fn write(
-        &self,
-        route: &'static str,
-        path: &str,
-        body: &Value,
-    ) -> Result<(StatusCode, Bytes)> {
+    async fn write(&self, route: &'static str, path: &str, body: &Value) -> Result<Answer> {
         let request = self.client.post(format!("http://{}{path}", self.address));
         let call = send(request.send_json(body));
         self.call_with_timeout(route, CALL_TIMEOUT, call).await
@@ -113,19 +115,43 @@
 
     /// Awaits a call up to a timeout and records its duration. A call without a response may still
     /// take effect later.
-    async fn call_with_timeout<T>(
+    async fn call_with_timeout(
         &self,
         route: &'static str,
         limit: Duration,
-        call: impl std::future::Future<Output = Result<T>>,
-    ) -> Result<T> {
+        call: impl std::future::Future<Output = Result<Answer>>,
+    ) -> Result<Answer> {
         let start = self.clock.now();
         let outcome = time::timeout(limit, call).await;
         let elapsed = self.clock.now() - start;
         metrics::histogram!("store_call_seconds", "route" => route).record(elapsed.as_secs_f64());
-        outcome.unwrap_or_else(|_elapsed| {
+        let answer = outcome.unwrap_or_else(|_elapsed| {
             Err(unavailable("no answer in time").with_executed(Executed::Unknown))
-        })
+        })?;
+        if let Some(era) = answer.era {
+            self.record_era(era, route);
+        }
+        Ok(answer)
+    }
+
+    fn record_era(&self, era: Era, route: &'static str) {
+        let before = *self.era.borrow();
+        if before == Some(era) {
+            return;
+        }
+        self.era.send_replace(Some(era));
+        metrics::gauge!("store_era").set(as_f64(era.get()));
+        let Some(before) = before else {
+            return;
+        };
+        metrics::counter!("store_era_changes_total").increment(1);
+        if era > before {
+            log::warn!(era:% = era, before:% = before, route = route;
+                "store was restored from an older copy");
+        } else {
+            log::warn!(era:% = era, before:% = before, route = route;
+                "store states an earlier era: the answer was delayed or comes from another store");
+        }
     }
 
     /// Reads all pages of the entries below a prefix.
@@ -205,7 +231,7 @@
     fn commit(&self, txn: Txn) -> Future<'_, Commit> {
         async move {
             txn.check()?;
-            let (status, body) = self
+            let Answer { status, body, .. } = self
                 .write(names::STORE_TXN, names::STORE_TXN, &transaction(&txn))
                 .await?;
             match status {
@@ -238,12 +264,12 @@
     fn grant(&self, period: Duration) -> Future<'_, Lease> {
         async move {
             let body = json!({ "ttlMs": u64::try_from(period.as_millis()).unwrap_or(u64::MAX) });
-            match self
+            let answer = self
                 .write(names::LEASE_GRANT, names::LEASE_GRANT, &body)
-                .await?
-            {
-                (StatusCode::OK, body) => Ok(Lease::new(parse::<Granted>(&body)?.lease)),
-                (status, _) => Err(status_error(status)),
+                .await?;
+            match answer.status {
+                StatusCode::OK => Ok(Lease::new(parse::<Granted>(&answer.body)?.lease)),
+                status => Err(status_error(status)),
             }
         }
         .boxed_local()
@@ -252,10 +278,11 @@
     fn renew(&self, lease: Lease) -> Future<'_, bool> {
         async move {
             let path = format!("{}/{lease}", names::LEASE_RENEW);
-            match self.write(names::LEASE_RENEW, &path, &json!({})).await? {
-                (StatusCode::OK, _) => Ok(true),
-                (StatusCode::NOT_FOUND, _) => Ok(false),
-                (status, _) => Err(status_error(status)),
+            let answer = self.write(names::LEASE_RENEW, &path, &json!({})).await?;
+            match answer.status {
+                StatusCode::OK => Ok(true),
+                StatusCode::NOT_FOUND => Ok(false),
+                status => Err(status_error(status)),
             }
         }
         .boxed_local()
@@ -265,20 +292,28 @@
         async move {
             let url = format!("http://{}{}/{lease}", self.address, names::LEASE_REVOKE);
             let call = send(self.client.delete(url).send());
-            match self
+            let answer = self
                 .call_with_timeout(names::LEASE_REVOKE, CALL_TIMEOUT, call)
-                .await?
-            {
+                .await?;
+            match answer.status {
                 // A missing lease has already ended, for example by a call whose response was lost.
-                (StatusCode::OK | StatusCode::NOT_FOUND, _) => Ok(()),
-                (status, _) => Err(status_error(status)),
+                StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+                status => Err(status_error(status)),
             }
         }
         .boxed_local()
     }
 }
 
-async fn send(call: awc::SendClientRequest) -> Result<(StatusCode, Bytes)> {
+/// An answer of the store.
+struct Answer {
+    status: StatusCode,
+    /// Era of the store, if the answer states one.
+    era: Option<Era>,
+    body: Bytes,
+}
+
+async fn send(call: awc::SendClientRequest) -> Result<Answer> {
     let mut response = call.await.map_err(|error| {
         let executed = match &error {
             SendRequestError::Connect(ConnectError::Disconnected) => Executed::Unknown,
@@ -295,7 +330,20 @@
             .with_source(error.to_string())
             .with_executed(Executed::Unknown)
     })?;
-    Ok((response.status(), body))
+    Ok(Answer {
+        status: response.status(),
+        era: decode_era(response.headers()),
+        body,
+    })
+}
+
+fn decode_era(headers: &HeaderMap) -> Option<Era> {
+    let text = headers.get(names::STORE_ERA)?.to_str().unwrap_or_default();
+    text.parse()
+        .inspect_err(
+            |error| log::warn!(era = text, error:% = error; "ignoring the era of the store"),
+        )
+        .ok()
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -56,6 +56,42 @@
     }
 }
 
+/// Number of times that the store was restored from an older copy of itself. Revisions and lease
+/// numbers are given out again after a restore, so they are comparable only within an era. A store
+/// that does not state an era has only the default one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Era(u64);
+
+impl Era {
+    /// Creates an era from the number that the store states.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number that the store states.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Era {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse()
+            .map(Self)
+            .map_err(|_error| Error::new(Kind::BadRequest, "invalid era of the store"))
+    }
+}
+
 /// Id of a lease. Keys bound to the lease are deleted when it expires or is revoked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Lease(i64);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,8 +14,8 @@
 
 pub use etcd::Etcd;
 pub use imp::{
-    Change, Commit, Compare, Event, Events, Future, Item, Lease, Path, Range, Reader, Store, Txn,
-    Write,
+    Change, Commit, Compare, Era, Event, Events, Future, Item, Lease, Path, Range, Reader, Store,
+    Txn, Write,
 };
 pub use memory::{Counts, Faults, Memory};
 
