Read all keys again after a restore of the store

What callers saw: after the store came back from an older copy, a gateway could miss every change that was written until its watch position was reached again, for good: routes added, drains, new engines.

Cause: a follower continued its watch from a revision of the store before the restore.

Change: Range and the position of a watch carry the store's Era. An answer of another era than the read that a call continues fails with Kind::StoreRestored, whatever its status, also for the next page of a read. Answers that alternate between eras are read with the usual pauses; a store that states no era has one. The stand-in of the platform's store and the one in memory can be restored from a backup.

--- a/mulberrymill-bench/src/platform/mod.rs
+++ b/mulberrymill-bench/src/platform/mod.rs
@@ -8,6 +8,6 @@
 mod store;
 
 pub use endpoint::{Endpoint, Seen, entry};
-pub use store::Store;
+pub use store::{Backup, Store};
 
 pub use crate::port::Result;
--- a/mulberrymill-bench/src/platform/store.rs
+++ b/mulberrymill-bench/src/platform/store.rs
@@ -7,6 +7,10 @@
 
 use actix_web::{
     HttpResponse,
+    body::MessageBody,
+    dev::{ServiceRequest, ServiceResponse},
+    http::header::{HeaderName, HeaderValue},
+    middleware::{Next, from_fn},
     web::{self, Query},
 };
 use base64::{Engine as _, engine::general_purpose::STANDARD};
@@ -20,8 +24,10 @@
 /// Maximum items in one page of a range response, small enough that tests need several pages.
 const PAGE_ITEMS: usize = 2;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Keys {
+    /// Number of restores, stated in every answer.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, (Vec<u8>, u64)>,
     /// Changes since the last compaction by revision and key; a removal has no value.
@@ -59,6 +65,10 @@
     }
 }
 
+/// Copy of the keys, leases and history of a [`Store`].
+#[derive(Clone, Debug)]
+pub struct Backup(Keys);
+
 /// Stand-in for the platform's key-value store. It serves ranges in small pages, watches,
 /// unconditional writes, and leases that never expire on their own. Clones refer to the same one.
 #[derive(Clone, Debug)]
@@ -80,7 +90,9 @@
         });
         let data = web::Data::from(Arc::clone(&shared));
         let routes = Arc::new(move |app: &mut web::ServiceConfig| {
-            app.app_data(data.clone())
+            let scope = web::scope("")
+                .app_data(data.clone())
+                .wrap(from_fn(state_era))
                 .route("/mulberrymill/kv-range", web::get().to(range))
                 .route("/mulberrymill/kv-watch", web::get().to(watch_changes))
                 .route("/mulberrymill/kv-txn", web::post().to(commit))
@@ -91,6 +103,7 @@
                     web::delete().to(revoke),
                 )
                 .default_service(web::to(HttpResponse::NotFound));
+            app.service(scope);
         });
         let port = Port::bind(routes)?;
         Ok(Self { shared, port })
@@ -134,6 +147,23 @@
         self.shared.apply(key, None);
     }
 
+    /// Copies the current state.
+    #[must_use]
+    pub fn back_up(&self) -> Backup {
+        Backup(self.shared.keys().clone())
+    }
+
+    /// Goes back to an earlier state, in a new era. Revisions and lease numbers are given out again.
+    pub fn restore(&self, backup: Backup) {
+        let mut keys = self.shared.keys();
+        let era = keys.era + 1;
+        *keys = backup.0;
+        keys.era = era;
+        let revision = keys.revision;
+        drop(keys);
+        self.shared.changed.send_replace(revision);
+    }
+
     /// Compacts the history up to the current revision, as the platform does after a while. Watches
     /// from an earlier revision then get status 410.
     pub fn compact(&self) {
@@ -165,6 +195,21 @@
     })
 }
 
+/// States the era in the answer, whatever its status.
+async fn state_era(
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> actix_web::Result<ServiceResponse<impl MessageBody>> {
+    let shared = request.app_data::<web::Data<Shared>>().cloned();
+    let mut response = next.call(request).await?;
+    if let Some(shared) = shared {
+        let era = HeaderValue::from(shared.keys().era);
+        let name = HeaderName::from_static("store-era");
+        response.headers_mut().insert(name, era);
+    }
+    Ok(response)
+}
+
 async fn range(shared: web::Data<Shared>, query: Query<Range>) -> HttpResponse {
     let keys = shared.keys();
     let matching = keys
@@ -186,7 +231,7 @@
         changed.borrow_and_update();
         let answer = {
             let keys = shared.keys();
-            if query.after < keys.compacted {
+            if query.after < keys.compacted || query.after > keys.revision {
                 return HttpResponse::Gone().finish();
             }
             let events: Vec<Value> = keys
--- a/mulberrymill-bench/src/store/imp.rs
+++ b/mulberrymill-bench/src/store/imp.rs
@@ -225,7 +225,7 @@
 async fn watch(store: Data<Memory>, body: Bytes) -> HttpResponse {
     let opened = async {
         let (prefix, from) = codec::watch(&codec::parse(&body)?)?;
-        Ok::<_, Failure>(store.watch(prefix, from).await?)
+        Ok::<_, Failure>(store.watch(prefix, from.into()).await?)
     };
     let events = match opened.await {
         Ok(events) => events,
--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -18,6 +18,8 @@
 mod faulty;
 #[path = "gateway/notices.rs"]
 mod notices;
+#[path = "gateway/restore.rs"]
+mod restore;
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/mulberrymill-bench/tests/store.rs
+++ b/mulberrymill-bench/tests/store.rs
@@ -138,7 +138,7 @@
 /// Runs the same calls against any store and returns the results as text.
 async fn exercise_store(store: &dyn Store) -> Result<Vec<String>> {
     let mut results = Vec::new();
-    let mut events = store.watch(path("/c/"), Revision::default()).await?;
+    let mut events = store.watch(path("/c/"), Revision::default().into()).await?;
     let lease = store.grant(LEASE_TTL).await?;
     for txn in contract_transactions(lease) {
         results.push(format!(
@@ -159,7 +159,7 @@
     results.push(format!("revoked {:?}", store.revoke(lease).await));
     results.push(format!("{:?}", store.range(path("/c")).await));
     results.extend(next_events(&mut events, 7).await?);
-    let mut replay = store.watch(path("/c/a"), Revision::new(3)).await?;
+    let mut replay = store.watch(path("/c/a"), Revision::new(3).into()).await?;
     results.extend(next_events(&mut replay, 2).await?);
     Ok(results)
 }
@@ -218,7 +218,7 @@
 #[actix_rt::test]
 async fn outage_ends_watches() -> Result<()> {
     let (handle, client) = start_store();
-    let mut events = client.watch(path("/"), Revision::default()).await?;
+    let mut events = client.watch(path("/"), Revision::default().into()).await?;
     let before = request_counts(&handle).await;
     set_fault(
         &handle,
@@ -353,7 +353,7 @@
         );
         assert_eq!(execution_state(result), Executed::Unknown, "{body:?}");
         let client = open_client(vec![address]);
-        let watch = client.watch(path("/a"), Revision::default());
+        let watch = client.watch(path("/a"), Revision::default().into());
         let (result, ()) = tokio::join!(watch, respond_once(&listener, &body));
         assert!(result.is_err(), "{body:?}");
     }
--- a/src/directory/follow.rs
+++ b/src/directory/follow.rs
@@ -1,4 +1,8 @@
-use std::{fmt, rc::Rc, time::Duration};
+use std::{
+    fmt,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_util::StreamExt;
 use rand::Rng;
@@ -11,7 +15,7 @@
     clock,
     error::{Error, Kind, Result},
     id::Revision,
-    store::{Event, Item, Path, Reader},
+    store::{Era, Event, Item, Path, Reader},
 };
 
 /// Delay before the first retry after a failed call.
@@ -44,6 +48,9 @@
     Snapshot(Vec<Item>),
     /// Changes since the previous update. Empty if the store confirmed that there are none.
     Changes(Vec<Event>),
+    /// The store was restored from an older copy. A snapshot follows; its revisions are not comparable
+    /// with earlier ones.
+    Restored,
     /// The availability of the store changed.
     Availability(Availability),
 }
@@ -53,7 +60,7 @@
 
 /// Starts a task that follows all keys with `prefix`: it reads them, then watches for changes.
 /// After a failure, or when the store has compacted the revision at which the watch starts, it
-/// reads all keys again.
+/// reads all keys again; without delay if the store was restored from an older copy.
 ///
 /// After each batch of changes it waits for `batch_delay`, so that frequent changes of many keys, such
 /// as heartbeats, are received in one call. A change is received later by this time at most.
@@ -72,6 +79,7 @@
         clock,
         sink,
         availability: None,
+        last_read: None,
     };
     task::spawn_local(follower.run()).abort_handle()
 }
@@ -83,20 +91,32 @@
     clock: clock::Shared,
     sink: UpdateSink,
     availability: Option<Availability>,
+    /// Era and revision of the last read of all keys.
+    last_read: Option<(Era, Revision)>,
 }
 
 impl Follower {
     async fn run(mut self) {
         let mut delay = RETRY_DELAY_MIN;
+        let mut restored_at: Option<Instant> = None;
         loop {
             let start = self.clock.now();
             let error = match self.read_and_watch().await {
                 Ok(never) => match never {},
                 Err(error) => error,
             };
-            self.record_failure(&error);
+            let now = self.clock.now();
+            if error.kind() == Kind::StoreRestored {
+                // Answers that alternate between eras must not cause reads without a pause.
+                let again = restored_at.replace(now);
+                if again.is_none_or(|at| now - at > RETRY_DELAY_MAX) {
+                    continue;
+                }
+            } else {
+                self.record_failure(&error);
+            }
             // A cycle that lasted for a while shows that the store is available.
-            if self.clock.now() - start > RETRY_DELAY_MAX {
+            if now - start > RETRY_DELAY_MAX {
                 delay = RETRY_DELAY_MIN;
             }
             // Jitter avoids simultaneous reads by processes that lost the store at the same time.
@@ -111,8 +131,18 @@
         self.record_success(range.revision);
         log::debug!(prefix:% = self.prefix, revision:% = range.revision,
             entries = range.items.len(); "read all keys with the prefix");
+        let from = range.next();
+        let last_read = self.last_read.replace((range.era, range.revision));
+        if let Some((era, revision)) = last_read
+            && era != range.era
+        {
+            log::warn!(prefix:% = self.prefix, era:% = range.era, before:% = era,
+                revision:% = range.revision, revision_before:% = revision,
+                entries = range.items.len();
+                "store was restored from an older copy; read all keys again");
+            (self.sink)(Update::Restored);
+        }
         (self.sink)(Update::Snapshot(range.items));
-        let from = Revision::new(range.revision.get() + 1);
         let mut events = self.store.watch(self.prefix.clone(), from).await?;
         loop {
             let batch = events.next().await;
--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -170,7 +170,7 @@
                 }
             }
             Update::Availability(Availability::Unavailable) => self.unavailable = true,
-            Update::Availability(Availability::Available) => {}
+            Update::Restored | Update::Availability(Availability::Available) => {}
         }
     }
 
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::{FutureExt as _, StreamExt as _, stream};
 use tokio::time;
 
 use super::*;
@@ -13,13 +14,16 @@
     error::{Error, Kind, Result},
     id::Revision,
     route::Plan,
-    store::{Change, Event, Faults, Item, Memory, Path, Store, Txn, Write},
+    store::{
+        Change, Era, Event, Events, Faults, Future, Item, Memory, Path, Position, Range, Reader,
+        Store, Txn, Write,
+    },
     testing::with_paused_time,
 };
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-/// Decodes entries of the form `SERVICE STATE`.
+/// Decodes entries of the form `SERVICE STATE [STARTED SEQUENCE]`.
 #[derive(Debug)]
 struct TextCodec;
 
@@ -27,7 +31,10 @@
     fn instance(&self, path: &Path, value: &[u8]) -> Result<Instance> {
         let invalid = || Error::new(Kind::BadRequest, "invalid entry");
         let text = std::str::from_utf8(value).map_err(|_error| invalid())?;
-        let (service, state) = text.split_once(' ').ok_or_else(invalid)?;
+        let fields: Vec<&str> = text.split(' ').collect();
+        let &[service, state, ..] = fields.as_slice() else {
+            return Err(invalid());
+        };
         let id = path.as_str().rsplit('/').next().unwrap_or_default();
         Ok(Instance {
             id: id.parse().map_err(|_error| invalid())?,
@@ -37,7 +44,7 @@
             slots: 4,
             draining: state == "draining",
             stage: None,
-            started: None,
+            started: fields.get(2).and_then(|field| field.parse().ok()),
         })
     }
 
@@ -208,6 +215,7 @@
                 sink.borrow_mut().push(match update {
                     Update::Snapshot(items) => format!("read {} entries", items.len()),
                     Update::Changes(events) => format!("{} changes", events.len()),
+                    Update::Restored => "store restored".to_owned(),
                     Update::Availability(availability) => format!("store {availability}"),
                 });
             }),
@@ -276,3 +284,109 @@
     assert!(results.iter().all(|(delay, (_, age))| age <= delay));
     insta::assert_debug_snapshot!(results);
 }
+
+/// Guards against changes that are missed for good because a follower continues from a revision of
+/// before the restore, which new writes have reached again between two of its calls.
+#[test]
+fn follower_misses_no_change_across_a_restore() {
+    let lines = with_paused_time(async {
+        let store = Memory::new(System::shared());
+        write(&store, "e1").await;
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let sink = Rc::clone(&seen);
+        let task = follow(
+            Rc::new(store.client()),
+            "/endpoints/".parse().expect("a valid path"),
+            Duration::from_millis(500),
+            System::shared(),
+            Box::new(move |update| sink.borrow_mut().push(describe(&update))),
+        );
+        time::sleep(Duration::from_secs(1)).await;
+        let backup = store.back_up();
+        write(&store, "e2").await;
+        write(&store, "e3").await;
+        time::sleep(Duration::from_millis(100)).await;
+        store.restore(backup);
+        write(&store, "e4").await;
+        write(&store, "e5").await;
+        time::sleep(Duration::from_secs(1)).await;
+        write(&store, "e6").await;
+        time::sleep(Duration::from_secs(1)).await;
+        task.abort();
+        seen.take()
+    });
+    insta::assert_debug_snapshot!(lines);
+}
+
+fn describe(update: &Update) -> String {
+    let names = |paths: Vec<&Path>| {
+        let names = paths
+            .iter()
+            .filter_map(|path| path.as_str().rsplit('/').next());
+        names.collect::<Vec<_>>().join(", ")
+    };
+    match update {
+        Update::Snapshot(items) => {
+            format!(
+                "read {}",
+                names(items.iter().map(|item| &item.path).collect())
+            )
+        }
+        Update::Changes(events) => {
+            format!(
+                "changes of {}",
+                names(events.iter().map(|event| &event.path).collect())
+            )
+        }
+        Update::Restored => "store restored".to_owned(),
+        Update::Availability(availability) => format!("store {availability}"),
+    }
+}
+
+/// A store whose answers alternate between two eras, as those of two servers behind one address.
+#[derive(Debug, Default)]
+struct Alternating {
+    reads: std::cell::Cell<u64>,
+}
+
+impl Reader for Alternating {
+    fn get(&self, path: Path) -> Future<'_, Range> {
+        self.range(path)
+    }
+
+    fn range(&self, _prefix: Path) -> Future<'_, Range> {
+        self.reads.set(self.reads.get() + 1);
+        let era = Era::new(self.reads.get() % 2);
+        async move {
+            Ok(Range {
+                era,
+                ..Range::default()
+            })
+        }
+        .boxed_local()
+    }
+
+    fn watch(&self, _prefix: Path, _from: Position) -> Future<'_, Events> {
+        let error = Error::new(Kind::StoreRestored, "the store was restored");
+        async move { Ok(stream::iter([Err(error)]).boxed_local()) }.boxed_local()
+    }
+}
+
+/// Guards against reads without a pause if each answer states another era.
+#[test]
+fn alternating_eras_are_read_with_a_pause() {
+    let reads = with_paused_time(async {
+        let store = Rc::new(Alternating::default());
+        let task = follow(
+            Rc::clone(&store) as Rc<dyn Reader>,
+            "/endpoints/".parse().expect("a valid path"),
+            Duration::from_millis(500),
+            System::shared(),
+            Box::new(|_update| ()),
+        );
+        time::sleep(Duration::from_secs(10)).await;
+        task.abort();
+        store.reads.get()
+    });
+    assert!((10..60).contains(&reads), "{reads} reads in ten seconds");
+}
--- a/src/edit/tests.rs
+++ b/src/edit/tests.rs
@@ -193,7 +193,11 @@
 async fn history(store: &Memory) -> Result<BTreeMap<Section, Vec<(Revision, Envelope)>>> {
     let mut edits: BTreeMap<Section, Vec<(Revision, Envelope)>> = BTreeMap::new();
     let root = "/mulberrymill/config/".parse()?;
-    let batch = store.watch(root, Revision::new(1)).await?.next().await;
+    let batch = store
+        .watch(root, Revision::new(1).into())
+        .await?
+        .next()
+        .await;
     for event in batch.expect("a batch")? {
         let name = event.path.as_str().rsplit('/').next().unwrap_or_default();
         let Change::Put(value) = event.change else {
--- a/src/error/imp.rs
+++ b/src/error/imp.rs
@@ -127,6 +127,8 @@
     /// The platform store cannot be reached.
     StoreUnavailable => "store-unavailable", 503, "The platform store cannot be reached",
         No, LONG_DELAY;
+    /// The platform store was restored from an older copy since the read that a call continues.
+    StoreRestored => "store-restored", 503, "The platform store was restored", No, SHORT_DELAY;
     /// The process has not received a configuration document yet.
     NotReady => "not-ready", 503, "No configuration is in force yet", No, SHORT_DELAY;
     /// The endpoint answered with an error.
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -56,7 +56,8 @@
                     }
                 }
             }
-            Update::Availability(_) => {}
+            // The version decides, which the operator does not give out again.
+            Update::Restored | Update::Availability(_) => {}
         }
     }
 
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -10,8 +10,10 @@
 use crate::{
     clock::System,
     error::{Error, Executed, Kind},
-    id::{Attempt, Incarnation, Request, Revision},
-    store::{self, Commit, Events, Faults, Lease, Memory, Path, Range, Reader, Store, Txn},
+    id::{Attempt, Incarnation, Request},
+    store::{
+        self, Commit, Events, Faults, Lease, Memory, Path, Position, Range, Reader, Store, Txn,
+    },
     wire::Recorded,
 };
 
@@ -72,7 +74,7 @@
         self.call(self.memory.range(prefix))
     }
 
-    fn watch(&self, prefix: Path, from: Revision) -> store::Future<'_, Events> {
+    fn watch(&self, prefix: Path, from: Position) -> store::Future<'_, Events> {
         self.call(self.memory.watch(prefix, from))
     }
 }
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -49,7 +49,7 @@
                     }
                 }
             }
-            Update::Availability(_) => {}
+            Update::Restored | Update::Availability(_) => {}
         }
     }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,7 +26,7 @@
     clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
-    store::{self, Commit, Era, Events, Future, Item, Lease, Path, Range, Reader, Txn},
+    store::{self, Commit, Era, Events, Future, Item, Lease, Path, Position, Range, Reader, Txn},
     unit::as_f64,
 };
 
@@ -86,13 +86,15 @@
         self
     }
 
-    /// Reads JSON from the store. Only status 200 is a success.
+    /// Reads JSON from the store, and its era. Only status 200 is a success. If the call continues a
+    /// read, `expected` is the era of that read.
     async fn call<T: DeserializeOwned>(
         &self,
         path: &'static str,
         query: &[(&str, &str)],
         limit: Duration,
-    ) -> Result<T> {
+        expected: Option<Era>,
+    ) -> Result<(T, Era)> {
         let request = self.client.get(format!("http://{}{path}", self.address));
         let request = request
             .query(&query)
@@ -100,8 +102,15 @@
         let answer = self
             .call_with_timeout(path, limit, send(request.send()))
             .await?;
+        let era = answer
+            .era
+            .or(expected)
+            .unwrap_or_else(|| self.era.borrow().unwrap_or_default());
+        if expected.is_some_and(|expected| expected != era) {
+            return Err(Error::new(Kind::StoreRestored, "the store was restored"));
+        }
         match answer.status {
-            StatusCode::OK => parse(&answer.body),
+            StatusCode::OK => Ok((parse(&answer.body)?, era)),
             status => Err(status_error(status)),
         }
     }
@@ -158,6 +167,7 @@
     async fn read_pages(&self, prefix: &Path) -> Result<Range> {
         let mut range = Range::default();
         let mut after = String::new();
+        let mut era = None;
         loop {
             let query = [("prefix", key(prefix)), ("after", after.as_str())];
             let query = if after.is_empty() {
@@ -165,7 +175,11 @@
             } else {
                 &query
             };
-            let page: Page = self.call(names::STORE_RANGE, query, CALL_TIMEOUT).await?;
+            let (page, page_era): (Page, _) = self
+                .call(names::STORE_RANGE, query, CALL_TIMEOUT, era)
+                .await?;
+            era = Some(page_era);
+            range.era = page_era;
             // Later pages can have newer revisions. Starting the watch after the revision of the
             // first page repeats some changes but misses none.
             if range.revision == Revision::default() {
@@ -185,10 +199,13 @@
     fn get(&self, path: Path) -> Future<'_, Range> {
         async move {
             let query = [("key", key(&path))];
-            let single: Single = self.call(names::STORE_KEY, &query, CALL_TIMEOUT).await?;
+            let (single, era): (Single, _) = self
+                .call(names::STORE_KEY, &query, CALL_TIMEOUT, None)
+                .await?;
             Ok(Range {
                 items: item(&single.entry).into_iter().collect(),
                 revision: Revision::new(single.revision),
+                era,
             })
         }
         .boxed_local()
@@ -198,12 +215,12 @@
         async move { self.read_pages(&prefix).await }.boxed_local()
     }
 
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
-        let after = from.get().saturating_sub(1);
-        let events = stream::unfold(Some((self.clone(), after)), move |state| {
+    fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events> {
+        let after = from.revision.get().saturating_sub(1);
+        let events = stream::unfold(Some((self.clone(), after, from.era)), move |state| {
             let prefix = prefix.clone();
             async move {
-                let (store, after) = state?;
+                let (store, after, era) = state?;
                 let wait = store.watch_wait;
                 let (since, wait_text) = (after.to_string(), wait.as_millis().to_string());
                 let query = [
@@ -211,13 +228,13 @@
                     ("after", since.as_str()),
                     ("waitMs", wait_text.as_str()),
                 ];
-                let call =
-                    store.call::<Batch>(names::STORE_WATCH, &query, wait + WATCH_TIMEOUT_MARGIN);
+                let limit = wait + WATCH_TIMEOUT_MARGIN;
+                let call = store.call::<Batch>(names::STORE_WATCH, &query, limit, era);
                 match call.await {
-                    Ok(batch) => {
+                    Ok((batch, era)) => {
                         let next = batch.revision.max(after);
                         let events = batch.events.iter().filter_map(event).collect();
-                        Some((Ok(events), Some((store, next))))
+                        Some((Ok(events), Some((store, next, Some(era)))))
                     }
                     Err(error) => Some((Err(error), None)),
                 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::{cell::Cell, time::Instant};
 
 use actix_http::ResponseHead;
 use actix_web::{
@@ -9,11 +9,18 @@
     test::TestRequest,
     web::Bytes,
 };
+use futures_util::StreamExt as _;
 use proptest::prelude::*;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+    sync::mpsc,
+    task,
+};
 
 use super::*;
 use crate::{
-    directory::Codec as _,
+    directory::{self, Codec as _},
     ingress::Protocol as _,
     store::{Path, Reader as _},
 };
@@ -170,6 +177,147 @@
     assert_eq!(error.kind(), Kind::StoreUnavailable);
 }
 
+/// Answers one request per connection, with the next of these answers, and counts the requests.
+async fn serve_script(answers: Vec<String>) -> (Store, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let count = Rc::new(Cell::new(0));
+    let served = Rc::clone(&count);
+    task::spawn_local(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.expect("a request"));
+            }
+            served.set(served.get() + 1);
+            stream
+                .write_all(answer.as_bytes())
+                .await
+                .expect("a client that reads");
+        }
+    });
+    (Store::new(address, clock::System::shared()), count)
+}
+
+fn answer(status: &str, era: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\n{era}connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+const PAGE: &str =
+    r#"{"items":[{"key":"servers/e1","value":"","rev":4}],"truncated":true,"asOf":4}"#;
+const LAST_PAGE: &str = r#"{"items":[],"asOf":5}"#;
+const NO_EVENTS: &str = r#"{"events":[],"asOf":5}"#;
+
+/// Guards against a read or a watch that goes on over a restore of the store, whatever the status of the
+/// answer that shows it, and against a restore that is seen where the store states no era.
+#[test]
+fn restore_is_detected_in_every_answer() {
+    const OLD: &str = "Store-Era: 3\r\n";
+    const NEW: &str = "store-era: 4\r\n";
+    let cases = [
+        ("the same era", OLD, "200 OK", OLD, NO_EVENTS),
+        ("events of another era", OLD, "200 OK", NEW, NO_EVENTS),
+        ("an earlier era", NEW, "200 OK", OLD, NO_EVENTS),
+        (
+            "a dropped revision of another era",
+            OLD,
+            "410 Gone",
+            NEW,
+            "",
+        ),
+        ("a dropped revision", OLD, "410 Gone", OLD, ""),
+        (
+            "a refusal in another era",
+            OLD,
+            "503 Service Unavailable",
+            NEW,
+            "",
+        ),
+        ("no era at all", "", "200 OK", "", NO_EVENTS),
+        ("no era in one answer", OLD, "200 OK", "", NO_EVENTS),
+        (
+            "an era that is no number",
+            OLD,
+            "200 OK",
+            "store-era: iv\r\n",
+            NO_EVENTS,
+        ),
+        (
+            "the first era of a store",
+            "store-era: 0\r\n",
+            "200 OK",
+            "store-era: 1\r\n",
+            NO_EVENTS,
+        ),
+    ];
+    let outcomes = cases.map(|(name, first, status, second, body)| {
+        actix::System::new().block_on(async move {
+            let script = vec![
+                answer("200 OK", first, LAST_PAGE),
+                answer(status, second, body),
+                answer("200 OK", first, PAGE),
+                answer(status, second, LAST_PAGE),
+            ];
+            let (store, _count) = serve_script(script).await;
+            let prefix = path("/servers/");
+            let read = store.range(prefix.clone()).await.expect("an answer");
+            let mut events = store
+                .watch(prefix.clone(), read.next())
+                .await
+                .expect("a watch");
+            let watched = events.next().await.expect("an item");
+            let paged = store.range(prefix).await;
+            let kind = |error: &Error| error.kind().to_string();
+            format!(
+                "{name}: watch {:?}, second page {:?}",
+                watched
+                    .map(|events| events.len())
+                    .map_err(|error| kind(&error)),
+                paged
+                    .map(|range| range.items.len())
+                    .map_err(|error| kind(&error)),
+            )
+        })
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against a follower that goes on from a revision that the store no longer has (410).
+#[test]
+fn watch_from_a_dropped_revision_leads_to_a_full_read() {
+    let updates = actix::System::new().block_on(async {
+        let script = vec![
+            answer("200 OK", "", LAST_PAGE),
+            answer("410 Gone", "", ""),
+            answer(
+                "200 OK",
+                "",
+                r#"{"items":[{"key":"servers/e1","value":"","rev":9}],"asOf":9}"#,
+            ),
+        ];
+        let (store, _count) = serve_script(script).await;
+        let (sender, mut updates) = mpsc::unbounded_channel();
+        let task = directory::follow(
+            Rc::new(store),
+            path("/servers/"),
+            Duration::ZERO,
+            clock::System::shared(),
+            Box::new(move |update| drop(sender.send(update))),
+        );
+        let mut seen = Vec::new();
+        while seen.len() < 4 {
+            seen.push(updates.recv().await.expect("a running follower"));
+        }
+        task.abort();
+        seen
+    });
+    insta::assert_debug_snapshot!(updates);
+}
+
 proptest! {
     /// Guards against a panic on bytes that are neither an entry nor a configuration.
     #[test]
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -11,13 +11,13 @@
 use tokio::time;
 
 use super::{
-    CALL_TIMEOUT, Commit, Event, Events, Future, Lease, Path, Range, Reader, Result, Store, Txn,
+    CALL_TIMEOUT, Commit, Event, Events, Future, Lease, Path, Position, Range, Reader, Result,
+    Store, Txn,
     gateway::{self, RESPONSE_MAX_BYTES, unknown_outcome},
 };
 use crate::{
     clock,
     error::{Error, Executed, Kind},
-    id::Revision,
 };
 
 /// Whether a call whose outcome is unknown may be sent again.
@@ -133,8 +133,8 @@
             .set((self.preferred.get() + 1) % self.addresses.len());
     }
 
-    async fn open_watch(&self, prefix: Path, from: Revision) -> Result<Events> {
-        let request = gateway::watch_request(&prefix, from);
+    async fn open_watch(&self, prefix: Path, from: Position) -> Result<Events> {
+        let request = gateway::watch_request(&prefix, from.revision);
         let mut result = Err(unknown_outcome("the store has no address"));
         for _ in &self.addresses {
             result = self.send("/v3/watch", &request).await;
@@ -179,7 +179,7 @@
         .boxed_local()
     }
 
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
+    fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events> {
         async move {
             time::timeout(CALL_TIMEOUT, self.open_watch(prefix, from))
                 .await
--- a/src/store/gateway.rs
+++ b/src/store/gateway.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Deserializer, de};
 use serde_json::{Value, json};
 
-use super::{Change, Commit, Compare, Event, Item, Lease, Path, Range, Result, Txn, Write};
+use super::{Change, Commit, Compare, Era, Event, Item, Lease, Path, Range, Result, Txn, Write};
 use crate::{
     error::{Error, Executed, Kind},
     id::Revision,
@@ -216,6 +216,7 @@
     Ok(Range {
         items: items(response.kvs)?,
         revision: response.header.revision,
+        era: Era::default(),
     })
 }
 
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -146,6 +146,37 @@
     pub items: Vec<Item>,
     /// Revision of the store at the time of the read.
     pub revision: Revision,
+    /// Era of the store at the time of the read.
+    pub era: Era,
+}
+
+impl Range {
+    /// Position at which a watch continues this read.
+    #[must_use]
+    pub const fn next(&self) -> Position {
+        Position {
+            revision: Revision::new(self.revision.get() + 1),
+            era: Some(self.era),
+        }
+    }
+}
+
+/// Position in the history of the store at which a watch starts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// First revision to report. If it is 0, the watch starts with the next change.
+    pub revision: Revision,
+    /// Era to which the revision belongs; `None` for that of the first answer.
+    pub era: Option<Era>,
+}
+
+impl From<Revision> for Position {
+    fn from(revision: Revision) -> Self {
+        Self {
+            revision,
+            era: None,
+        }
+    }
 }
 
 /// A comparison of a transaction.
@@ -264,12 +295,14 @@
 pub type Future<'a, T> = LocalBoxFuture<'a, Result<T>>;
 
 /// Batches of changes, in the order of their revisions. An empty batch means that the store
-/// responded without changes. The stream ends after an error.
+/// responded without changes. The stream ends after an error, which has `Kind::StoreRestored` if the
+/// store has changed to another era than that of the position at which the watch started.
 pub type Events = LocalBoxStream<'static, Result<Vec<Event>>>;
 
 /// Read access to the platform's key-value store.
 ///
-/// Every method fails with `Kind::StoreUnavailable`.
+/// Every method fails with `Kind::StoreUnavailable`, or with `Kind::StoreRestored` if the store changed
+/// to another era during the read.
 pub trait Reader: fmt::Debug {
     /// Reads one key.
     fn get(&self, path: Path) -> Future<'_, Range>;
@@ -277,9 +310,8 @@
     /// Reads all keys that start with `prefix`.
     fn range(&self, prefix: Path) -> Future<'_, Range>;
 
-    /// Watches all keys that start with `prefix` for changes at revision `from` or later. If `from`
-    /// is 0, the watch starts with the next change.
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events>;
+    /// Watches all keys that start with `prefix` for changes at position `from` or later.
+    fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events>;
 }
 
 /// The platform's key-value store.
--- a/src/store/keyspace.rs
+++ b/src/store/keyspace.rs
@@ -3,7 +3,9 @@
     time::{Duration, Instant},
 };
 
-use super::{Change, Commit, Compare, Event, Item, Lease, Path, Range, Result, Txn, Write};
+use super::{
+    Change, Commit, Compare, Era, Event, Item, Lease, Path, Position, Range, Result, Txn, Write,
+};
 use crate::{
     error::{Error, Executed, Kind},
     id::Revision,
@@ -13,13 +15,13 @@
 /// revision fails, like a watch from a compacted revision of etcd.
 const HISTORY_MAX_EVENTS: usize = 4096;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
     item: Item,
     lease: Option<Lease>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct LeaseState {
     period: Duration,
     expires: Instant,
@@ -27,8 +29,9 @@
 
 /// Keys, leases and event history of an in-memory store. The current time is an argument of the
 /// calls that need it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Keyspace {
+    pub(super) era: Era,
     revision: u64,
     entries: BTreeMap<Path, Entry>,
     leases: BTreeMap<i64, LeaseState>,
@@ -41,6 +44,7 @@
 impl Keyspace {
     pub(super) fn new() -> Self {
         Self {
+            era: Era::default(),
             // Like etcd, which starts at revision 1.
             revision: 1,
             entries: BTreeMap::new(),
@@ -79,6 +83,7 @@
         Range {
             items: items.into_iter().collect(),
             revision: self.revision(),
+            era: self.era,
         }
     }
 
@@ -92,6 +97,7 @@
         Range {
             items,
             revision: self.revision(),
+            era: self.era,
         }
     }
 
@@ -227,8 +233,12 @@
         }
     }
 
-    /// Events of keys with `prefix`, at revision `from` or later.
-    pub(super) fn events(&self, prefix: &Path, from: Revision) -> Result<Vec<Event>> {
+    /// Events of keys with `prefix`, at position `from` or later.
+    pub(super) fn events(&self, prefix: &Path, from: Position) -> Result<Vec<Event>> {
+        if from.era.is_some_and(|era| era != self.era) {
+            return Err(Error::new(Kind::StoreRestored, "the store was restored"));
+        }
+        let from = from.revision;
         if from <= self.compacted {
             let detail = "the watched revision is no longer kept";
             return Err(Error::new(Kind::StoreUnavailable, detail));
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -9,8 +9,8 @@
 use tokio::{sync::Notify, time};
 
 use super::{
-    CALL_TIMEOUT, Commit, Events, Future, Lease, Path, Range, Reader, Result, Store, Txn,
-    keyspace::Keyspace,
+    CALL_TIMEOUT, Commit, Era, Events, Future, Lease, Path, Position, Range, Reader, Result, Store,
+    Txn, keyspace::Keyspace,
 };
 use crate::{
     clock,
@@ -71,6 +71,10 @@
     }
 }
 
+/// Copy of the keys, leases and history of a [`Memory`].
+#[derive(Clone, Debug)]
+pub struct Backup(Keyspace);
+
 /// An in-memory store for tests and stand-ins. Clones share the store and the faults;
 /// [`Memory::client`] creates a connection with its own faults.
 #[derive(Clone, Debug)]
@@ -127,6 +131,21 @@
         self.shared.apply(|keyspace| keyspace.revision())
     }
 
+    /// Copies the current state.
+    #[must_use]
+    pub fn back_up(&self) -> Backup {
+        Backup(self.shared.apply(|keyspace| keyspace.clone()))
+    }
+
+    /// Goes back to an earlier state, in a new era. Revisions and lease numbers are given out again.
+    pub fn restore(&self, backup: Backup) {
+        self.shared.apply(|keyspace| {
+            let era = Era::new(keyspace.era.get() + 1);
+            *keyspace = backup.0;
+            keyspace.era = era;
+        });
+    }
+
     fn call<'a, T: 'a>(
         &'a self,
         write: bool,
@@ -188,14 +207,13 @@
         self.call(false, move |keyspace| Ok(keyspace.range(&prefix)))
     }
 
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
+    fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events> {
         async move {
             self.check_reachable()?;
-            let next = if from == Revision::default() {
-                Revision::new(self.revision().get() + 1)
-            } else {
-                from
-            };
+            let mut next = from;
+            if from.revision == Revision::default() {
+                next.revision = Revision::new(self.revision().get() + 1);
+            }
             let watch = Watch::new(self.clone(), prefix, next);
             let events = stream::unfold(Some(watch), |watch| async move {
                 let mut watch = watch?;
@@ -243,11 +261,11 @@
 struct Watch {
     memory: Memory,
     prefix: Path,
-    next: Revision,
+    next: Position,
 }
 
 impl Watch {
-    fn new(memory: Memory, prefix: Path, next: Revision) -> Self {
+    fn new(memory: Memory, prefix: Path, next: Position) -> Self {
         memory.shared.count(|counts| counts.watches += 1);
         Self {
             memory,
@@ -262,7 +280,7 @@
             self.memory.check_reachable()?;
             let (events, wait) = self.poll_events()?;
             if let Some(last) = events.last() {
-                self.next = Revision::new(last.revision.get() + 1);
+                self.next.revision = Revision::new(last.revision.get() + 1);
                 return Ok(events);
             }
             let changed = changed.notified();
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,10 +14,10 @@
 
 pub use etcd::Etcd;
 pub use imp::{
-    Change, Commit, Compare, Era, Event, Events, Future, Item, Lease, Path, Range, Reader, Store,
-    Txn, Write,
+    Change, Commit, Compare, Era, Event, Events, Future, Item, Lease, Path, Position, Range,
+    Reader, Store, Txn, Write,
 };
-pub use memory::{Counts, Faults, Memory};
+pub use memory::{Backup, Counts, Faults, Memory};
 
 use imp::CALL_TIMEOUT;
 
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -46,7 +46,7 @@
 async fn watch_reports_keys_of_an_expired_lease() -> Result<()> {
     let store = Memory::new(System::shared());
     let lease = store.grant(PERIOD).await?;
-    let mut events = store.watch(path("/"), Revision::new(1)).await?;
+    let mut events = store.watch(path("/"), Revision::new(1).into()).await?;
     store.commit(put("/a", "1", Some(lease))).await?;
     let first = events.next().await;
     let second = events.next().await;
@@ -105,8 +105,11 @@
 #[tokio::test(start_paused = true)]
 async fn outage_ends_watches() -> Result<()> {
     let store = Memory::new(System::shared());
-    let mut events = store.client().watch(path("/"), Revision::default()).await?;
-    let mut broken = store.watch(path("/"), Revision::default()).await?;
+    let mut events = store
+        .client()
+        .watch(path("/"), Revision::default().into())
+        .await?;
+    let mut broken = store.watch(path("/"), Revision::default().into()).await?;
     store.set_faults(Faults {
         down: true,
         ..Faults::default()
