Keep endpoints that are missing after a restore for their grace period

What callers saw: sound engines that had registered after the copy was taken got no requests until their next heartbeat, after an absence of the store of, say, 0.3 s.

Cause: missing entries stay usable for two seconds only after an outage of two heartbeats; a restore of any length loses entries.

Change: a restore starts the same grace period. A draining endpoint gets none, as before.

Failed before: directory::tests::endpoints_missing_in_a_restored_copy_have_a_grace_period, "300 ms all but e1 are missing: e1 of lm" instead of "e1 of lm, e2 of lm".

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -135,7 +135,7 @@
     entries: BTreeMap<Path, Entry>,
     /// Time of the last update from the store.
     last_update: Option<Instant>,
-    /// End of the last outage that was long enough for entries to expire.
+    /// Time of the last restore, or end of the last outage that was long enough for entries to expire.
     recovered_at: Option<Instant>,
     /// Whether the last update said that the store is unavailable.
     unavailable: bool,
@@ -170,7 +170,8 @@
                 }
             }
             Update::Availability(Availability::Unavailable) => self.unavailable = true,
-            Update::Restored | Update::Availability(Availability::Available) => {}
+            Update::Restored => self.record_restore(now),
+            Update::Availability(Availability::Available) => {}
         }
     }
 
@@ -208,6 +209,11 @@
         self.last_update = Some(now);
     }
 
+    /// Starts a grace period: what was registered after the copy was taken is missing in it.
+    fn record_restore(&mut self, now: Instant) {
+        self.recovered_at = Some(now);
+    }
+
     fn replace(&mut self, items: Vec<Item>, now: Instant) {
         let listed: BTreeMap<Path, Item> = items
             .into_iter()
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -285,6 +285,42 @@
     insta::assert_debug_snapshot!(results);
 }
 
+fn restore(items: &[(&str, &str, u64)]) -> [Update; 2] {
+    let items = items
+        .iter()
+        .map(|(id, value, revision)| item(id, value, *revision));
+    [Update::Restored, Update::Snapshot(items.collect())]
+}
+
+impl Trace {
+    /// Applies the updates that follow a restore.
+    fn restore(&mut self, at_ms: u64, what: &str, items: &[(&str, &str, u64)]) {
+        let [restored, snapshot] = restore(items);
+        self.step(at_ms, "store is restored", Some(restored));
+        self.step(at_ms, what, Some(snapshot));
+    }
+
+    fn change(&mut self, at_ms: u64, what: &str, event: Event) {
+        self.step(at_ms, what, Some(Update::Changes(vec![event])));
+    }
+}
+
+/// Guards against removing sound endpoints at once that registered after the copy was taken from which
+/// the store was restored, and against keeping them, or a draining one, for longer than two seconds.
+#[test]
+fn endpoints_missing_in_a_restored_copy_have_a_grace_period() {
+    let mut trace = Trace::new();
+    trace.step(0, "read", Some(three_entries()));
+    trace.restore(300, "all but e1 are missing", &[("e1", "lm ready", 1)]);
+    trace.change(1_000, "e2 registers again", put("e2", "lm ready", 2));
+    trace.change(1_100, "e4 registers", put("e4", "lm ready", 3));
+    trace.restore(1_500, "all are missing", &[]);
+    trace.change(2_000, "e4 registers again", put("e4", "lm ready", 2));
+    trace.step(3_400, "before the end of the grace period", None);
+    trace.step(3_500, "at the end of the grace period", None);
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
 /// Guards against changes that are missed for good because a follower continues from a revision of
 /// before the restore, which new writes have reached again between two of its calls.
 #[test]
