Order the writes of an endpoint by run and sequence after a restore

What callers saw: a drain or a new run that an engine wrote after a restore could be ignored, and a copy with a higher revision could end a drain that had been seen (DRAIN).

Cause: Directory::put ignored an entry whose revision was below the known one, but revisions are given out again after a restore.

Change: revisions are compared only within an era. Across a restore, a write of the same run is newer if its `seq` is higher, and a later `born` is a later run; an older copy undoes nothing. Without both, a known drain stays until the entry is removed, and an earlier run counts only when its entry is written again in the new era. Within an era, a write of the same run with a lower `seq`, which was delayed, is skipped too.

Failed before: directory::tests::writes_are_ordered_by_run_and_sequence_across_a_restore, "300 ms ready is draining: ... ready of lm" instead of "ready of lm (draining)".

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Availability, Update};
+use super::{
+    Availability, Update,
+    order::{Known, Last, Write},
+};
 use crate::{
     error::{Error, Kind, Result},
     id::{Endpoint, Revision, Service, Zone},
@@ -81,6 +84,33 @@
     }
 }
 
+/// Place of a write among those of one run of an endpoint. Later ones are higher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Sequence(u64);
+
+impl Sequence {
+    /// Creates a place from the number in the entry.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for Sequence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Sequence {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.parse().map(Self);
+        number.map_err(|_error| Error::new(Kind::BadRequest, "invalid sequence number"))
+    }
+}
+
 /// One run of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -111,6 +141,11 @@
     /// Fails if the entry does not describe a usable endpoint, for example one of another writer.
     fn instance(&self, path: &Path, value: &[u8]) -> Result<Instance>;
 
+    /// Decodes the place of an entry among the writes of its run, if it states one.
+    fn sequence(&self, _value: &[u8]) -> Option<Sequence> {
+        None
+    }
+
     /// Decodes a version of the plan.
     ///
     /// # Errors
@@ -122,7 +157,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     instance: Arc<Instance>,
-    revision: Revision,
+    last: Last,
     /// End of the grace period, if the entry is missing from the store.
     usable_until: Option<Instant>,
 }
@@ -212,6 +247,9 @@
     /// Starts a grace period: what was registered after the copy was taken is missing in it.
     fn record_restore(&mut self, now: Instant) {
         self.recovered_at = Some(now);
+        for entry in self.entries.values_mut() {
+            entry.last.record_restore();
+        }
     }
 
     fn replace(&mut self, items: Vec<Item>, now: Instant) {
@@ -242,7 +280,7 @@
 
     fn put(&mut self, path: Path, value: &[u8], revision: Revision) {
         let known = self.entries.get(&path);
-        if known.is_some_and(|entry| entry.revision > revision) {
+        if known.is_some_and(|entry| entry.last.is_after(revision)) {
             return;
         }
         let instance = match self.codec.instance(&path, value) {
@@ -254,7 +292,21 @@
                 return;
             }
         };
-        let unchanged = known.filter(|entry| *entry.instance == instance);
+        let write = Write {
+            started: instance.started,
+            sequence: self.codec.sequence(value),
+            draining: instance.draining,
+            revision,
+        };
+        if !self.is_newer(&path, &write) {
+            log::info!(endpoint:% = instance.id, draining = instance.draining, revision:% = revision;
+                "entry is older than what is known of the endpoint; skipped");
+            return;
+        }
+        let unchanged = self
+            .entries
+            .get(&path)
+            .filter(|entry| *entry.instance == instance);
         let instance = if let Some(entry) = unchanged {
             Arc::clone(&entry.instance)
         } else {
@@ -265,12 +317,27 @@
         };
         let entry = Entry {
             instance,
-            revision,
+            last: Last::new(write),
             usable_until: None,
         };
         self.entries.insert(path, entry);
     }
 
+    /// Whether a write is newer than what is known of its entry.
+    fn is_newer(&mut self, path: &Path, write: &Write) -> bool {
+        let Some(entry) = self.entries.get_mut(path) else {
+            return true;
+        };
+        let known = if entry.instance.draining {
+            Known::Draining
+        } else {
+            Known::Ready
+        };
+        // Even an older write shows that the entry is in the store.
+        entry.usable_until = None;
+        entry.last.precedes(write, known)
+    }
+
     fn remove(&mut self, path: &Path, now: Instant) {
         let grace_end = self
             .recovered_at
@@ -281,7 +348,7 @@
         if let Some(end) = grace_end.filter(|end| now < *end && !entry.instance.draining) {
             entry.usable_until = Some(end);
         } else {
-            log::info!(endpoint:% = entry.instance.id, revision:% = entry.revision;
+            log::info!(endpoint:% = entry.instance.id;
                 "endpoint removed from the store");
             self.entries.remove(path);
         }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -48,6 +48,11 @@
         })
     }
 
+    fn sequence(&self, value: &[u8]) -> Option<Sequence> {
+        let text = std::str::from_utf8(value).ok()?;
+        text.split(' ').nth(3)?.parse().ok()
+    }
+
     fn plan(&self, _value: &[u8]) -> Result<Plan> {
         Ok(Plan::default())
     }
@@ -321,6 +326,46 @@
     insta::assert_debug_snapshot!(trace.lines);
 }
 
+/// Guards against a copy of the store that ends a drain (DRAIN), and against a drain or a new run that
+/// is ignored because its revision is lower than one of before the restore.
+#[test]
+fn writes_are_ordered_by_run_and_sequence_across_a_restore() {
+    let mut trace = Trace::new();
+    trace.step(
+        0,
+        "read",
+        Some(Update::Snapshot(vec![
+            item("marked", "lm draining 100 6", 9),
+            item("plain", "lm draining", 10),
+            item("ready", "lm ready 100 6", 11),
+            item("restarted", "lm ready 200 1", 12),
+        ])),
+    );
+    let copy = [
+        ("marked", "lm ready 100 3", 2),
+        ("plain", "lm ready", 3),
+        ("ready", "lm ready 100 3", 4),
+        ("restarted", "lm draining 100 7", 5),
+    ];
+    trace.restore(100, "copy", &copy);
+    trace.change(200, "written again", put("marked", "lm draining 100 7", 6));
+    trace.change(
+        300,
+        "ready is draining",
+        put("ready", "lm draining 100 7", 7),
+    );
+    trace.change(400, "delayed write", put("ready", "lm ready 100 5", 8));
+    trace.change(500, "plain is written", put("plain", "lm ready", 9));
+    trace.change(
+        600,
+        "marked starts again",
+        put("marked", "lm ready 300 1", 10),
+    );
+    trace.change(700, "plain is removed", delete("plain", 11));
+    trace.change(800, "plain registers", put("plain", "lm ready", 12));
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
 /// Guards against changes that are missed for good because a follower continues from a revision of
 /// before the restore, which new writes have reached again between two of its calls.
 #[test]
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -4,7 +4,7 @@
 
 use super::Result;
 use crate::{
-    directory::{self, Instance, Started},
+    directory::{self, Instance, Sequence, Started},
     error::{Error, Kind},
     id,
     route::{self, Limits, Plan, Route, Target, Version},
@@ -115,6 +115,17 @@
         })
     }
 
+    fn sequence(&self, value: &[u8]) -> Option<Sequence> {
+        #[derive(Deserialize)]
+        struct Numbered {
+            #[serde(rename = "seq")]
+            sequence: u64,
+        }
+
+        let entry: Numbered = serde_json::from_slice(value).ok()?;
+        Some(Sequence::new(entry.sequence))
+    }
+
     fn plan(&self, value: &[u8]) -> Result<Plan> {
         let config: Config =
             serde_json::from_slice(value).map_err(|error| decode_error("configuration", error))?;
