Do not use an endpoint that has left because a copy lists it again

What callers saw: after a restore, requests to an engine whose removal had been seen, until the store had missed its heartbeats (DRAIN, failed requests).

Cause: nothing was remembered of a removed entry, so the copy's entry was taken for a new one.

Change: removed endpoints are remembered for a minute, at most 1,024 of them. After a restore, their entry counts only with a higher `seq`, a later `born`, or, without these, when it is written again in the new era. Within one era a removed endpoint that registers again is usable at once, as before.

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -27,6 +27,12 @@
 /// An entry expires after three heartbeats without renewal.
 const OUTAGE_HEARTBEATS: u32 = 2;
 
+/// Time for which a removed endpoint is remembered. It is longer than a copy of the store is old, and
+/// than an endpoint that has left stays listed after a restore.
+const DEPARTED_TTL: Duration = Duration::from_mins(1);
+/// Maximum number of removed endpoints that are remembered.
+const DEPARTED_MAX: usize = 1_024;
+
 /// Stage of generation in which an engine specializes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Stage {
@@ -162,12 +168,21 @@
     usable_until: Option<Instant>,
 }
 
+/// An endpoint whose entry was removed.
+#[derive(Clone, Debug)]
+struct Departed {
+    last: Last,
+    removed_at: Instant,
+}
+
 /// The usable endpoints: those in the store, and those in their grace period.
 #[derive(Debug)]
 pub struct Directory {
     codec: Arc<dyn Codec>,
     heartbeat: Duration,
     entries: BTreeMap<Path, Entry>,
+    /// Endpoints that were removed lately, so that an older copy of the store does not list them again.
+    departed: BTreeMap<Path, Departed>,
     /// Time of the last update from the store.
     last_update: Option<Instant>,
     /// Time of the last restore, or end of the last outage that was long enough for entries to expire.
@@ -185,6 +200,7 @@
             codec,
             heartbeat,
             entries: BTreeMap::new(),
+            departed: BTreeMap::new(),
             last_update: None,
             recovered_at: None,
             unavailable: false,
@@ -212,16 +228,19 @@
 
     /// Removes entries whose grace period is over. Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.entries.len();
-        self.entries.retain(|path, entry| {
-            let keep = entry.usable_until.is_none_or(|until| now < until);
-            if !keep {
-                log::info!(entry:% = path, endpoint:% = entry.instance.id;
-                    "endpoint removed: it did not register again in its grace period");
-            }
-            keep
+        self.departed
+            .retain(|_, departed| now < departed.removed_at + DEPARTED_TTL);
+        let expired = self.entries.extract_if(.., |_, entry| {
+            entry.usable_until.is_some_and(|until| until <= now)
         });
-        self.entries.len() != before
+        let expired: Vec<(Path, Entry)> = expired.collect();
+        let any = !expired.is_empty();
+        for (path, entry) in expired {
+            log::info!(entry:% = path, endpoint:% = entry.instance.id;
+                "endpoint removed: it did not register again in its grace period");
+            self.remember(path, entry, now);
+        }
+        any
     }
 
     /// Returns the usable endpoints, including those that are draining.
@@ -250,6 +269,9 @@
         for entry in self.entries.values_mut() {
             entry.last.record_restore();
         }
+        for departed in self.departed.values_mut() {
+            departed.last.record_restore();
+        }
     }
 
     fn replace(&mut self, items: Vec<Item>, now: Instant) {
@@ -320,13 +342,15 @@
             last: Last::new(write),
             usable_until: None,
         };
+        self.departed.remove(&path);
         self.entries.insert(path, entry);
     }
 
     /// Whether a write is newer than what is known of its entry.
     fn is_newer(&mut self, path: &Path, write: &Write) -> bool {
         let Some(entry) = self.entries.get_mut(path) else {
-            return true;
+            let departed = self.departed.get_mut(path);
+            return departed.is_none_or(|departed| departed.last.precedes(write, Known::Removed));
         };
         let known = if entry.instance.draining {
             Known::Draining
@@ -350,7 +374,27 @@
         } else {
             log::info!(endpoint:% = entry.instance.id;
                 "endpoint removed from the store");
-            self.entries.remove(path);
+            if let Some((path, entry)) = self.entries.remove_entry(path) {
+                self.remember(path, entry, now);
+            }
+        }
+    }
+
+    /// Remembers a removed endpoint, in place of the one that was removed first if there are too many.
+    fn remember(&mut self, path: Path, entry: Entry, now: Instant) {
+        if self.departed.len() >= DEPARTED_MAX
+            && let Some(oldest) = self
+                .departed
+                .iter()
+                .min_by_key(|(_, departed)| departed.removed_at)
+                .map(|(path, _)| path.clone())
+        {
+            self.departed.remove(&oldest);
         }
+        let departed = Departed {
+            last: Last::new(entry.last.into_write()),
+            removed_at: now,
+        };
+        self.departed.insert(path, departed);
     }
 }
--- a/src/directory/order.rs
+++ b/src/directory/order.rs
@@ -39,6 +39,10 @@
         }
     }
 
+    pub(super) const fn into_write(self) -> Write {
+        self.write
+    }
+
     pub(super) const fn record_restore(&mut self) {
         self.restored = true;
         self.copy = None;
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -6,6 +6,7 @@
 };
 
 use futures_util::{FutureExt as _, StreamExt as _, stream};
+use proptest::prelude::*;
 use tokio::time;
 
 use super::*;
@@ -366,6 +367,140 @@
     insta::assert_debug_snapshot!(trace.lines);
 }
 
+/// Guards against requests to an endpoint that has left, because a copy of the store lists it again, and
+/// against ignoring one that registers again.
+#[test]
+fn endpoints_that_have_left_are_not_listed_again_by_a_copy() {
+    let mut trace = Trace::new();
+    let listed = [
+        ("left", "lm ready 100 3", 2),
+        ("plain", "lm ready", 3),
+        ("restarted", "lm ready 100 3", 4),
+        ("unheard", "lm ready 100 3", 5),
+    ];
+    let items = listed.map(|(id, value, revision)| item(id, value, revision));
+    trace.step(0, "read", Some(Update::Snapshot(items.to_vec())));
+    trace.change(100, "heartbeat", put("left", "lm ready 100 4", 6));
+    for (id, revision) in [("left", 7), ("plain", 8), ("restarted", 9)] {
+        trace.change(200, "removed", delete(id, revision));
+    }
+    trace.change(
+        300,
+        "registers in the same era",
+        put("plain", "lm ready", 10),
+    );
+    trace.change(400, "removed again", delete("plain", 11));
+    trace.restore(500, "copy", &listed);
+    trace.step(600, "read again", Some(Update::Snapshot(items.to_vec())));
+    trace.change(700, "delayed write", put("left", "lm ready 100 4", 6));
+    trace.change(800, "newer write", put("left", "lm ready 100 5", 7));
+    trace.change(900, "written in this era", put("plain", "lm ready", 8));
+    trace.change(1_000, "new run", put("restarted", "lm ready 200 1", 9));
+    trace.change(1_100, "removed", delete("left", 10));
+    trace.step(2_600, "after the grace period", None);
+    trace.restore(
+        70_000,
+        "copy, a minute later",
+        &[("left", "lm ready 100 5", 7)],
+    );
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
+/// One endpoint and its entry in a store that keeps copies of its state.
+#[derive(Clone, Debug, Default)]
+struct Simulated {
+    revision: u64,
+    entry: Option<(Written, u64)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Written {
+    started: u64,
+    sequence: u64,
+    draining: bool,
+}
+
+impl Simulated {
+    fn write(&mut self, written: Written) -> Update {
+        self.revision += 1;
+        self.entry = Some((written, self.revision));
+        Update::Changes(vec![put("e1", &written.text(), self.revision)])
+    }
+
+    fn remove(&mut self) -> Update {
+        self.revision += 1;
+        self.entry = None;
+        Update::Changes(vec![delete("e1", self.revision)])
+    }
+}
+
+impl Written {
+    fn text(&self) -> String {
+        let state = if self.draining { "draining" } else { "ready" };
+        format!("lm {state} {} {}", self.started, self.sequence)
+    }
+}
+
+proptest! {
+    /// Guards against an endpoint that is usable after its drain was seen, and against one that is
+    /// never usable again, whatever its entry went through.
+    #[test]
+    fn drains_bind_and_no_endpoint_is_lost(steps in prop::collection::vec((0_u8..12, 0_usize..4), 1..80)) {
+        let start = Instant::now();
+        let mut directory = Directory::new(Arc::new(TextCodec), HEARTBEAT);
+        let mut store = Simulated::default();
+        let mut copies = vec![store.clone()];
+        let mut run = Written { started: 1, sequence: 0, draining: false };
+        let mut drained = std::collections::BTreeSet::new();
+        let mut now = start;
+        for (step, age) in steps {
+            let updates = match step {
+                0 => vec![store.remove()],
+                1 => {
+                    run = Written { started: run.started + 1, sequence: 0, draining: false };
+                    vec![store.write(run)]
+                }
+                2 => {
+                    run.draining = true;
+                    run.sequence += 1;
+                    drained.insert(run.started);
+                    vec![store.write(run)]
+                }
+                3 | 4 => {
+                    store = copies[copies.len().saturating_sub(1 + age)].clone();
+                    let items = store.entry.map(|(written, revision)| {
+                        item("e1", &written.text(), revision)
+                    });
+                    vec![Update::Restored, Update::Snapshot(items.into_iter().collect())]
+                }
+                5 => {
+                    copies.push(store.clone());
+                    Vec::new()
+                }
+                _ => {
+                    run.sequence += 1;
+                    vec![store.write(run)]
+                }
+            };
+            for update in updates {
+                directory.apply(update, now);
+            }
+            now += Duration::from_millis(250);
+            directory.expire(now);
+            for instance in directory.instances() {
+                let started: u64 = instance.started.expect("a start").to_string().parse().expect("a number");
+                prop_assert!(instance.draining || !drained.contains(&started));
+            }
+        }
+        run.sequence += 1;
+        directory.apply(store.write(run), now);
+        let listed: Vec<_> = directory.instances().map(|instance| {
+            (instance.started.expect("a start").to_string(), instance.draining)
+        }).collect();
+        prop_assert_eq!(listed, [(run.started.to_string(), run.draining)]);
+    }
+}
+
 /// Guards against changes that are missed for good because a follower continues from a revision of
 /// before the restore, which new writes have reached again between two of its calls.
 #[test]
