Register again at once when the store is restored, and drop its leases

What callers saw: nothing directly. A gateway whose entry was lost in a restore was unknown to its peers until its next renewal, up to 5 s later; with a lease number that had been given out again, a renewal kept up, or a graceful stop deleted, the entry of another gateway.

Cause: a lease was known by its number alone, and numbers are given out again after a restore.

Change: Lease carries its era. The client of the platform's store treats a lease of another era as ended, without a call; Store::era reports the era of the last answer, and a change wakes Presence, which registers again within half a second.

Shown by peers::tests::entry_is_created_again_at_once_after_a_restore, store::tests::positions_and_leases_end_with_a_restore and platform::tests::leases_of_an_earlier_era_are_not_used. They use the new interface, so they were not run on the code before.

--- a/src/peers/presence.rs
+++ b/src/peers/presence.rs
@@ -1,7 +1,8 @@
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, future, rc::Rc, time::Duration};
 
 use rand::Rng;
 use tokio::{
+    sync::watch,
     task::{self, AbortHandle},
     time,
 };
@@ -9,7 +10,7 @@
 use super::Result;
 use crate::{
     error::{Error, Kind},
-    store::{Lease, Path, Store, Txn, Write},
+    store::{Era, Lease, Path, Store, Txn, Write},
 };
 
 /// Time to live of the lease. Links detect the loss of a gateway within seconds, so a long time
@@ -17,11 +18,13 @@
 const LEASE_TTL: Duration = Duration::from_secs(15);
 /// Interval of lease renewals; the lease survives two failed ones.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
+/// Upper bound of the delay after a restore of the store, in which the processes register again.
+const RESTORE_DELAY: Duration = Duration::from_millis(500);
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Registration of this process in the store. While this value lives, a task renews the lease of
-/// the entry, and creates the entry anew if it has expired.
+/// the entry, and creates the entry anew if it has expired or the store was restored from an older copy.
 #[derive(Debug)]
 pub struct Presence {
     store: Rc<dyn Store>,
@@ -95,11 +98,18 @@
     }
 }
 
-/// Renews the lease until it has expired.
+/// Renews the lease until it has expired, or the store was restored.
 async fn renew(store: &dyn Store, lease: Lease) {
     let mut wait = RENEWAL_INTERVAL;
+    let mut era = store.era();
     loop {
-        sleep_with_jitter(wait).await;
+        tokio::select! {
+            () = sleep_with_jitter(wait) => {}
+            () = era_after(&mut era, lease.era()) => {
+                time::sleep(RESTORE_DELAY.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+                return;
+            }
+        }
         wait = match store.renew(lease).await {
             Ok(true) => RENEWAL_INTERVAL,
             Ok(false) => return,
@@ -111,6 +121,15 @@
     }
 }
 
+/// Waits until the store states another era than `granted`.
+async fn era_after(era: &mut watch::Receiver<Option<Era>>, granted: Era) {
+    let changed = era.wait_for(|era| era.is_some_and(|era| era != granted));
+    if changed.await.is_err() {
+        // The store states no eras.
+        future::pending::<()>().await;
+    }
+}
+
 /// Sleeps for 70 to 100 percent of `limit`, so that processes that started together do not call the
 /// store at the same time.
 async fn sleep_with_jitter(limit: Duration) {
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -133,6 +133,43 @@
     insta::assert_debug_snapshot!(entry_counts);
 }
 
+/// Guards against a gateway that is unknown to its peers until the next renewal because the store was
+/// restored from a copy of before its registration, and against one that deletes the entry of the
+/// process whose lease has the same number in the new era.
+#[test]
+fn entry_is_created_again_at_once_after_a_restore() {
+    let seen = with_paused_time(async {
+        let store = Memory::new(System::shared());
+        let entries = || async {
+            let range = store
+                .range("/gateways".parse().expect("a valid path"))
+                .await;
+            let items = range.expect("the store is up").items.into_iter();
+            items.map(|item| item.path.to_string()).collect::<Vec<_>>()
+        };
+        let register = |name: &str| {
+            Presence::register(Rc::new(store.client()), path(name), b"127.0.0.1:1".to_vec())
+        };
+        let empty = store.back_up();
+        let first = register("a");
+        time::sleep(Duration::from_secs(1)).await;
+        store.restore(empty.clone());
+        let mut seen = vec![("restored", entries().await)];
+        time::sleep(Duration::from_millis(600)).await;
+        seen.push(("600 ms later", entries().await));
+        store.restore(empty);
+        let second = register("b");
+        time::sleep(Duration::from_millis(1)).await;
+        first.deregister().await;
+        seen.push(("the first deregisters", entries().await));
+        time::sleep(Duration::from_mins(1)).await;
+        seen.push(("a minute later", entries().await));
+        drop(second);
+        seen
+    });
+    insta::assert_debug_snapshot!(seen);
+}
+
 struct Gateway {
     name: Process,
     dispatcher: actix::Addr<Dispatcher>,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,7 +26,9 @@
     clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
-    store::{self, Commit, Era, Events, Future, Item, Lease, Path, Position, Range, Reader, Txn},
+    store::{
+        self, Commit, Era, Events, Future, Item, Lease, Path, Position, Range, Reader, Txn, Write,
+    },
     unit::as_f64,
 };
 
@@ -143,6 +145,13 @@
         Ok(answer)
     }
 
+    /// Whether the store has changed to another era since the lease was granted. Its number may belong
+    /// to a lease of another process then.
+    fn has_lost(&self, lease: Lease) -> bool {
+        let era = *self.era.borrow();
+        era.is_some_and(|era| era != lease.era())
+    }
+
     fn record_era(&self, era: Era, route: &'static str) {
         let before = *self.era.borrow();
         if before == Some(era) {
@@ -248,6 +257,13 @@
     fn commit(&self, txn: Txn) -> Future<'_, Commit> {
         async move {
             txn.check()?;
+            let lost = txn.writes.iter().any(|write| match write {
+                Write::Put(_, _, Some(lease)) => self.has_lost(*lease),
+                _ => false,
+            });
+            if lost {
+                return Err(unavailable("the lease was lost in a restore of the store"));
+            }
             let Answer { status, body, .. } = self
                 .write(names::STORE_TXN, names::STORE_TXN, &transaction(&txn))
                 .await?;
@@ -285,19 +301,31 @@
                 .write(names::LEASE_GRANT, names::LEASE_GRANT, &body)
                 .await?;
             match answer.status {
-                StatusCode::OK => Ok(Lease::new(parse::<Granted>(&answer.body)?.lease)),
+                StatusCode::OK => {
+                    let era = answer.era.or_else(|| *self.era.borrow());
+                    let lease = Lease::new(parse::<Granted>(&answer.body)?.lease);
+                    Ok(lease.with_era(era.unwrap_or_default()))
+                }
                 status => Err(status_error(status)),
             }
         }
         .boxed_local()
     }
 
+    fn era(&self) -> watch::Receiver<Option<Era>> {
+        self.era.subscribe()
+    }
+
     fn renew(&self, lease: Lease) -> Future<'_, bool> {
         async move {
+            if self.has_lost(lease) {
+                return Ok(false);
+            }
             let path = format!("{}/{lease}", names::LEASE_RENEW);
             let answer = self.write(names::LEASE_RENEW, &path, &json!({})).await?;
             match answer.status {
-                StatusCode::OK => Ok(true),
+                // The answer can be the first of another era.
+                StatusCode::OK => Ok(!self.has_lost(lease)),
                 StatusCode::NOT_FOUND => Ok(false),
                 status => Err(status_error(status)),
             }
@@ -307,6 +335,9 @@
 
     fn revoke(&self, lease: Lease) -> Future<'_, ()> {
         async move {
+            if self.has_lost(lease) {
+                return Ok(());
+            }
             let url = format!("http://{}{}/{lease}", self.address, names::LEASE_REVOKE);
             let call = send(self.client.delete(url).send());
             let answer = self
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -21,8 +21,9 @@
 use super::*;
 use crate::{
     directory::{self, Codec as _},
+    error::Executed,
     ingress::Protocol as _,
-    store::{Path, Reader as _},
+    store::{Path, Reader as _, Store as _, Txn, Write},
 };
 
 const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"santiago-a",
@@ -318,6 +319,30 @@
     insta::assert_debug_snapshot!(updates);
 }
 
+/// Guards against a call with the number of a lease of an earlier era, which may belong to a lease of
+/// another process.
+#[test]
+fn leases_of_an_earlier_era_are_not_used() {
+    let (renewed, written, calls) = actix::System::new().block_on(async {
+        let script = vec![
+            answer("200 OK", "store-era: 1\r\n", r#"{"lease":7,"ttlMs":15000}"#),
+            answer("200 OK", "store-era: 2\r\n", LAST_PAGE),
+        ];
+        let (store, count) = serve_script(script).await;
+        let lease = store.grant(Duration::from_secs(15)).await.expect("a lease");
+        store.range(path("/servers/")).await.expect("an answer");
+        let renewed = store.renew(lease).await.expect("no call");
+        store.revoke(lease).await.expect("no call");
+        let txn = Txn {
+            writes: vec![Write::Put(path("/a"), Vec::new(), Some(lease))],
+            ..Txn::default()
+        };
+        let written = store.commit(txn).await.map_err(|error| error.executed());
+        (renewed, written, count.get())
+    });
+    assert_eq!((renewed, written, calls), (false, Err(Executed::No), 2));
+}
+
 proptest! {
     /// Guards against a panic on bytes that are neither an entry nor a configuration.
     #[test]
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeSet, fmt, str::FromStr, time::Duration};
 
 use futures_util::{future::LocalBoxFuture, stream::LocalBoxStream};
+use tokio::sync::watch;
 
 use super::Result;
 use crate::{
@@ -92,27 +93,47 @@
     }
 }
 
-/// Id of a lease. Keys bound to the lease are deleted when it expires or is revoked.
+/// Id of a lease. Keys bound to the lease are deleted when it expires or is revoked. In another era of
+/// the store, the number may belong to a lease of another process, so the lease counts as expired.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Lease(i64);
+pub struct Lease {
+    number: i64,
+    era: Era,
+}
 
 impl Lease {
-    /// Creates a lease id from the number that the store assigned.
+    /// Creates a lease id from the number that the store assigned, in the default era.
     #[must_use]
     pub const fn new(number: i64) -> Self {
-        Self(number)
+        Self {
+            number,
+            era: Era::new(0),
+        }
+    }
+
+    /// Sets the era in which the lease was granted.
+    #[must_use]
+    pub const fn with_era(mut self, era: Era) -> Self {
+        self.era = era;
+        self
+    }
+
+    /// The era in which the lease was granted.
+    #[must_use]
+    pub const fn era(self) -> Era {
+        self.era
     }
 
     /// The number that the store assigned.
     #[must_use]
     pub const fn get(self) -> i64 {
-        self.0
+        self.number
     }
 }
 
 impl fmt::Display for Lease {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(&self.0, f)
+        fmt::Display::fmt(&self.number, f)
     }
 }
 
@@ -121,7 +142,7 @@
 
     fn from_str(text: &str) -> Result<Self> {
         text.parse()
-            .map(Self)
+            .map(Self::new)
             .map_err(|_error| Error::new(Kind::BadRequest, "invalid lease"))
     }
 }
@@ -326,6 +347,11 @@
     /// it from before the call was sent.
     fn grant(&self, period: Duration) -> Future<'_, Lease>;
 
+    /// The era of the store in its last answer, if it states one.
+    fn era(&self) -> watch::Receiver<Option<Era>> {
+        watch::Sender::new(None).subscribe()
+    }
+
     /// Renews a lease for its full period. Returns `false` if it has expired.
     fn renew(&self, lease: Lease) -> Future<'_, bool>;
 
--- a/src/store/keyspace.rs
+++ b/src/store/keyspace.rs
@@ -73,7 +73,7 @@
             .map(|(number, _)| *number)
             .collect();
         for number in &expired {
-            self.revoke(Lease::new(*number));
+            self.revoke(self.lease(*number));
         }
         !expired.is_empty()
     }
@@ -154,7 +154,7 @@
 
     fn check_leases(&self, writes: &[Write]) -> Result<()> {
         let all_exist = writes.iter().all(|write| match write {
-            Write::Put(_, _, Some(lease)) => self.leases.contains_key(&lease.get()),
+            Write::Put(_, _, Some(lease)) => self.has_lease(*lease),
             _ => true,
         });
         if all_exist {
@@ -198,15 +198,26 @@
         }
     }
 
+    fn lease(&self, number: i64) -> Lease {
+        Lease::new(number).with_era(self.era)
+    }
+
+    fn has_lease(&self, lease: Lease) -> bool {
+        lease.era() == self.era && self.leases.contains_key(&lease.get())
+    }
+
     pub(super) fn grant(&mut self, period: Duration, now: Instant) -> Lease {
         self.last_lease += 1;
         let expires = now + period;
         self.leases
             .insert(self.last_lease, LeaseState { period, expires });
-        Lease::new(self.last_lease)
+        self.lease(self.last_lease)
     }
 
     pub(super) fn renew(&mut self, lease: Lease, now: Instant) -> bool {
+        if !self.has_lease(lease) {
+            return false;
+        }
         let Some(state) = self.leases.get_mut(&lease.get()) else {
             return false;
         };
@@ -215,13 +226,14 @@
     }
 
     pub(super) fn revoke(&mut self, lease: Lease) {
-        if self.leases.remove(&lease.get()).is_none() {
+        if !self.has_lease(lease) {
             return;
         }
+        self.leases.remove(&lease.get());
         let bound: Vec<Path> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.lease == Some(lease))
+            .filter(|(_, entry)| entry.lease.is_some_and(|bound| bound.get() == lease.get()))
             .map(|(path, _)| path.clone())
             .collect();
         if bound.is_empty() {
--- a/src/store/memory.rs
+++ b/src/store/memory.rs
@@ -6,7 +6,10 @@
 
 use futures_util::{FutureExt, StreamExt, stream};
 use serde::{Deserialize, Serialize};
-use tokio::{sync::Notify, time};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
 
 use super::{
     CALL_TIMEOUT, Commit, Era, Events, Future, Lease, Path, Position, Range, Reader, Result, Store,
@@ -50,6 +53,7 @@
     clock: clock::Shared,
     keyspace: RefCell<Keyspace>,
     counts: Cell<Counts>,
+    era: watch::Sender<Option<Era>>,
     /// Notifies the watches of any change of keys, leases or faults.
     changed: Rc<Notify>,
 }
@@ -92,6 +96,7 @@
                 clock,
                 keyspace: RefCell::new(Keyspace::new()),
                 counts: Cell::default(),
+                era: watch::Sender::new(None),
                 changed: Rc::default(),
             }),
             faults: Rc::default(),
@@ -143,6 +148,7 @@
             let era = Era::new(keyspace.era.get() + 1);
             *keyspace = backup.0;
             keyspace.era = era;
+            self.shared.era.send_replace(Some(era));
         });
     }
 
@@ -242,6 +248,10 @@
         })
     }
 
+    fn era(&self) -> watch::Receiver<Option<Era>> {
+        self.shared.era.subscribe()
+    }
+
     fn renew(&self, lease: Lease) -> Future<'_, bool> {
         self.call(true, move |keyspace| {
             Ok(keyspace.renew(lease, self.shared.clock.now()))
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -122,3 +122,27 @@
     insta::assert_debug_snapshot!((ends, events.next().await, store.counts()));
     Ok(())
 }
+
+/// Guards against a watch that continues over a restore of the store, and against a lease of an earlier
+/// era that renews or revokes the lease of another process with the same number.
+#[tokio::test(start_paused = true)]
+async fn positions_and_leases_end_with_a_restore() -> Result<()> {
+    let store = Memory::new(System::shared());
+    store.commit(put("/a", "1", None)).await?;
+    let read = store.range(path("/")).await?;
+    let backup = store.back_up();
+    let own = store.grant(PERIOD).await?;
+    let mut events = store.watch(path("/"), read.next()).await?;
+    store.commit(put("/b", "2", Some(own))).await?;
+    let first = events.next().await;
+    store.restore(backup);
+    let other = store.grant(PERIOD).await?;
+    store.commit(put("/c", "3", Some(other))).await?;
+    let second = events.next().await;
+    let renewed = store.renew(own).await?;
+    store.revoke(own).await?;
+    let kept = store.range(path("/")).await?;
+    assert_eq!(own.get(), other.get());
+    insta::assert_debug_snapshot!((first, second, renewed, kept));
+    Ok(())
+}
