Test that the plan survives a restore of the store

The plan is replaced by its version alone, so a copy does not revert it and a newer one at a revision that was given out before is taken.

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -82,3 +82,30 @@
     });
     insta::assert_debug_snapshot!(states);
 }
+
+/// Guards against a plan that reverts to that of the copy from which the store was restored, and against
+/// ignoring a later one whose revision was given out before (CONFIG).
+#[test]
+fn plan_survives_a_restore_of_the_store() {
+    let mut active_plan = ActivePlan::new(Arc::new(VersionOnly), path("/plan"));
+    let receiver = active_plan.subscribe();
+    let feeds = [
+        ("first plan", snapshot("/plan", "4")),
+        ("confirmed", put("7")),
+        ("restored", Update::Restored),
+        ("copy", snapshot("/plan", "4")),
+        ("written again", put("7")),
+        ("restored", Update::Restored),
+        ("copy without a plan", Update::Snapshot(Vec::new())),
+        ("newer, at a revision given out before", put("9")),
+    ];
+    let versions = feeds.map(|(name, update)| {
+        active_plan.apply(update);
+        let version = receiver
+            .borrow()
+            .as_ref()
+            .map(|plan| plan.version().to_string());
+        format!("{name}: {}", version.unwrap_or_default())
+    });
+    insta::assert_debug_snapshot!(versions);
+}
