--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -22,6 +22,8 @@
 mod odd_entries;
 #[path = "gateway/refusal.rs"]
 mod refusal;
+#[path = "gateway/restore.rs"]
+mod restore;
 #[path = "gateway/stop.rs"]
 mod stop;
 
