--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Availability, Update};
+use super::{
+    Availability, Update,
+    order::{Known, Last, Write},
+};
 use crate::{
     error::{Error, Kind, Result},
     id::{Endpoint, Revision, Service, Zone},
@@ -24,6 +27,12 @@
 /// An entry expires after three heartbeats without renewal.
 const OUTAGE_HEARTBEATS: u32 = 2;
 
+/// Time for which a removed endpoint is remembered. It is longer than a copy of the store is old, and
+/// than an endpoint that has left stays listed after a restore.
+const DEPARTED_TTL: Duration = Duration::from_mins(1);
+/// Maximum number of removed endpoints that are remembered.
+const DEPARTED_MAX: usize = 1_024;
+
 /// Stage of generation in which an engine specializes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Stage {
@@ -81,6 +90,33 @@
     }
 }
 
+/// Place of a write among those of one run of an endpoint. Later ones are higher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Sequence(u64);
+
+impl Sequence {
+    /// Creates a place from the number in the entry.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for Sequence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Sequence {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.parse().map(Self);
+        number.map_err(|_error| Error::new(Kind::BadRequest, "invalid sequence number"))
+    }
+}
+
 /// One run of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -111,6 +147,11 @@
     /// Fails if the entry does not describe a usable endpoint, for example one of another writer.
     fn instance(&self, path: &Path, value: &[u8]) -> Result<Instance>;
 
+    /// Decodes the place of an entry among the writes of its run, if it states one.
+    fn sequence(&self, _value: &[u8]) -> Option<Sequence> {
+        None
+    }
+
     /// Decodes a version of the plan.
     ///
     /// # Errors
@@ -122,20 +163,33 @@
 #[derive(Clone, Debug)]
 struct Entry {
     instance: Arc<Instance>,
-    revision: Revision,
+    last: Last,
     /// End of the grace period, if the entry is missing from the store.
     usable_until: Option<Instant>,
 }
 
+/// An endpoint whose entry was removed.
+#[derive(Clone, Debug)]
+struct Departed {
+    last: Last,
+    removed_at: Instant,
+}
+
 /// The usable endpoints: those in the store, and those in their grace period.
 #[derive(Debug)]
 pub struct Directory {
     codec: Arc<dyn Codec>,
     heartbeat: Duration,
+    /// Addresses at which this process listens.
+    own_addresses: Vec<SocketAddr>,
     entries: BTreeMap<Path, Entry>,
+    /// Why the other entries in the store are not used.
+    unusable: BTreeMap<Path, String>,
+    /// Endpoints that were removed lately, so that an older copy of the store does not list them again.
+    departed: BTreeMap<Path, Departed>,
     /// Time of the last update from the store.
     last_update: Option<Instant>,
-    /// End of the last outage that was long enough for entries to expire.
+    /// Time of the last restore, or end of the last outage that was long enough for entries to expire.
     recovered_at: Option<Instant>,
     /// Whether the last update said that the store is unavailable.
     unavailable: bool,
@@ -149,13 +203,22 @@
         Self {
             codec,
             heartbeat,
+            own_addresses: Vec::new(),
             entries: BTreeMap::new(),
+            unusable: BTreeMap::new(),
+            departed: BTreeMap::new(),
             last_update: None,
             recovered_at: None,
             unavailable: false,
         }
     }
 
+    /// Sets the addresses at which this process listens. Entries with one of them are not used: they
+    /// would send requests round and round.
+    pub fn set_own_addresses(&mut self, addresses: Vec<SocketAddr>) {
+        self.own_addresses = addresses;
+    }
+
     /// Applies an update from the store.
     pub fn apply(&mut self, update: Update, now: Instant) {
         match update {
@@ -170,22 +233,26 @@
                 }
             }
             Update::Availability(Availability::Unavailable) => self.unavailable = true,
+            Update::Restored => self.record_restore(now),
             Update::Availability(Availability::Available) => {}
         }
     }
 
     /// Removes entries whose grace period is over. Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.entries.len();
-        self.entries.retain(|path, entry| {
-            let keep = entry.usable_until.is_none_or(|until| now < until);
-            if !keep {
-                log::info!(entry:% = path, endpoint:% = entry.instance.id;
-                    "endpoint removed: it did not register again in its grace period");
-            }
-            keep
+        self.departed
+            .retain(|_, departed| now < departed.removed_at + DEPARTED_TTL);
+        let expired = self.entries.extract_if(.., |_, entry| {
+            entry.usable_until.is_some_and(|until| until <= now)
         });
-        self.entries.len() != before
+        let expired: Vec<(Path, Entry)> = expired.collect();
+        let any = !expired.is_empty();
+        for (path, entry) in expired {
+            log::info!(entry:% = path, endpoint:% = entry.instance.id;
+                "endpoint removed: it did not register again in its grace period");
+            self.remember(path, entry, now);
+        }
+        any
     }
 
     /// Returns the usable endpoints, including those that are draining.
@@ -208,6 +275,17 @@
         self.last_update = Some(now);
     }
 
+    /// Starts a grace period: what was registered after the copy was taken is missing in it.
+    fn record_restore(&mut self, now: Instant) {
+        self.recovered_at = Some(now);
+        for entry in self.entries.values_mut() {
+            entry.last.record_restore();
+        }
+        for departed in self.departed.values_mut() {
+            departed.last.record_restore();
+        }
+    }
+
     fn replace(&mut self, items: Vec<Item>, now: Instant) {
         let listed: BTreeMap<Path, Item> = items
             .into_iter()
@@ -222,6 +300,7 @@
         for path in missing {
             self.remove(&path, now);
         }
+        self.unusable.retain(|path, _| listed.contains_key(path));
         for item in listed.into_values() {
             self.put(item.path, &item.value, item.modified);
         }
@@ -230,25 +309,44 @@
     fn change(&mut self, event: Event, now: Instant) {
         match event.change {
             Change::Put(value) => self.put(event.path, &value, event.revision),
-            Change::Delete => self.remove(&event.path, now),
+            Change::Delete => {
+                self.unusable.remove(&event.path);
+                self.remove(&event.path, now);
+            }
         }
     }
 
     fn put(&mut self, path: Path, value: &[u8], revision: Revision) {
         let known = self.entries.get(&path);
-        if known.is_some_and(|entry| entry.revision > revision) {
+        if known.is_some_and(|entry| entry.last.is_after(revision)) {
             return;
         }
-        let instance = match self.codec.instance(&path, value) {
+        let decoded = self.codec.instance(&path, value);
+        let decoded = decoded.and_then(|instance| self.check_foreign(instance));
+        let instance = match decoded {
             Ok(instance) => instance,
             Err(error) => {
-                log::warn!(entry:% = path, revision:% = revision, error:% = error;
-                    "entry does not describe a usable endpoint; skipped");
                 self.entries.remove(&path);
+                self.record_unusable(path, revision, error.to_string());
                 return;
             }
         };
-        let unchanged = known.filter(|entry| *entry.instance == instance);
+        self.unusable.remove(&path);
+        let write = Write {
+            started: instance.started,
+            sequence: self.codec.sequence(value),
+            draining: instance.draining,
+            revision,
+        };
+        if !self.is_newer(&path, &write) {
+            log::info!(endpoint:% = instance.id, draining = instance.draining, revision:% = revision;
+                "entry is older than what is known of the endpoint; skipped");
+            return;
+        }
+        let unchanged = self
+            .entries
+            .get(&path)
+            .filter(|entry| *entry.instance == instance);
         let instance = if let Some(entry) = unchanged {
             Arc::clone(&entry.instance)
         } else {
@@ -259,12 +357,52 @@
         };
         let entry = Entry {
             instance,
-            revision,
+            last: Last::new(write),
             usable_until: None,
         };
+        self.departed.remove(&path);
         self.entries.insert(path, entry);
     }
 
+    /// Fails for an endpoint at an address of this process.
+    fn check_foreign(&self, instance: Instance) -> Result<Instance> {
+        let address = instance.address;
+        let is_own = self.own_addresses.iter().any(|own| {
+            let is_local = own.ip().is_unspecified() && address.ip().is_loopback();
+            own.port() == address.port() && (own.ip() == address.ip() || is_local)
+        });
+        if is_own {
+            let detail = format!("{address} is an address of this process");
+            return Err(Error::new(Kind::BadRequest, detail));
+        }
+        Ok(instance)
+    }
+
+    /// Logs why an entry is not used, once for each reason: its writer may repeat it without end.
+    fn record_unusable(&mut self, path: Path, revision: Revision, reason: String) {
+        if self.unusable.get(&path) != Some(&reason) {
+            log::warn!(entry:% = path, revision:% = revision, error = reason;
+                "entry does not describe a usable endpoint; skipped");
+            self.unusable.insert(path, reason);
+        }
+    }
+
+    /// Whether a write is newer than what is known of its entry.
+    fn is_newer(&mut self, path: &Path, write: &Write) -> bool {
+        let Some(entry) = self.entries.get_mut(path) else {
+            let departed = self.departed.get_mut(path);
+            return departed.is_none_or(|departed| departed.last.precedes(write, Known::Removed));
+        };
+        let known = if entry.instance.draining {
+            Known::Draining
+        } else {
+            Known::Ready
+        };
+        // Even an older write shows that the entry is in the store.
+        entry.usable_until = None;
+        entry.last.precedes(write, known)
+    }
+
     fn remove(&mut self, path: &Path, now: Instant) {
         let grace_end = self
             .recovered_at
@@ -275,9 +413,29 @@
         if let Some(end) = grace_end.filter(|end| now < *end && !entry.instance.draining) {
             entry.usable_until = Some(end);
         } else {
-            log::info!(endpoint:% = entry.instance.id, revision:% = entry.revision;
+            log::info!(endpoint:% = entry.instance.id;
                 "endpoint removed from the store");
-            self.entries.remove(path);
+            if let Some((path, entry)) = self.entries.remove_entry(path) {
+                self.remember(path, entry, now);
+            }
         }
     }
+
+    /// Remembers a removed endpoint, in place of the one that was removed first if there are too many.
+    fn remember(&mut self, path: Path, entry: Entry, now: Instant) {
+        if self.departed.len() >= DEPARTED_MAX
+            && let Some(oldest) = self
+                .departed
+                .iter()
+                .min_by_key(|(_, departed)| departed.removed_at)
+                .map(|(path, _)| path.clone())
+        {
+            self.departed.remove(&oldest);
+        }
+        let departed = Departed {
+            last: Last::new(entry.last.into_write()),
+            removed_at: now,
+        };
+        self.departed.insert(path, departed);
+    }
 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::VecDeque,
     pin::pin,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -15,7 +16,7 @@
 };
 use crate::{
     dispatch::{Ending, Need, Ticket},
-    error::{Error, Kind},
+    error::{Error, Executed, Kind},
     id::Endpoint,
     invariant::{self, Invariant},
     upstream::{self, Body},
@@ -24,7 +25,7 @@
 /// Silence after which another endpoint is asked to continue a resumable stream. A sound endpoint can
 /// be silent for a second or so; callers give up after two seconds.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time that the other endpoint has to answer if the silent one sends its next event meanwhile.
+/// Time that the other endpoint has for its first event if the silent one goes on meanwhile.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Builds the response to the caller, with a body that is relayed from the endpoint.
@@ -54,10 +55,18 @@
         held: VecDeque::new(),
         ticket: Some(ticket),
     };
-    let body = stream::unfold(Some(relay), |relay| async move {
-        let mut relay = relay?;
-        match relay.next().await {
-            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+    let shutdown = relay.exchange.ports.shutdown.clone();
+    let clock = Arc::clone(&relay.exchange.ports.clock);
+    let cut = Box::pin(async move { shutdown.cut(&*clock).await });
+    let body = stream::unfold(Some((relay, cut)), |state| async move {
+        let (mut relay, mut cut) = state?;
+        let next = tokio::select! {
+            biased;
+            next = relay.next() => next,
+            () = &mut cut => Err(cut_by_stop()),
+        };
+        match next {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some((relay, cut)))),
             Ok(None) => None,
             Err(error) => {
                 relay.exchange.log.cut_off(&error);
@@ -135,15 +144,23 @@
             };
             match read {
                 Ok(Some(bytes)) => {
-                    if self.count_bytes(bytes.len()) {
-                        // The HTTP server does not poll the body beyond its length, so the end is
-                        // read here.
-                        self.read_end().await?;
-                    }
+                    let is_last = self.count_bytes(bytes.len());
                     let ready = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes)?,
-                        None => bytes,
+                        Some(splitter) => splitter.push(&bytes),
+                        None => Ok(bytes),
                     };
+                    let ready = match ready {
+                        Ok(ready) => ready,
+                        Err(error) => {
+                            self.resume(error).await?;
+                            continue;
+                        }
+                    };
+                    // The HTTP server does not poll the body beyond its length, so the end is read
+                    // here.
+                    if is_last && let Err(error) = self.read_end().await {
+                        self.resume(error).await?;
+                    }
                     if !ready.is_empty() {
                         self.may_be_cut_unseen = false;
                         if let Some(ticket) = &mut self.ticket {
@@ -156,7 +173,10 @@
                     let detail = "the stream ended before its first event";
                     self.resume(Error::new(Kind::EndpointLost, detail)).await?;
                 }
-                Ok(None) => return self.complete().map(|()| None),
+                Ok(None) => match self.complete() {
+                    Ok(()) => return Ok(None),
+                    Err(error) => self.resume(error).await?,
+                },
                 Err(error) => self.resume(error).await?,
             }
         }
@@ -245,69 +265,67 @@
     }
 
     /// Asks another endpoint to continue a stalled stream. The silent endpoint keeps the stream until
-    /// the other one has answered, since it may be sound and go on.
+    /// the other one has sent an event, since it may be sound and go on.
     async fn hand_over(&mut self) -> Result<()> {
         // If the stream stays, the next endpoint is asked after the same time.
         self.waiting_since = self.exchange.ports.clock.now();
         let Some(endpoint) = self.endpoint() else {
             return Ok(());
         };
-        let Some(reserved) = self.exchange.reserve(&endpoint, Need::Start).await else {
+        // Only the first prefill at an engine of its own is no attempt.
+        let need = Need::PrefillAndDecode;
+        let Some(reserved) = self.exchange.reserve(&endpoint, need).await else {
             record_stall("no other endpoint");
             return Ok(());
         };
-        let Some(mut body) = self.body.take() else {
+        let (Some(mut body), Some(mut splitter)) = (self.body.take(), self.splitter.clone()) else {
             return Ok(());
         };
-        let last = self.last_id();
-        let mut held = VecDeque::new();
-        let answer = {
-            let mut answer = pin!(self.exchange.obtain_response(Some(reserved), last));
+        let expected = Expected {
+            status: self.status,
+            media: self.media.clone(),
+            after: self.last_id(),
+            splitter: splitter.clone(),
+        };
+        let after = expected.after;
+        let may_be_cut_unseen = self.may_be_cut_unseen;
+        let mut state = Silence::Lasts;
+        let continuation = {
+            let mut continuation = pin!(continue_at(&mut self.exchange, reserved, expected));
             let mut handover_timeout = pin!(time::sleep(HANDOVER_TIMEOUT));
-            let mut splitter = self.splitter.clone().unwrap_or_default();
-            let (mut goes_on, mut broken) = (false, false);
             loop {
                 tokio::select! {
                     biased;
-                    answer = &mut answer => break Some(answer),
-                    () = &mut handover_timeout, if goes_on => break None,
-                    part = body.next(), if !goes_on && !broken => {
-                        match &part {
-                            // Without a whole event the stream is still stalled.
-                            Ok(Some(bytes)) => {
-                                let ready = splitter.push(bytes);
-                                goes_on = ready.map_or(true, |ready| !ready.is_empty());
-                            }
-                            Ok(None) => goes_on = true,
-                            Err(_lost) => broken = true,
-                        }
-                        held.push_back(part);
+                    continuation = &mut continuation => break Some(continuation),
+                    () = &mut handover_timeout, if state == Silence::Ended => break None,
+                    part = body.next(), if state == Silence::Lasts => {
+                        state = Silence::after(&part, &mut splitter, may_be_cut_unseen);
+                        self.held.push_back(part);
                     }
                 }
             }
         };
-        let error = match answer {
-            Some(Ok(accepted)) if self.continues(&accepted) => {
+        let why = match continuation {
+            Some(Ok(continuation)) => {
                 record_stall("continued elsewhere");
                 if let Some(ticket) = self.ticket.take() {
-                    ticket.end(Ending::Failed);
+                    if state == Silence::Broken {
+                        self.exchange.end_lost(ticket);
+                    } else {
+                        ticket.end(Ending::Failed);
+                    }
                 }
                 drop(body);
-                self.relay_from(accepted, last, "the stream has stalled");
+                self.held = continuation.held;
+                self.relay_from(continuation.accepted, after, "the stream has stalled");
                 return Ok(());
             }
-            Some(Ok(accepted)) => {
-                accepted.ticket.end(Ending::Failed);
-                "the other endpoint did not continue the stream".to_owned()
-            }
             Some(Err(error)) => error.to_string(),
             None => "the endpoint goes on".to_owned(),
         };
         record_stall("stayed");
-        log::info!(call:? = self.call_id(), endpoint:% = endpoint, why = error;
-            "stalled stream stays at its endpoint");
+        self.exchange.log.stayed(&endpoint, &why);
         self.body = Some(body);
-        self.held = held;
         Ok(())
     }
 
@@ -338,26 +356,15 @@
             return Err(error);
         }
         let accepted = self.exchange.obtain_response(None, last).await?;
-        if !self.continues(&accepted) {
+        if !continues(&accepted, self.status, self.media.as_deref()) {
             accepted.ticket.end(Ending::Failed);
             return Err(error);
         }
+        self.held.clear();
         self.relay_from(accepted, last, &error.to_string());
         Ok(())
     }
 
-    /// Returns whether a response continues the stream.
-    fn continues(&self, accepted: &Accepted) -> bool {
-        let Accepted { response, ticket } = accepted;
-        let continues =
-            response.status == self.status && media_type(&response.headers) == self.media;
-        if !continues {
-            log::info!(call:? = self.call_id(), endpoint:% = ticket.choice().instance.id,
-                status = response.status; "endpoint did not continue the stream");
-        }
-        continues
-    }
-
     /// Relays the rest of the stream from another endpoint.
     fn relay_from(&mut self, accepted: Accepted, last: Option<EventId>, cause: &str) {
         let Accepted {
@@ -394,6 +401,101 @@
     }
 }
 
+/// What becomes of the silence of an endpoint while another one is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// No whole event has arrived.
+    Lasts,
+    /// The endpoint goes on, or the stream is complete.
+    Ended,
+    /// The endpoint has broken off, or its stream is not valid.
+    Broken,
+}
+
+impl Silence {
+    /// The state after a part of the body, which `splitter` has not seen yet.
+    fn after(
+        part: &upstream::Result<Option<Bytes>>,
+        splitter: &mut EventSplitter,
+        may_be_cut_unseen: bool,
+    ) -> Self {
+        match part {
+            Ok(Some(bytes)) => match splitter.push(bytes) {
+                Ok(ready) if ready.is_empty() => Self::Lasts,
+                Ok(_) => Self::Ended,
+                Err(_invalid) => Self::Broken,
+            },
+            Ok(None) if splitter.is_between_events() && !may_be_cut_unseen => Self::Ended,
+            Ok(None) | Err(_) => Self::Broken,
+        }
+    }
+}
+
+/// What the continuation of a stream has to be like.
+struct Expected {
+    status: u16,
+    media: Option<String>,
+    after: Option<EventId>,
+    splitter: EventSplitter,
+}
+
+/// A stream that goes on at another endpoint.
+struct Continuation {
+    accepted: Accepted,
+    /// The parts of the body up to its first whole event.
+    held: VecDeque<upstream::Result<Option<Bytes>>>,
+}
+
+/// Continues a stream at the endpoint of `reserved`. Returns once its first event has arrived.
+async fn continue_at(
+    exchange: &mut Exchange,
+    reserved: Ticket,
+    expected: Expected,
+) -> Result<Continuation> {
+    let Expected {
+        status,
+        media,
+        after,
+        mut splitter,
+    } = expected;
+    let mut accepted = exchange.obtain_response(Some(reserved), after).await?;
+    if !continues(&accepted, status, media.as_deref()) {
+        accepted.ticket.end(Ending::Failed);
+        let detail = "the other endpoint did not continue the stream";
+        return Err(Error::new(Kind::EndpointFailed, detail));
+    }
+    splitter.restart();
+    let mut held = VecDeque::new();
+    loop {
+        let remaining = exchange.remaining();
+        let part = time::timeout(remaining, accepted.response.body.next()).await;
+        let part = part.map_err(|_elapsed| past_deadline())?;
+        let cut_unseen = accepted.response.ends_with_connection;
+        let state = Silence::after(&part, &mut splitter, cut_unseen);
+        held.push_back(part);
+        match state {
+            Silence::Lasts => {}
+            Silence::Ended => return Ok(Continuation { accepted, held }),
+            Silence::Broken => {
+                exchange.end_lost(accepted.ticket);
+                let detail = "the other endpoint broke off";
+                return Err(Error::new(Kind::EndpointLost, detail));
+            }
+        }
+    }
+}
+
+/// Returns whether a response continues a stream of this status and media type.
+fn continues(accepted: &Accepted, status: u16, media: Option<&str>) -> bool {
+    let Accepted { response, ticket } = accepted;
+    let continues = response.status == status && media_type(&response.headers).as_deref() == media;
+    if !continues {
+        log::info!(endpoint:% = ticket.choice().instance.id, status = response.status;
+            "endpoint did not continue the stream");
+    }
+    continues
+}
+
 /// Counts a stalled stream by what became of it.
 fn record_stall(result: &'static str) {
     metrics::counter!("stalled_streams_total", "result" => result).increment(1);
@@ -403,6 +505,16 @@
     Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
 }
 
+/// The error that ends the body of a response that is in progress at the end of a stop.
+fn cut_by_stop() -> Error {
+    metrics::counter!("stop_cuts_total", "phase" => "answering").increment(1);
+    Error::new(
+        Kind::Leaving,
+        "the process stops before the end of the answer",
+    )
+    .with_executed(Executed::Unknown)
+}
+
 fn past_deadline() -> Error {
     Error::new(Kind::Deadline, "the answer is not complete in time")
 }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -25,6 +25,7 @@
     error::Kind,
     notice::Notice,
     route::{self, Route, Target},
+    shutdown,
     testing::with_paused_time,
     unit::Tokens,
     upstream::{self, Body},
@@ -45,6 +46,8 @@
     Unframed(&'static [&'static str]),
     /// Sends a part of a stream of this length, then closes the connection.
     BreakSized(u64, &'static [&'static str]),
+    /// Sends a stream of this length.
+    Sized(u64, &'static [&'static str]),
     /// Responds with this status, this media type and a complete body.
     Answer(u16, &'static str, &'static str),
     /// Refuses the connection.
@@ -108,7 +111,7 @@
                     Execution::MayHaveRun,
                     Body::scripted(&[body], Some(Ok(()))),
                 ),
-                Act::Stream(chunks) | Act::Unframed(chunks) => (
+                Act::Stream(chunks) | Act::Unframed(chunks) | Act::Sized(_, chunks) => (
                     200,
                     Execution::MayHaveRun,
                     Body::scripted(chunks, Some(Ok(()))),
@@ -138,7 +141,7 @@
                 status,
                 headers,
                 length: match act {
-                    Act::BreakSized(length, _) => Some(length),
+                    Act::BreakSized(length, _) | Act::Sized(length, _) => Some(length),
                     _ => None,
                 },
                 ends_with_connection: matches!(act, Act::Unframed(_)),
@@ -236,6 +239,7 @@
         may_retry: dispatcher.clone().recipient(),
         is_silent: dispatcher.clone().recipient(),
         upstream: Rc::clone(script) as Rc<dyn Upstream>,
+        shutdown: shutdown::Watch::default(),
         clock: System::shared(),
     };
     Rig { dispatcher, ports }
@@ -344,6 +348,35 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, None));
 }
 
+/// Guards against a request in progress that is cut without an answer at the end of a stop, or that is
+/// reported as not executed although it may have run (LOST, REFUSED).
+#[test]
+fn requests_in_progress_are_answered_at_the_end_of_a_stop() {
+    const GRACE: Duration = Duration::from_millis(800);
+    let cases = [
+        ("sent", Act::Hang, PLAIN, None),
+        ("prefill sent", Act::Hang, STAGED, Some(900)),
+        ("stream begun", Act::Stall(EVENTS), PLAIN, None),
+        ("stream complete", Act::Stream(EVENTS), PLAIN, None),
+    ];
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for (name, act, stages, prompt) in cases {
+            let script = Rc::new(Script::default());
+            script.acts.borrow_mut().push_back(act);
+            let mut ports = ports(&script, stages).await.ports;
+            let (trigger, watch) = shutdown::channel();
+            ports.shutdown = watch;
+            let schedule = shutdown::Schedule::new(System.now(), Duration::ZERO, GRACE);
+            trigger.begin(schedule);
+            let answer = start(call(prompt), route(route::Kind::Stream, 1), ports);
+            outcomes.push(format!("{name}: {}", describe(answer, &script).await));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against idempotent requests that fail although another endpoint could serve them, and
 /// against more sends than the route allows.
 #[test]
@@ -407,7 +440,10 @@
             "broken twice",
             &[Act::Break(TRUNCATED_EVENTS), Act::Break(&[])],
         ),
-        ("ends within an event", &[Act::Stream(TRUNCATED_EVENTS)]),
+        (
+            "ends within an event",
+            &[Act::Stream(TRUNCATED_EVENTS), Act::Stream(EVENTS_AFTER_1)],
+        ),
     ];
     let route = route(route::Kind::ResumableStream, 2);
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, Some(100)));
@@ -799,6 +835,57 @@
             2,
             &[SILENT_AT_FIRST, Act::Stream(EVENTS)],
         ),
+        outcome(
+            "at first, others reject",
+            PLAIN,
+            2,
+            &[SILENT_AT_FIRST, REJECT, REJECT],
+        ),
+        outcome(
+            "at first, others are lost",
+            PLAIN,
+            3,
+            &[SILENT_AT_FIRST, Act::Lose, Act::Lose],
+        ),
+        outcome(
+            "midway, another begins and breaks off",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Break(&[])],
+        ),
+        outcome(
+            "midway, another begins and is silent",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Stall(&[])],
+        ),
+        outcome(
+            "midway, another repeats an event",
+            PLAIN,
+            2,
+            &[SILENT_MIDWAY, Act::Stream(EVENTS)],
+        ),
+    ];
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against a whole stream of known length that is cut off because its last event arrives in two
+/// parts, and against a truncated one that looks whole because it arrives in one (LOST, ORDER).
+#[test]
+fn end_of_a_sized_stream_is_judged_with_its_last_part() {
+    let whole: usize = EVENTS.iter().map(|part| part.len()).sum();
+    let truncated = "id: 1\ndata: a\n\nid: 2\nda";
+    let whole = Act::Sized(whole as u64, EVENTS);
+    let truncated = Act::Sized(truncated.len() as u64, &["id: 1\ndata: a\n\nid: 2\nda"]);
+    let cases: [(&str, &[Act]); 3] = [
+        ("whole", &[whole]),
+        ("truncated", &[truncated]),
+        (
+            "truncated and resumed",
+            &[truncated, Act::Stream(EVENTS_AFTER_1)],
+        ),
     ];
+    let outcomes = [route::Kind::Stream, route::Kind::ResumableStream]
+        .map(|kind| outcomes(&cases, &route(kind, 2), &[None, None], Some(100)));
     insta::assert_debug_snapshot!(outcomes);
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,9 @@
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_web::{http::StatusCode, web::Bytes};
+use actix_web::{
+    http::{StatusCode, header::HeaderMap},
+    web::Bytes,
+};
 use awc::{
     Client,
     error::{ConnectError, SendRequestError},
@@ -11,7 +14,7 @@
 };
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use tokio::time;
+use tokio::{sync::watch, time};
 
 use super::{
     Result, names,
@@ -23,7 +26,10 @@
     clock::Shared,
     error::{Error, Executed, Kind},
     id::Revision,
-    store::{self, Commit, Events, Future, Item, Lease, Path, Range, Reader, Txn},
+    store::{
+        self, Commit, Era, Events, Future, Item, Lease, Path, Position, Range, Reader, Txn, Write,
+    },
+    unit::as_f64,
 };
 
 /// Timeout of one call. A slow store responds within 200 ms.
@@ -43,6 +49,8 @@
     client: Client,
     clock: Shared,
     watch_wait: Duration,
+    /// Era of the last answer that stated one.
+    era: Rc<watch::Sender<Option<Era>>>,
 }
 
 impl fmt::Debug for Store {
@@ -62,6 +70,7 @@
             address,
             clock,
             watch_wait: WATCH_WAIT,
+            era: Rc::default(),
             // Each call has its own timeout.
             client: Client::builder()
                 .disable_timeout()
@@ -79,33 +88,38 @@
         self
     }
 
-    /// Reads JSON from the store. Only status 200 is a success.
-    async fn call<T: DeserializeOwned>(
+    /// Reads JSON from the store, and its era. Only status 200 is a success. If the call continues a
+    /// read, `expected` is the era of that read.
+    async fn call<T>(
         &self,
         path: &'static str,
         query: &[(&str, &str)],
         limit: Duration,
-    ) -> Result<T> {
+        expected: Option<Era>,
+        decode: impl FnOnce(&[u8]) -> serde_json::Result<T>,
+    ) -> Result<(T, Era)> {
         let request = self.client.get(format!("http://{}{path}", self.address));
         let request = request
             .query(&query)
             .map_err(|error| unavailable("the query cannot be written").with_source(error))?;
-        match self
+        let answer = self
             .call_with_timeout(path, limit, send(request.send()))
-            .await?
-        {
-            (StatusCode::OK, body) => parse(&body),
-            (status, _) => Err(status_error(status)),
+            .await?;
+        let era = answer
+            .era
+            .or(expected)
+            .unwrap_or_else(|| self.era.borrow().unwrap_or_default());
+        if expected.is_some_and(|expected| expected != era) {
+            return Err(Error::new(Kind::StoreRestored, "the store was restored"));
+        }
+        match answer.status {
+            StatusCode::OK => Ok((decode(&answer.body).map_err(malformed)?, era)),
+            status => Err(status_error(status)),
         }
     }
 
     /// Posts JSON to `path`. `route` labels the metric and has no variable parts.
-    async fn write(
-        &self,
-        route: &'static str,
-        path: &str,
-        body: &Value,
-    ) -> Result<(StatusCode, Bytes)> {
+    async fn write(&self, route: &'static str, path: &str, body: &Value) -> Result<Answer> {
         let request = self.client.post(format!("http://{}{path}", self.address));
         let call = send(request.send_json(body));
         self.call_with_timeout(route, CALL_TIMEOUT, call).await
@@ -113,25 +127,57 @@
 
     /// Awaits a call up to a timeout and records its duration. A call without a response may still
     /// take effect later.
-    async fn call_with_timeout<T>(
+    async fn call_with_timeout(
         &self,
         route: &'static str,
         limit: Duration,
-        call: impl std::future::Future<Output = Result<T>>,
-    ) -> Result<T> {
+        call: impl std::future::Future<Output = Result<Answer>>,
+    ) -> Result<Answer> {
         let start = self.clock.now();
         let outcome = time::timeout(limit, call).await;
         let elapsed = self.clock.now() - start;
         metrics::histogram!("store_call_seconds", "route" => route).record(elapsed.as_secs_f64());
-        outcome.unwrap_or_else(|_elapsed| {
+        let answer = outcome.unwrap_or_else(|_elapsed| {
             Err(unavailable("no answer in time").with_executed(Executed::Unknown))
-        })
+        })?;
+        if let Some(era) = answer.era {
+            self.record_era(era, route);
+        }
+        Ok(answer)
+    }
+
+    /// Whether the store has changed to another era since the lease was granted. Its number may belong
+    /// to a lease of another process then.
+    fn has_lost(&self, lease: Lease) -> bool {
+        let era = *self.era.borrow();
+        era.is_some_and(|era| era != lease.era())
+    }
+
+    fn record_era(&self, era: Era, route: &'static str) {
+        let before = *self.era.borrow();
+        if before == Some(era) {
+            return;
+        }
+        self.era.send_replace(Some(era));
+        metrics::gauge!("store_era").set(as_f64(era.get()));
+        let Some(before) = before else {
+            return;
+        };
+        metrics::counter!("store_era_changes_total").increment(1);
+        if era > before {
+            log::warn!(era:% = era, before:% = before, route = route;
+                "store was restored from an older copy");
+        } else {
+            log::warn!(era:% = era, before:% = before, route = route;
+                "store states an earlier era: the answer was delayed or comes from another store");
+        }
     }
 
     /// Reads all pages of the entries below a prefix.
     async fn read_pages(&self, prefix: &Path) -> Result<Range> {
         let mut range = Range::default();
         let mut after = String::new();
+        let mut era = None;
         loop {
             let query = [("prefix", key(prefix)), ("after", after.as_str())];
             let query = if after.is_empty() {
@@ -139,18 +185,23 @@
             } else {
                 &query
             };
-            let page: Page = self.call(names::STORE_RANGE, query, CALL_TIMEOUT).await?;
+            let (page, page_era) = self
+                .call(names::STORE_RANGE, query, CALL_TIMEOUT, era, Page::parse)
+                .await?;
+            era = Some(page_era);
+            range.era = page_era;
             // Later pages can have newer revisions. Starting the watch after the revision of the
             // first page repeats some changes but misses none.
             if range.revision == Revision::default() {
                 range.revision = Revision::new(page.revision);
             }
-            let last = page.items.last().map(|entry| entry.key.clone());
             range.items.extend(page.items.iter().filter_map(item));
-            match last {
-                Some(last) if page.truncated => after = last,
-                _ => return Ok(range),
+            if !page.truncated {
+                return Ok(range);
             }
+            // A page without a key to continue after would be read again and again.
+            let next = page.last_key.filter(|last| *last > after);
+            after = next.ok_or_else(|| unavailable("a truncated page does not advance"))?;
         }
     }
 }
@@ -159,10 +210,13 @@
     fn get(&self, path: Path) -> Future<'_, Range> {
         async move {
             let query = [("key", key(&path))];
-            let single: Single = self.call(names::STORE_KEY, &query, CALL_TIMEOUT).await?;
+            let (single, era) = self
+                .call(names::STORE_KEY, &query, CALL_TIMEOUT, None, Single::parse)
+                .await?;
             Ok(Range {
-                items: item(&single.entry).into_iter().collect(),
+                items: single.entry.iter().filter_map(item).collect(),
                 revision: Revision::new(single.revision),
+                era,
             })
         }
         .boxed_local()
@@ -172,12 +226,12 @@
         async move { self.read_pages(&prefix).await }.boxed_local()
     }
 
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events> {
-        let after = from.get().saturating_sub(1);
-        let events = stream::unfold(Some((self.clone(), after)), move |state| {
+    fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events> {
+        let after = from.revision.get().saturating_sub(1);
+        let events = stream::unfold(Some((self.clone(), after, from.era)), move |state| {
             let prefix = prefix.clone();
             async move {
-                let (store, after) = state?;
+                let (store, after, era) = state?;
                 let wait = store.watch_wait;
                 let (since, wait_text) = (after.to_string(), wait.as_millis().to_string());
                 let query = [
@@ -185,13 +239,13 @@
                     ("after", since.as_str()),
                     ("waitMs", wait_text.as_str()),
                 ];
-                let call =
-                    store.call::<Batch>(names::STORE_WATCH, &query, wait + WATCH_TIMEOUT_MARGIN);
+                let limit = wait + WATCH_TIMEOUT_MARGIN;
+                let call = store.call(names::STORE_WATCH, &query, limit, era, Batch::parse);
                 match call.await {
-                    Ok(batch) => {
+                    Ok((batch, era)) => {
                         let next = batch.revision.max(after);
                         let events = batch.events.iter().filter_map(event).collect();
-                        Some((Ok(events), Some((store, next))))
+                        Some((Ok(events), Some((store, next, Some(era)))))
                     }
                     Err(error) => Some((Err(error), None)),
                 }
@@ -205,7 +259,14 @@
     fn commit(&self, txn: Txn) -> Future<'_, Commit> {
         async move {
             txn.check()?;
-            let (status, body) = self
+            let lost = txn.writes.iter().any(|write| match write {
+                Write::Put(_, _, Some(lease)) => self.has_lost(*lease),
+                _ => false,
+            });
+            if lost {
+                return Err(unavailable("the lease was lost in a restore of the store"));
+            }
+            let Answer { status, body, .. } = self
                 .write(names::STORE_TXN, names::STORE_TXN, &transaction(&txn))
                 .await?;
             match status {
@@ -215,9 +276,10 @@
                     found: Vec::new(),
                 }),
                 StatusCode::PRECONDITION_FAILED => {
-                    let items = parse::<PreconditionFailed>(&body)?.items;
+                    let failed = PreconditionFailed::parse(&body).map_err(malformed)?;
                     // The store lists a missing key with revision 0.
-                    let found: Vec<Item> = items
+                    let found: Vec<Item> = failed
+                        .items
                         .iter()
                         .filter(|entry| entry.rev > 0 && !entry.removed)
                         .filter_map(item)
@@ -238,24 +300,37 @@
     fn grant(&self, period: Duration) -> Future<'_, Lease> {
         async move {
             let body = json!({ "ttlMs": u64::try_from(period.as_millis()).unwrap_or(u64::MAX) });
-            match self
+            let answer = self
                 .write(names::LEASE_GRANT, names::LEASE_GRANT, &body)
-                .await?
-            {
-                (StatusCode::OK, body) => Ok(Lease::new(parse::<Granted>(&body)?.lease)),
-                (status, _) => Err(status_error(status)),
+                .await?;
+            match answer.status {
+                StatusCode::OK => {
+                    let era = answer.era.or_else(|| *self.era.borrow());
+                    let lease = Lease::new(parse::<Granted>(&answer.body)?.lease);
+                    Ok(lease.with_era(era.unwrap_or_default()))
+                }
+                status => Err(status_error(status)),
             }
         }
         .boxed_local()
     }
 
+    fn era(&self) -> watch::Receiver<Option<Era>> {
+        self.era.subscribe()
+    }
+
     fn renew(&self, lease: Lease) -> Future<'_, bool> {
         async move {
+            if self.has_lost(lease) {
+                return Ok(false);
+            }
             let path = format!("{}/{lease}", names::LEASE_RENEW);
-            match self.write(names::LEASE_RENEW, &path, &json!({})).await? {
-                (StatusCode::OK, _) => Ok(true),
-                (StatusCode::NOT_FOUND, _) => Ok(false),
-                (status, _) => Err(status_error(status)),
+            let answer = self.write(names::LEASE_RENEW, &path, &json!({})).await?;
+            match answer.status {
+                // The answer can be the first of another era.
+                StatusCode::OK => Ok(!self.has_lost(lease)),
+                StatusCode::NOT_FOUND => Ok(false),
+                status => Err(status_error(status)),
             }
         }
         .boxed_local()
@@ -263,22 +338,33 @@
 
     fn revoke(&self, lease: Lease) -> Future<'_, ()> {
         async move {
+            if self.has_lost(lease) {
+                return Ok(());
+            }
             let url = format!("http://{}{}/{lease}", self.address, names::LEASE_REVOKE);
             let call = send(self.client.delete(url).send());
-            match self
+            let answer = self
                 .call_with_timeout(names::LEASE_REVOKE, CALL_TIMEOUT, call)
-                .await?
-            {
+                .await?;
+            match answer.status {
                 // A missing lease has already ended, for example by a call whose response was lost.
-                (StatusCode::OK | StatusCode::NOT_FOUND, _) => Ok(()),
-                (status, _) => Err(status_error(status)),
+                StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+                status => Err(status_error(status)),
             }
         }
         .boxed_local()
     }
 }
 
-async fn send(call: awc::SendClientRequest) -> Result<(StatusCode, Bytes)> {
+/// An answer of the store.
+struct Answer {
+    status: StatusCode,
+    /// Era of the store, if the answer states one.
+    era: Option<Era>,
+    body: Bytes,
+}
+
+async fn send(call: awc::SendClientRequest) -> Result<Answer> {
     let mut response = call.await.map_err(|error| {
         let executed = match &error {
             SendRequestError::Connect(ConnectError::Disconnected) => Executed::Unknown,
@@ -295,15 +381,30 @@
             .with_source(error.to_string())
             .with_executed(Executed::Unknown)
     })?;
-    Ok((response.status(), body))
+    Ok(Answer {
+        status: response.status(),
+        era: decode_era(response.headers()),
+        body,
+    })
+}
+
+fn decode_era(headers: &HeaderMap) -> Option<Era> {
+    let text = headers.get(names::STORE_ERA)?.to_str().unwrap_or_default();
+    text.parse()
+        .inspect_err(
+            |error| log::warn!(era = text, error:% = error; "ignoring the era of the store"),
+        )
+        .ok()
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|error| {
-        unavailable("malformed answer")
-            .with_source(error)
-            .with_executed(Executed::Unknown)
-    })
+    serde_json::from_slice(body).map_err(malformed)
+}
+
+fn malformed(error: serde_json::Error) -> Error {
+    unavailable("malformed answer")
+        .with_source(error)
+        .with_executed(Executed::Unknown)
 }
 
 /// Error for a response of the store that reports that nothing was executed.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::{cell::Cell, time::Instant};
 
 use actix_http::ResponseHead;
 use actix_web::{
@@ -9,13 +9,21 @@
     test::TestRequest,
     web::Bytes,
 };
+use futures_util::StreamExt as _;
 use proptest::prelude::*;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+    sync::mpsc,
+    task,
+};
 
 use super::*;
 use crate::{
-    directory::Codec as _,
+    directory::{self, Codec as _},
+    error::Executed,
     ingress::Protocol as _,
-    store::{Path, Reader as _},
+    store::{Item, Path, Reader as _, Store as _, Txn, Write},
 };
 
 const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"santiago-a",
@@ -66,6 +74,48 @@
     insta::assert_debug_snapshot!(results);
 }
 
+/// Guards against an entry of another writer that is used as an endpoint, or displaces one.
+#[test]
+fn odd_entries_name_no_endpoint() {
+    let deep = format!("\"seq\":{}{}", "[".repeat(200), "]".repeat(200));
+    let edits = [
+        ("\"seq\":4", deep.as_str()),
+        ("\"version\":1", "\"version\":1e999"),
+        ("\"version\":\"v1\",", ""),
+        ("\"coldLeftMs\":0", "\"coldLeftMs\":\"0\""),
+        ("\"slots\":64", "\"slots\":0"),
+        ("\"slots\":64", "\"slots\":4294967295"),
+        ("\"slots\":64", "\"slots\":4294967296"),
+        ("10.128.0.9:8080", "10.128.0.9:70000"),
+        ("10.128.0.9:8080", "10.128.0.9:0"),
+        ("10.128.0.9:8080", "0.0.0.0:8080"),
+        ("10.128.0.9:8080", "[ff02::1]:8080"),
+        ("10.128.0.9:8080", "255.255.255.255:80"),
+        ("1700000000000", "1700000000000.5"),
+    ];
+    let used: Vec<&str> = edits
+        .iter()
+        .filter(|(old, new)| {
+            let text = ENTRY.replacen(old, new, 1);
+            let entry = Codec.instance(&path("/servers/i-1"), text.as_bytes());
+            entry.is_ok()
+        })
+        .map(|(_, new)| *new)
+        .collect();
+    assert_eq!(used, Vec::<&str>::new());
+    let nested = Codec.instance(&path("/servers/other/i-1"), ENTRY.as_bytes());
+    assert!(nested.is_err(), "{nested:?}");
+}
+
+/// Guards against a reason that quotes a value of any size in a log line.
+#[test]
+fn reason_why_an_entry_is_not_used_is_short() {
+    let entry = ENTRY.replacen("ready", &"x".repeat(100_000), 1);
+    let error = Codec.instance(&path("/servers/i-1"), entry.as_bytes());
+    let reason = error.expect_err("an unknown state").to_string();
+    assert!(reason.len() < 1_000, "{} bytes", reason.len());
+}
+
 /// Guards against rejecting a whole configuration because of one invalid route, and against
 /// mixed-up fields of a route.
 #[test]
@@ -78,6 +128,39 @@
     insta::assert_debug_snapshot!((plan.version(), plan.limits(), plan.len(), routes));
 }
 
+/// Guards against a route that makes the others unusable, or whose numbers end requests on it.
+#[test]
+fn odd_routes_cost_only_themselves() {
+    let deep = format!("{}{}", "[".repeat(200), "]".repeat(200));
+    for odd in [deep.as_str(), "1e999", "\"\\ud800\""] {
+        let text = CONFIGURATION.replacen("\"priority\":0", &format!("\"priority\":{odd}"), 1);
+        let plan = Codec.plan(text.as_bytes()).map(|plan| plan.len());
+        assert_eq!(plan.ok(), Some(2), "{odd:.20}");
+    }
+    let text = CONFIGURATION
+        .replacen("6000", "18446744073709551615", 1)
+        .replacen("\"targetLatencyMs\":200", "\"targetLatencyMs\":1e22", 1);
+    let plan = Codec.plan(text.as_bytes()).expect("a plan");
+    let route = plan.find("ficu95.example", "/pufi791/1").expect("a route");
+    assert!(route.latency_target.checked_mul(1_000).is_some());
+    assert!(route.timeout.checked_mul(1_000).is_some());
+}
+
+/// Guards against a request whose numbers overflow.
+#[test]
+fn shared_tokens_do_not_overflow() {
+    let request = TestRequest::get()
+        .insert_header(("Token-Count", "1460,80"))
+        .insert_header((
+            "Prefix-Hash",
+            "a:18446744073709551615,b:18446744073709551615,c:1",
+        ))
+        .to_http_request();
+    let call = Protocol.decode(&request, Bytes::new(), Instant::now());
+    let shared = call.map(|call| call.generation.map(|it| it.shared.get()));
+    assert_eq!(shared.ok(), Some(Some(1_460)));
+}
+
 fn header_lines(headers: &HeaderMap) -> Vec<String> {
     let mut lines: Vec<String> = headers
         .iter()
@@ -170,7 +253,229 @@
     assert_eq!(error.kind(), Kind::StoreUnavailable);
 }
 
+fn any_json() -> impl Strategy<Value = String> {
+    let scalar = prop_oneof![
+        Just("null".to_owned()),
+        Just("1e999".to_owned()),
+        Just("\"\\ud800\"".to_owned()),
+        any::<i128>().prop_map(|number| number.to_string()),
+        "[ -~]{0,20}".prop_map(|text| serde_json::Value::from(text).to_string()),
+    ];
+    let name = prop_oneof![
+        Just("key"),
+        Just("value"),
+        Just("rev"),
+        Just("createRev"),
+        Just("removed"),
+        Just("items")
+    ];
+    scalar.prop_recursive(4, 24, 4, move |inner| {
+        let field = (name.clone(), inner.clone());
+        prop_oneof![
+            inner.clone().prop_map(|value| format!(
+                "{}{value}{}",
+                "[".repeat(200),
+                "]".repeat(200)
+            )),
+            prop::collection::vec(inner, 0..4)
+                .prop_map(|values| format!("[ {} ]", values.join(" , "))),
+            prop::collection::vec(field, 0..4).prop_map(|fields| {
+                let fields = fields
+                    .iter()
+                    .map(|(name, value)| format!("\"{name}\" : {value}"));
+                format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+            }),
+        ]
+    })
+}
+
+/// Answers one request per connection, with the next of these answers, and counts the requests.
+async fn serve_script(answers: Vec<String>) -> (Store, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let count = Rc::new(Cell::new(0));
+    let served = Rc::clone(&count);
+    task::spawn_local(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.expect("a request"));
+            }
+            served.set(served.get() + 1);
+            stream
+                .write_all(answer.as_bytes())
+                .await
+                .expect("a client that reads");
+        }
+    });
+    (Store::new(address, clock::System::shared()), count)
+}
+
+fn answer(status: &str, era: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\n{era}connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+const PAGE: &str =
+    r#"{"items":[{"key":"servers/e1","value":"","rev":4}],"truncated":true,"asOf":4}"#;
+const LAST_PAGE: &str = r#"{"items":[],"asOf":5}"#;
+const NO_EVENTS: &str = r#"{"events":[],"asOf":5}"#;
+
+/// Guards against a read or a watch that goes on over a restore of the store, whatever the status of the
+/// answer that shows it, and against a restore that is seen where the store states no era.
+#[test]
+fn restore_is_detected_in_every_answer() {
+    const OLD: &str = "Store-Era: 3\r\n";
+    const NEW: &str = "store-era: 4\r\n";
+    let cases = [
+        ("the same era", OLD, "200 OK", OLD, NO_EVENTS),
+        ("events of another era", OLD, "200 OK", NEW, NO_EVENTS),
+        ("an earlier era", NEW, "200 OK", OLD, NO_EVENTS),
+        (
+            "a dropped revision of another era",
+            OLD,
+            "410 Gone",
+            NEW,
+            "",
+        ),
+        ("a dropped revision", OLD, "410 Gone", OLD, ""),
+        (
+            "a refusal in another era",
+            OLD,
+            "503 Service Unavailable",
+            NEW,
+            "",
+        ),
+        ("no era at all", "", "200 OK", "", NO_EVENTS),
+        ("no era in one answer", OLD, "200 OK", "", NO_EVENTS),
+        (
+            "an era that is no number",
+            OLD,
+            "200 OK",
+            "store-era: iv\r\n",
+            NO_EVENTS,
+        ),
+        (
+            "the first era of a store",
+            "store-era: 0\r\n",
+            "200 OK",
+            "store-era: 1\r\n",
+            NO_EVENTS,
+        ),
+    ];
+    let outcomes = cases.map(|(name, first, status, second, body)| {
+        actix::System::new().block_on(async move {
+            let script = vec![
+                answer("200 OK", first, LAST_PAGE),
+                answer(status, second, body),
+                answer("200 OK", first, PAGE),
+                answer(status, second, LAST_PAGE),
+            ];
+            let (store, _count) = serve_script(script).await;
+            let prefix = path("/servers/");
+            let read = store.range(prefix.clone()).await.expect("an answer");
+            let mut events = store
+                .watch(prefix.clone(), read.next())
+                .await
+                .expect("a watch");
+            let watched = events.next().await.expect("an item");
+            let paged = store.range(prefix).await;
+            let kind = |error: &Error| error.kind().to_string();
+            format!(
+                "{name}: watch {:?}, second page {:?}",
+                watched
+                    .map(|events| events.len())
+                    .map_err(|error| kind(&error)),
+                paged
+                    .map(|range| range.items.len())
+                    .map_err(|error| kind(&error)),
+            )
+        })
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against a follower that goes on from a revision that the store no longer has (410).
+#[test]
+fn watch_from_a_dropped_revision_leads_to_a_full_read() {
+    let updates = actix::System::new().block_on(async {
+        let script = vec![
+            answer("200 OK", "", LAST_PAGE),
+            answer("410 Gone", "", ""),
+            answer(
+                "200 OK",
+                "",
+                r#"{"items":[{"key":"servers/e1","value":"","rev":9}],"asOf":9}"#,
+            ),
+        ];
+        let (store, _count) = serve_script(script).await;
+        let (sender, mut updates) = mpsc::unbounded_channel();
+        let task = directory::follow(
+            Rc::new(store),
+            path("/servers/"),
+            Duration::ZERO,
+            clock::System::shared(),
+            Box::new(move |update| drop(sender.send(update))),
+        );
+        let mut seen = Vec::new();
+        while seen.len() < 4 {
+            seen.push(updates.recv().await.expect("a running follower"));
+        }
+        task.abort();
+        seen
+    });
+    insta::assert_debug_snapshot!(updates);
+}
+
+/// Guards against a call with the number of a lease of an earlier era, which may belong to a lease of
+/// another process.
+#[test]
+fn leases_of_an_earlier_era_are_not_used() {
+    let (renewed, written, calls) = actix::System::new().block_on(async {
+        let script = vec![
+            answer("200 OK", "store-era: 1\r\n", r#"{"lease":7,"ttlMs":15000}"#),
+            answer("200 OK", "store-era: 2\r\n", LAST_PAGE),
+        ];
+        let (store, count) = serve_script(script).await;
+        let lease = store.grant(Duration::from_secs(15)).await.expect("a lease");
+        store.range(path("/servers/")).await.expect("an answer");
+        let renewed = store.renew(lease).await.expect("no call");
+        store.revoke(lease).await.expect("no call");
+        let txn = Txn {
+            writes: vec![Write::Put(path("/a"), Vec::new(), Some(lease))],
+            ..Txn::default()
+        };
+        let written = store.commit(txn).await.map_err(|error| error.executed());
+        (renewed, written, count.get())
+    });
+    assert_eq!((renewed, written, calls), (false, Err(Executed::No), 2));
+}
+
 proptest! {
+    /// Guards against an item that changes how the others of its page or batch are read.
+    #[test]
+    fn any_item_leaves_the_others_readable(odd in any_json(), place in 0..3_usize) {
+        let good = |key: &str| format!(r#"{{"key":"servers/{key}","value":"e30=","rev":7}}"#);
+        let mut items = vec![good("i-1"), good("i-2")];
+        items.insert(place, odd);
+        let list = items.join(",");
+        let page = format!(r#"{{"truncated":true,"items":[{list}],"asOf":9}}"#);
+        let page = record::Page::parse(page.as_bytes()).expect("a page");
+        let batch = format!(r#"{{"events":[{list}],"asOf":9}}"#);
+        let batch = record::Batch::parse(batch.as_bytes()).expect("a batch");
+        prop_assert_eq!((page.revision, page.truncated, batch.revision), (9, true, 9));
+        let items: Vec<_> = page.items.iter().filter_map(record::item).collect();
+        let events: Vec<_> = batch.events.iter().filter_map(record::event).collect();
+        for id in ["/servers/i-1", "/servers/i-2"] {
+            let is_whole = |item: &Item| item.path == path(id) && item.value == b"\x7b\x7d";
+            prop_assert!(items.iter().any(is_whole));
+            prop_assert!(events.iter().any(|event| event.path == path(id)));
+        }
+    }
+
     /// Guards against a panic on bytes that are neither an entry nor a configuration.
     #[test]
     fn arbitrary_bytes_are_rejected(
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeSet, fmt, str::FromStr, time::Duration};
 
 use futures_util::{future::LocalBoxFuture, stream::LocalBoxStream};
+use tokio::sync::watch;
 
 use super::Result;
 use crate::{
@@ -56,27 +57,83 @@
     }
 }
 
-/// Id of a lease. Keys bound to the lease are deleted when it expires or is revoked.
+/// Number of times that the store was restored from an older copy of itself. Revisions and lease
+/// numbers are given out again after a restore, so they are comparable only within an era. A store
+/// that does not state an era has only the default one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Era(u64);
+
+impl Era {
+    /// Creates an era from the number that the store states.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number that the store states.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Era {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse()
+            .map(Self)
+            .map_err(|_error| Error::new(Kind::BadRequest, "invalid era of the store"))
+    }
+}
+
+/// Id of a lease. Keys bound to the lease are deleted when it expires or is revoked. In another era of
+/// the store, the number may belong to a lease of another process, so the lease counts as expired.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Lease(i64);
+pub struct Lease {
+    number: i64,
+    era: Era,
+}
 
 impl Lease {
-    /// Creates a lease id from the number that the store assigned.
+    /// Creates a lease id from the number that the store assigned, in the default era.
     #[must_use]
     pub const fn new(number: i64) -> Self {
-        Self(number)
+        Self {
+            number,
+            era: Era::new(0),
+        }
+    }
+
+    /// Sets the era in which the lease was granted.
+    #[must_use]
+    pub const fn with_era(mut self, era: Era) -> Self {
+        self.era = era;
+        self
+    }
+
+    /// The era in which the lease was granted.
+    #[must_use]
+    pub const fn era(self) -> Era {
+        self.era
     }
 
     /// The number that the store assigned.
     #[must_use]
     pub const fn get(self) -> i64 {
-        self.0
+        self.number
     }
 }
 
 impl fmt::Display for Lease {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(&self.0, f)
+        fmt::Display::fmt(&self.number, f)
     }
 }
 
@@ -85,7 +142,7 @@
 
     fn from_str(text: &str) -> Result<Self> {
         text.parse()
-            .map(Self)
+            .map(Self::new)
             .map_err(|_error| Error::new(Kind::BadRequest, "invalid lease"))
     }
 }
@@ -110,6 +167,37 @@
     pub items: Vec<Item>,
     /// Revision of the store at the time of the read.
     pub revision: Revision,
+    /// Era of the store at the time of the read.
+    pub era: Era,
+}
+
+impl Range {
+    /// Position at which a watch continues this read.
+    #[must_use]
+    pub const fn next(&self) -> Position {
+        Position {
+            revision: Revision::new(self.revision.get().saturating_add(1)),
+            era: Some(self.era),
+        }
+    }
+}
+
+/// Position in the history of the store at which a watch starts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// First revision to report. If it is 0, the watch starts with the next change.
+    pub revision: Revision,
+    /// Era to which the revision belongs; `None` for that of the first answer.
+    pub era: Option<Era>,
+}
+
+impl From<Revision> for Position {
+    fn from(revision: Revision) -> Self {
+        Self {
+            revision,
+            era: None,
+        }
+    }
 }
 
 /// A comparison of a transaction.
@@ -228,12 +316,14 @@
 pub type Future<'a, T> = LocalBoxFuture<'a, Result<T>>;
 
 /// Batches of changes, in the order of their revisions. An empty batch means that the store
-/// responded without changes. The stream ends after an error.
+/// responded without changes. The stream ends after an error, which has `Kind::StoreRestored` if the
+/// store has changed to another era than that of the position at which the watch started.
 pub type Events = LocalBoxStream<'static, Result<Vec<Event>>>;
 
 /// Read access to the platform's key-value store.
 ///
-/// Every method fails with `Kind::StoreUnavailable`.
+/// Every method fails with `Kind::StoreUnavailable`, or with `Kind::StoreRestored` if the store changed
+/// to another era during the read.
 pub trait Reader: fmt::Debug {
     /// Reads one key.
     fn get(&self, path: Path) -> Future<'_, Range>;
@@ -241,9 +331,8 @@
     /// Reads all keys that start with `prefix`.
     fn range(&self, prefix: Path) -> Future<'_, Range>;
 
-    /// Watches all keys that start with `prefix` for changes at revision `from` or later. If `from`
-    /// is 0, the watch starts with the next change.
-    fn watch(&self, prefix: Path, from: Revision) -> Future<'_, Events>;
+    /// Watches all keys that start with `prefix` for changes at position `from` or later.
+    fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events>;
 }
 
 /// The platform's key-value store.
@@ -258,6 +347,11 @@
     /// it from before the call was sent.
     fn grant(&self, period: Duration) -> Future<'_, Lease>;
 
+    /// The era of the store in its last answer, if it states one.
+    fn era(&self) -> watch::Receiver<Option<Era>> {
+        watch::Sender::new(None).subscribe()
+    }
+
     /// Renews a lease for its full period. Returns `false` if it has expired.
     fn renew(&self, lease: Lease) -> Future<'_, bool>;
 
