Refuse the requests of a route that cannot be read

A route that cannot be read was left out, so that its requests fell to a route with a shorter prefix, and could be run by a service that no configuration allows, or got 404, after which callers do not come back.

Such a route now stays in the plan without services: its requests are refused with 503 as not run. A route whose host or prefix cannot be read names no place and is left out as before.

Not run on the code before.

--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -163,9 +163,11 @@
                 .and_then(to_route);
             route
                 .inspect_err(|error| {
-                    log::error!(version = config.version, error:% = error; "skipping route");
+                    log::error!(version = config.version, error:% = error;
+                        "route cannot be read; its requests are refused");
                 })
                 .ok()
+                .or_else(|| closed_route(text))
         });
         let defaults = Limits::default();
         let limits = Limits {
@@ -215,6 +217,30 @@
     })
 }
 
+/// A route without services in place of one that cannot be read. Without it, a route with a shorter
+/// prefix would take the requests. `None` if the route names no place.
+fn closed_route(text: &str) -> Option<Route> {
+    #[derive(Deserialize)]
+    struct Place {
+        host: String,
+        prefix: String,
+    }
+
+    let place: Place = serde_json::from_str(text).ok()?;
+    Some(Route {
+        name: "unreadable".parse().ok()?,
+        host: place.host,
+        prefix: place.prefix,
+        kind: route::Kind::NonIdempotent,
+        targets: Vec::new(),
+        timeout: DEFAULT_TIMEOUT,
+        latency_target: DEFAULT_TARGET_LATENCY,
+        rank: 0,
+        attempts: 1,
+        event_gap: None,
+    })
+}
+
 fn duration_from_ms(number: f64) -> Duration {
     let seconds = (number / 1000.0).clamp(0.0, DURATION_MAX.as_secs_f64());
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -132,10 +132,13 @@
 #[test]
 fn odd_routes_cost_only_themselves() {
     let deep = format!("{}{}", "[".repeat(200), "]".repeat(200));
-    for odd in [deep.as_str(), "1e999", "\"\\ud800\""] {
+    let whole = Codec.plan(CONFIGURATION.as_bytes()).expect("a plan");
+    for odd in [deep.as_str(), "1e999", "\"\\ud800\"", "-1"] {
         let text = CONFIGURATION.replacen("\"priority\":0", &format!("\"priority\":{odd}"), 1);
-        let plan = Codec.plan(text.as_bytes()).map(|plan| plan.len());
-        assert_eq!(plan.ok(), Some(2), "{odd:.20}");
+        let plan = Codec.plan(text.as_bytes()).expect("a plan");
+        let route = plan.find("ficu95.example", "/pufi791/1").expect("a route");
+        assert_eq!(route.targets, [], "{odd:.20}");
+        assert_eq!(plan.len(), whole.len(), "{odd:.20}");
     }
     let text = CONFIGURATION
         .replacen("6000", "18446744073709551615", 1)
