Remember endpoints whose entries become unreadable, and skip delayed writes after a removal

After an unreadable write nothing was known of the endpoint: an older copy of the store could list one that drains as ready. A sound endpoint whose copied entry cannot be read was dropped at once, though one whose entry is missing in the copy has two seconds. Within one era a delayed write of a removed run was used again. Found by a review, from the merge of odd entries with the restored store.

An unreadable write is now a removal that is remembered; after a restore the endpoint counts as missing. Writes of one run are ordered by their sequence also after its removal.

Test: unreadable_and_delayed_writes_undo_no_drain; not run on the code before.

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -302,13 +302,13 @@
         }
         self.unusable.retain(|path, _| listed.contains_key(path));
         for item in listed.into_values() {
-            self.put(item.path, &item.value, item.modified);
+            self.put(item.path, &item.value, item.modified, now);
         }
     }
 
     fn change(&mut self, event: Event, now: Instant) {
         match event.change {
-            Change::Put(value) => self.put(event.path, &value, event.revision),
+            Change::Put(value) => self.put(event.path, &value, event.revision, now),
             Change::Delete => {
                 self.unusable.remove(&event.path);
                 self.remove(&event.path, now);
@@ -316,7 +316,7 @@
         }
     }
 
-    fn put(&mut self, path: Path, value: &[u8], revision: Revision) {
+    fn put(&mut self, path: Path, value: &[u8], revision: Revision, now: Instant) {
         let known = self.entries.get(&path);
         if known.is_some_and(|entry| entry.last.is_after(revision)) {
             return;
@@ -326,7 +326,7 @@
         let instance = match decoded {
             Ok(instance) => instance,
             Err(error) => {
-                self.entries.remove(&path);
+                self.forget_unreadable(&path, now);
                 self.record_unusable(path, revision, error.to_string());
                 return;
             }
@@ -364,6 +364,20 @@
         self.entries.insert(path, entry);
     }
 
+    /// Removes the entry of an endpoint whose value cannot be read. After a restore the value can be that
+    /// of the copy, so the endpoint counts as missing.
+    fn forget_unreadable(&mut self, path: &Path, now: Instant) {
+        if self
+            .entries
+            .get(path)
+            .is_some_and(|entry| entry.last.is_restored())
+        {
+            self.remove(path, now);
+        } else if let Some((path, entry)) = self.entries.remove_entry(path) {
+            self.remember(path, entry, now);
+        }
+    }
+
     /// Fails for an endpoint at an address of this process.
     fn check_foreign(&self, instance: Instance) -> Result<Instance> {
         let address = instance.address;
--- a/src/directory/order.rs
+++ b/src/directory/order.rs
@@ -43,6 +43,11 @@
         self.write
     }
 
+    /// Whether the store was restored since the write.
+    pub(super) const fn is_restored(&self) -> bool {
+        self.restored
+    }
+
     pub(super) const fn record_restore(&mut self) {
         self.restored = true;
         self.copy = None;
@@ -70,7 +75,7 @@
             .map(|(last, next)| next.cmp(&last));
         if !self.restored {
             // A write that was delayed has a new revision.
-            return known == Known::Removed || by_sequence != Some(Less);
+            return by_sequence != Some(Less);
         }
         match (by_run, by_sequence, known) {
             (Some(Greater), _, _) | (_, Some(Greater), _) => true,
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -367,6 +367,27 @@
     insta::assert_debug_snapshot!(trace.lines);
 }
 
+/// Guards against an unreadable or a delayed write that lets an older one undo a drain, and against
+/// dropping a sound endpoint at once because the copy of its entry cannot be read.
+#[test]
+fn unreadable_and_delayed_writes_undo_no_drain() {
+    let mut trace = Trace::new();
+    let items = vec![
+        item("drains", "lm draining 100 9", 1),
+        item("leaves", "lm draining 100 6", 2),
+        item("sound", "lm ready 100 6", 3),
+    ];
+    trace.step(0, "read", Some(Update::Snapshot(items)));
+    trace.change(100, "unreadable", put("drains", "nonsense", 4));
+    trace.change(200, "removed", delete("leaves", 5));
+    trace.change(300, "delayed write", put("leaves", "lm ready 100 5", 6));
+    let copy = [("drains", "lm ready 100 5", 1), ("sound", "nonsense", 2)];
+    trace.restore(400, "copy", &copy);
+    trace.change(500, "written again", put("sound", "lm ready 100 7", 3));
+    trace.step(2_500, "after the grace period", None);
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
 /// Guards against requests to an endpoint that has left, because a copy of the store lists it again, and
 /// against ignoring one that registers again.
 #[test]
