Give up a silent prefill before another engine runs the request

If a prefill was silent, another engine was asked for the whole request while the prefill went on; its late answer then led to the decode step, a second run also of requests that may run once (TWICE).

A prefill that is silent is given up when another engine is reserved, as it runs nothing: what then fails is refused as not run, or fails like a first run. Runs of requests that may be repeated are kept as before.

Test: late_prefill_leads_to_no_second_run; before, 'prefill, whole, decode' were sent, now 'prefill, whole'.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -136,16 +136,17 @@
 enum Prefill {
     /// The request is ready to run.
     Done(Box<Ticket>, Step),
-    /// Another endpoint has answered the whole request.
-    Accepted(Box<Accepted>),
-    /// It failed, and the request has not run. Another endpoint is tried.
-    Retry,
+    /// It failed, and the request has not run. Another endpoint is tried: that of the ticket, or one
+    /// that is to be chosen.
+    Retry(Option<Box<Ticket>>),
 }
 
 /// Outcome of the wait for an answer.
 enum Wait {
     /// The endpoint answered, or the attempt failed.
     Ended(std::result::Result<EndpointResponse, SendError>),
+    /// The endpoint is silent, and another one is reserved.
+    Moved(Box<Ticket>),
     /// Another endpoint has answered instead of a silent one, or of one that was lost.
     Elsewhere { accepted: Box<Accepted>, lost: bool },
     /// The deadline has passed.
@@ -211,8 +212,10 @@
             let (ticket, step) = if prefills {
                 match self.prefill(ticket, resume_after).await? {
                     Prefill::Done(ticket, step) => (*ticket, step),
-                    Prefill::Accepted(accepted) => return Ok(*accepted),
-                    Prefill::Retry => continue,
+                    Prefill::Retry(next) => {
+                        reserved = next.map(|ticket| *ticket);
+                        continue;
+                    }
                 }
             } else {
                 (ticket, Step::Whole)
@@ -250,23 +253,23 @@
             }
             Wait::Ended(Err(error @ SendError::Withheld)) => {
                 self.log.retried(&format!("prefill: {error}"));
-                return Ok(Prefill::Retry);
+                return Ok(Prefill::Retry(None));
             }
             Wait::Ended(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
                 self.excluded.push(instance.id.clone());
                 if matches!(error, SendError::Refused(_)) {
                     ticket.end(Ending::Down);
-                    return Ok(Prefill::Retry);
+                    return Ok(Prefill::Retry(None));
                 }
                 self.end_lost(ticket);
                 return self.check_prefill_retry().await;
             }
-            Wait::Elsewhere { accepted, lost } => {
-                self.end_silent(ticket, lost).await;
-                return Ok(Prefill::Accepted(accepted));
+            Wait::Moved(next) => {
+                self.end_silent(ticket, false).await;
+                return Ok(Prefill::Retry(Some(next)));
             }
-            Wait::TimedOut => {
+            Wait::Elsewhere { .. } | Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
                 ticket.end(ending);
                 return Err(self.give_up("the deadline has passed"));
@@ -283,7 +286,7 @@
         let preferred_zone = Some(instance.zone.clone());
         let ticket = self.choose_open(Need::Decode, preferred_zone).await?;
         let cache = guard.take();
-        Ok(cache.map_or(Prefill::Retry, |cache| {
+        Ok(cache.map_or(Prefill::Retry(None), |cache| {
             Prefill::Done(Box::new(ticket), Step::Decode(cache))
         }))
     }
@@ -294,7 +297,7 @@
             return Err(self.give_up("the deadline has passed"));
         }
         if self.spend_retry_budget().await? {
-            return Ok(Prefill::Retry);
+            return Ok(Prefill::Retry(None));
         }
         Err(self.give_up("the retry budget is used up"))
     }
@@ -356,7 +359,7 @@
                 self.end_silent(ticket, lost).await;
                 return Ok(Sent::Accepted(accepted));
             }
-            Wait::TimedOut => {
+            Wait::Moved(_) | Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
                 ticket.end(ending);
                 self.may_have_run = true;
@@ -430,9 +433,12 @@
             let Some(reserved) = self.reserve(&id, Need::PrefillAndDecode).await else {
                 continue;
             };
-            // A prefill alone does not run the request.
-            self.may_have_run |= !is_prefill;
             self.log.retried("no answer in time");
+            if is_prefill {
+                // The other endpoint runs the request, so this step must not lead to a second run.
+                return Wait::Moved(Box::new(reserved));
+            }
+            self.may_have_run = true;
             let other = self.obtain_response(Some(reserved), resume_after);
             let (answer, accepted) = first_answer(sent.as_mut(), other.boxed_local()).await;
             if let Some(accepted) = accepted {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -582,6 +582,23 @@
     insta::assert_debug_snapshot!([("silent", silent), ("busy", busy)]);
 }
 
+/// Guards against a second run of a request whose silent prefill is answered after another engine has
+/// been asked for the whole request (TWICE).
+#[test]
+fn late_prefill_leads_to_no_second_run() {
+    const WHOLE: Act = Act::Delayed(
+        SILENCE,
+        &[(SILENCE, EVENTS[0]), (Duration::ZERO, EVENTS[1])],
+    );
+    let late_prefill = Act::Delayed(Duration::from_millis(700), &[(Duration::ZERO, "{}")]);
+    let cases: [(&str, &[Act]); 2] = [
+        ("the other engine is slow", &[late_prefill, WHOLE]),
+        ("the other engine is lost", &[late_prefill, Act::Lose]),
+    ];
+    let route = route(route::Kind::Stream, 1);
+    insta::assert_debug_snapshot!(outcomes(&cases, &route, STAGED, Some(4_000)));
+}
+
 /// A clock that advances by a millisecond whenever it is read, like real time while a process is
 /// busy.
 #[derive(Debug)]
