--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -401,7 +401,7 @@
         }
     }
 
-    /// Whether a write is newer than what is known of its entry.
+    /// Whether a write is newer than what is known of its entry. Ends the grace period of the entry.
     fn is_newer(&mut self, path: &Path, write: &Write) -> bool {
         let Some(entry) = self.entries.get_mut(path) else {
             let departed = self.departed.get_mut(path);
--- a/src/directory/order.rs
+++ b/src/directory/order.rs
@@ -58,7 +58,8 @@
         !self.restored && self.write.revision > revision
     }
 
-    /// Whether `next` takes effect after this write.
+    /// Whether `next` takes effect after this write. Notes the revision of an entry that cannot be
+    /// ordered, so that a later one is recognized as written since the restore.
     pub(super) fn precedes(&mut self, next: &Write, known: Known) -> bool {
         use std::cmp::Ordering::{Equal, Greater, Less};
 
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -269,6 +269,7 @@
                 self.end_silent(ticket, false).await;
                 return Ok(Prefill::Retry(Some(next)));
             }
+            // Only a request that runs is answered elsewhere while it waits.
             Wait::Elsewhere { .. } | Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
                 ticket.end(ending);
@@ -359,6 +360,7 @@
                 self.end_silent(ticket, lost).await;
                 return Ok(Sent::Accepted(accepted));
             }
+            // Only a prefill moves without an answer.
             Wait::Moved(_) | Wait::TimedOut => {
                 let ending = self.ending_of_timeout(ticket.choice()).await;
                 ticket.end(ending);
--- a/src/shutdown/imp.rs
+++ b/src/shutdown/imp.rs
@@ -11,7 +11,7 @@
 /// Time in which the answers to requests that were cut are written.
 const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// Part of its time that a request has to have left before the end of the stop, if it comes while the
-/// load balancer still sends. Most answers take much less than the time that callers allow.
+/// load balancer still sends.
 const EARLY_TIME_FRACTION: f64 = 0.5;
 
 /// The moments of a stop.
@@ -56,7 +56,7 @@
     ///
     /// A request is taken if all of its time lies before the end of the stop. While the load balancer
     /// still sends, part of its time is enough for one whose answer is a stream or that may run again;
-    /// after the loss of any other answer the caller could not tell whether it has run.
+    /// any other request needs all of its time, since a lost answer leaves unknown whether it has run.
     #[must_use]
     pub fn admit(&self, now: Instant, deadline: Instant, kind: Kind) -> Option<Instant> {
         let wanted = deadline.saturating_duration_since(now);
