Decide once how an answer is delimited

Callers got a complete 200 with a part of the body, or without it, when an engine framed its answer in an unusual way: chunks beside a length (the bytes up to the length), a transfer coding of identity (nothing), and, behind a 204 or 304 without a length, the bytes of a last chunk, which spoil the next answer.

Cause: four places decided where the body ends, each by other headers: the codec, the test for a body that ends with its connection, the adapter (the length) and the server for callers. Wherever two of them differ, the body that is read isn't the one that is announced.

Change: `upstream::Framing` is decided where the head is decoded. The connection reads the body by it, and it is carried to the server for callers. Chunks override a length, and the connection is closed afterwards; other contradictions are errors.

All three tests of `gateway framing::` failed on: answers of "la" and "" for "label" as complete, and "0\r\n\r\n" behind a 204.

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -16,6 +16,8 @@
 mod departure;
 #[path = "gateway/faulty.rs"]
 mod faulty;
+#[path = "gateway/framing.rs"]
+mod framing;
 #[path = "gateway/notices.rs"]
 mod notices;
 #[path = "gateway/odd_entries.rs"]
--- a/mulberrymill-bench/tests/gateway/faulty.rs
+++ b/mulberrymill-bench/tests/gateway/faulty.rs
@@ -16,7 +16,7 @@
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// A gateway whose routes lead to the endpoint at this address.
-async fn open_harness(endpoint: SocketAddr) -> Harness {
+pub(super) async fn open_harness(endpoint: SocketAddr) -> Harness {
     let harness = Harness::open().await;
     harness.store.put("op/config", &config(3, "s1"));
     harness
@@ -80,7 +80,7 @@
 }
 
 /// Whether an answer looks complete and successful to its caller.
-fn is_complete_success(answer: &str) -> bool {
+pub(super) fn is_complete_success(answer: &str) -> bool {
     let Some((head, body)) = answer.split_once("\r\n\r\n") else {
         return false;
     };
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -110,7 +110,10 @@
         () = shutdown.cut(&*clock) => None,
     };
     match obtained.unwrap_or_else(|| Err(exchange.cut_by_stop())) {
-        Ok(accepted) => Ok(stream::relay_response(exchange, accepted)),
+        Ok(accepted) => {
+            let response = stream::relay_response(exchange, accepted);
+            response.boxed_local().await
+        }
         Err(error) => {
             exchange.log.failed(&error);
             Err(error)
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -19,7 +19,7 @@
     id,
     notice::Notice,
     unit::Tokens,
-    upstream,
+    upstream::{self, Framing},
 };
 
 /// Token counts of a generation request.
@@ -146,10 +146,8 @@
     pub status: u16,
     /// End-to-end headers, which are passed to the caller.
     pub headers: HeaderMap,
-    /// Bytes of the body; `None` if the length is not known in advance.
-    pub length: Option<u64>,
-    /// Whether the body has neither a length nor chunks, and ends with its connection.
-    pub ends_with_connection: bool,
+    /// How the end of the body is found.
+    pub framing: Framing,
     /// Whether the request was executed.
     pub execution: Execution,
     /// What the endpoint says of itself.
@@ -206,10 +204,11 @@
 pub struct Response {
     /// HTTP status code.
     pub status: u16,
-    /// End-to-end headers of the endpoint's response.
+    /// End-to-end headers of the endpoint's response. A `Content-Length` is only among them if there
+    /// is no body.
     pub headers: HeaderMap,
-    /// Bytes of the body; `None` if the length is not known in advance.
-    pub length: Option<u64>,
+    /// How the end of the body is found, whichever way it is sent to the caller.
+    pub framing: Framing,
     /// The body. It ends with an error if it is truncated.
     pub body: LocalBoxStream<'static, Result<Bytes>>,
 }
@@ -218,7 +217,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Response")
             .field("status", &self.status)
-            .field("length", &self.length)
+            .field("framing", &self.framing)
             .finish_non_exhaustive()
     }
 }
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -19,7 +19,8 @@
     error::{Error, Executed, Kind},
     id::Endpoint,
     invariant::{self, Invariant},
-    upstream::{self, Body},
+    unit,
+    upstream::{self, Body, Framing},
 };
 
 /// Silence after which another endpoint is asked to continue a resumable stream. A sound endpoint can
@@ -29,7 +30,7 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Builds the response to the caller, with a body that is relayed from the endpoint.
-pub(super) fn relay_response(mut exchange: Exchange, accepted: Accepted) -> Response {
+pub(super) async fn relay_response(mut exchange: Exchange, accepted: Accepted) -> Result<Response> {
     let Accepted {
         response,
         mut ticket,
@@ -41,20 +42,34 @@
     exchange.log.answered(response.status);
     // The length of a stream that may be resumed is not known.
     let resumable = streams && exchange.route.kind.is_repeatable();
-    let length = response.length.filter(|_| !resumable);
-    let relay = BodyRelay {
+    let framing = match response.framing {
+        Framing::Length(_) if resumable => Framing::Chunked,
+        framing => framing,
+    };
+    let mut relay = BodyRelay {
         splitter: streams.then(EventSplitter::default),
         resume_after: exchange.call.resume_after,
         status: response.status,
         media: media_type(&response.headers),
-        remaining_bytes: response.length,
-        may_be_cut_unseen: response.ends_with_connection,
+        remaining_bytes: response.framing.length(),
+        may_be_cut_unseen: response.framing == Framing::UntilClose,
         waiting_since: exchange.ports.clock.now(),
         exchange,
         body: Some(response.body),
         held: VecDeque::new(),
         ticket: Some(ticket),
     };
+    if framing.length() == Some(unit::Bytes::ZERO) {
+        // The HTTP server does not poll a body without bytes.
+        let end = relay.next().await;
+        let end = end.inspect_err(|error| relay.exchange.log.cut_off(error))?;
+        return Ok(Response {
+            status: response.status,
+            headers: response.headers,
+            framing,
+            body: stream::iter(end.map(Ok)).boxed_local(),
+        });
+    }
     let shutdown = relay.exchange.ports.shutdown.clone();
     let clock = Arc::clone(&relay.exchange.ports.clock);
     let cut = Box::pin(async move { shutdown.cut(&*clock).await });
@@ -74,12 +89,12 @@
             }
         }
     });
-    Response {
+    Ok(Response {
         status: response.status,
         headers: response.headers,
-        length,
+        framing,
         body: body.boxed_local(),
-    }
+    })
 }
 
 /// Media type of a response without its parameters, in lower case.
@@ -119,7 +134,7 @@
     status: u16,
     media: Option<String>,
     /// Bytes still to be read from the current endpoint, if the length is known.
-    remaining_bytes: Option<u64>,
+    remaining_bytes: Option<unit::Bytes>,
     /// Whether the end of the body could be that of a broken connection: it has no framing, and no
     /// event has arrived. An engine that runs a request sends at least one.
     may_be_cut_unseen: bool,
@@ -144,7 +159,13 @@
             };
             match read {
                 Ok(Some(bytes)) => {
-                    let is_last = self.count_bytes(bytes.len());
+                    let is_last = match self.count_bytes(bytes.len()) {
+                        Ok(is_last) => is_last,
+                        Err(error) => {
+                            self.resume(error).await?;
+                            continue;
+                        }
+                    };
                     let ready = match &mut self.splitter {
                         Some(splitter) => splitter.push(&bytes),
                         None => Ok(bytes),
@@ -183,22 +204,20 @@
     }
 
     /// Subtracts received bytes from a known length. Returns whether they are the last ones.
-    fn count_bytes(&mut self, bytes: usize) -> bool {
+    fn count_bytes(&mut self, bytes: usize) -> Result<bool> {
         let Some(remaining) = &mut self.remaining_bytes else {
-            return false;
+            return Ok(false);
         };
-        *remaining = remaining.saturating_sub(bytes as u64);
-        *remaining == 0
+        let left = remaining.get().checked_sub(bytes as u64);
+        *remaining = left.map(unit::Bytes::new).ok_or_else(exceeds_length)?;
+        Ok(*remaining == unit::Bytes::ZERO)
     }
 
     /// Reads the end of a body whose length is reached, so that its connection can be reused.
     async fn read_end(&mut self) -> Result<()> {
         match self.read().await {
             Ok(Read::End | Read::Stalled) => self.complete(),
-            Ok(Read::Part(_)) => Err(Error::new(
-                Kind::EndpointFailed,
-                "the body exceeds its length",
-            )),
+            Ok(Read::Part(_)) => Err(exceeds_length()),
             Err(error) => {
                 log::debug!(error:% = error;
                     "connection was lost after the complete body; the response is complete");
@@ -248,7 +267,9 @@
             let detail = "the stream ended within an event";
             return Err(Error::new(Kind::EndpointLost, detail));
         }
-        let whole = self.remaining_bytes.is_none_or(|bytes| bytes == 0);
+        let whole = self
+            .remaining_bytes
+            .is_none_or(|bytes| bytes == unit::Bytes::ZERO);
         invariant::check(Invariant::WholeAnswer, whole, || {
             "a response shorter than its length was treated as complete".to_owned()
         });
@@ -378,8 +399,8 @@
         }
         self.waiting_since = self.exchange.ports.clock.now();
         self.body = Some(response.body);
-        self.remaining_bytes = response.length;
-        self.may_be_cut_unseen = response.ends_with_connection;
+        self.remaining_bytes = response.framing.length();
+        self.may_be_cut_unseen = response.framing == Framing::UntilClose;
         start_pace(&self.exchange, &mut ticket);
         self.ticket = Some(ticket);
     }
@@ -470,7 +491,7 @@
         let remaining = exchange.remaining();
         let part = time::timeout(remaining, accepted.response.body.next()).await;
         let part = part.map_err(|_elapsed| past_deadline())?;
-        let cut_unseen = accepted.response.ends_with_connection;
+        let cut_unseen = accepted.response.framing == Framing::UntilClose;
         let state = Silence::after(&part, &mut splitter, cut_unseen);
         held.push_back(part);
         match state {
@@ -501,6 +522,10 @@
     metrics::counter!("stalled_streams_total", "result" => result).increment(1);
 }
 
+fn exceeds_length() -> Error {
+    Error::new(Kind::EndpointFailed, "the body exceeds its length")
+}
+
 fn cut_off(error: upstream::Error) -> Error {
     Error::new(Kind::EndpointLost, "the answer was cut off").with_source(error)
 }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -27,8 +27,8 @@
     route::{self, Route, Target},
     shutdown,
     testing::with_paused_time,
-    unit::Tokens,
-    upstream::{self, Body},
+    unit::{self, Tokens},
+    upstream::{self, Body, Framing},
 };
 
 /// Behavior of a scripted endpoint for one request.
@@ -140,11 +140,13 @@
             Ok(EndpointResponse {
                 status,
                 headers,
-                length: match act {
-                    Act::BreakSized(length, _) | Act::Sized(length, _) => Some(length),
-                    _ => None,
+                framing: match act {
+                    Act::BreakSized(length, _) | Act::Sized(length, _) => {
+                        Framing::Length(unit::Bytes::new(length))
+                    }
+                    Act::Unframed(_) => Framing::UntilClose,
+                    _ => Framing::Chunked,
                 },
-                ends_with_connection: matches!(act, Act::Unframed(_)),
                 execution,
                 notice: Notice::default(),
                 load: None,
@@ -499,7 +501,7 @@
         let route = route(route::Kind::ResumableStream, 2);
         let answer = start(call(Some(100)), route, ports).await.expect("a head");
         let whole: Vec<_> = answer.body.map(|part| part.is_ok()).collect().await;
-        (answer.length, whole)
+        (answer.framing.length(), whole)
     });
     assert_eq!(received, (None, vec![true, true]));
 }
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -1,14 +1,15 @@
 use std::{sync::Arc, time::Duration};
 
 use actix_web::{
-    HttpRequest, HttpResponse,
-    body::SizedStream,
+    HttpRequest, HttpResponse, HttpResponseBuilder,
+    body::{self, BodyStream, SizedStream},
     http::{
         StatusCode,
-        header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER},
+        header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, RETRY_AFTER},
     },
     web,
 };
+use futures_util::stream::LocalBoxStream;
 
 use super::{
     Result,
@@ -19,7 +20,8 @@
     forward::{self, Call, Response},
     front::{health, problem, receive},
     route::{Plan, Route},
-    unit::Bytes,
+    unit,
+    upstream::Framing,
 };
 
 /// Bytes of a header line in addition to its name and value: colon, space, CR and LF.
@@ -115,7 +117,7 @@
     Error::new(Kind::Leaving, detail).with_retry_after(LEAVING_RETRY_AFTER)
 }
 
-fn check_head(headers: &HeaderMap, limit: Bytes) -> Result<()> {
+fn check_head(headers: &HeaderMap, limit: unit::Bytes) -> Result<()> {
     let size: usize = headers
         .iter()
         .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_OVERHEAD)
@@ -130,12 +132,28 @@
 fn to_http_response(response: Response) -> HttpResponse {
     let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
+    let declared = response.headers.get(CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
     for (name, value) in response.headers {
         builder.append_header((name, value));
     }
-    match response.length {
-        Some(length) => builder.body(SizedStream::new(length, response.body)),
-        None => builder.streaming(response.body),
+    match response.framing {
+        Framing::Empty => respond_without_body(builder, declared, response.body),
+        Framing::Length(length) => builder.body(SizedStream::new(length.get(), response.body)),
+        Framing::Chunked | Framing::UntilClose => builder.streaming(response.body),
+    }
+}
+
+/// A response without a body, and without the framing of one. Its `Content-Length`, if it has one, is
+/// that of the response to another request (RFC 9110, section 8.6).
+fn respond_without_body(
+    mut builder: HttpResponseBuilder,
+    declared: Option<u64>,
+    body: LocalBoxStream<'static, Result<web::Bytes>>,
+) -> HttpResponse {
+    match declared {
+        Some(length) => builder.no_chunking(length).body(BodyStream::new(body)),
+        None => builder.body(body::None::new()),
     }
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -17,7 +17,7 @@
         Attempt, Call, EndpointResponse, Execution, KvCache, KvHandle, SendError, Step, Upstream,
     },
     notice::{Notice, Pause, Standing},
-    upstream::{self, Body, Client, Kind},
+    upstream::{self, Body, Client, Framing, Kind},
 };
 
 /// Largest response to a prefill request, in bytes; it is a small JSON object.
@@ -258,8 +258,8 @@
 fn decode(response: upstream::Response, attempt: &Attempt) -> Result<EndpointResponse, SendError> {
     let upstream::Response {
         head,
+        framing,
         body,
-        ends_with_connection,
         reused,
     } = response;
     let status = head.status.as_u16();
@@ -288,12 +288,15 @@
     } else {
         Execution::MayHaveRun
     };
-    let mut response = to_response(&head, body, execution);
-    response.ends_with_connection = ends_with_connection;
-    Ok(response)
+    Ok(to_response(&head, framing, body, execution))
 }
 
-fn to_response(head: &ResponseHead, body: Body, execution: Execution) -> EndpointResponse {
+fn to_response(
+    head: &ResponseHead,
+    framing: Framing,
+    body: Body,
+    execution: Execution,
+) -> EndpointResponse {
     let headers = head.headers();
     let mut kept = HeaderMap::new();
     for (name, value) in headers {
@@ -304,7 +307,7 @@
                 names::SERVER_LEAVING,
             ]
             .contains(&name.as_str())
-            || name == CONTENT_LENGTH;
+            || (name == CONTENT_LENGTH && framing != Framing::Empty);
         if !dropped {
             kept.append(name.clone(), value.clone());
         }
@@ -312,8 +315,7 @@
     EndpointResponse {
         status: head.status.as_u16(),
         headers: kept,
-        length: header_text(headers, "content-length").and_then(|length| length.parse().ok()),
-        ends_with_connection: false,
+        framing,
         execution,
         notice: decode_notice(head),
         load: header_text(headers, names::INSTANCE_LOAD).and_then(parse_load),
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -7,9 +7,9 @@
 };
 
 use actix_http::{
-    Method, RequestHeadType, ResponseHead, StatusCode,
+    Method, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
     body::BodySize,
-    h1::{ClientCodec, Message, MessageType},
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
 };
 use bytes::{Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
@@ -22,7 +22,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::{
-    Result,
+    Framing, Result,
     imp::{
         Body, BodyPart, Error, Gate, IdleConnections, Kind, PendingRequest, Response, add_idle,
         remove_closed,
@@ -62,9 +62,11 @@
         let Some((pending, stream)) = connect(address, pending).await else {
             return;
         };
+        let config = ServiceConfig::default();
         let mut connection = Connection {
             stream,
-            codec: ClientCodec::default(),
+            codec: ClientCodec::new(config.clone()),
+            config,
             buffer: BytesMut::with_capacity(READ_BUFFER_SIZE),
             reused: false,
         };
@@ -156,7 +158,9 @@
 
 struct Connection {
     stream: TcpStream,
+    /// Decodes the head of the next response.
     codec: ClientCodec,
+    config: ServiceConfig,
     buffer: BytesMut,
     /// Whether it has served a request before.
     reused: bool,
@@ -258,14 +262,23 @@
                 }
             }
         };
-        let may_reuse = gate.is_none_or(|gate| gate.on_head(&head));
-        let ends_with_connection = ends_with_connection(&head, head_only);
+        let framing = match Framing::of(&head, head_only) {
+            Ok(framing) => framing,
+            Err(error) => {
+                send_error(responder, error);
+                return false;
+            }
+        };
+        let may_reuse = gate.is_none_or(|gate| gate.on_head(&head))
+            && framing.permits_reuse(&head)
+            && self.codec.keep_alive();
+        let codec = ClientCodec::new(self.config.clone());
+        let codec = std::mem::replace(&mut self.codec, codec);
         let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-        let body = Body::new(parts);
         let response = Response {
             head,
-            body,
-            ends_with_connection,
+            framing,
+            body: Body::new(parts),
             reused: self.reused,
         };
         if responder.send(Ok(response)).is_err() {
@@ -273,26 +286,16 @@
             discard_unsent(reader.as_ref());
             return false;
         }
-        if ends_with_connection {
-            relay_until_close(&mut self.buffer, &mut reader, &sender).await;
-            return false;
-        }
-        if self.codec.message_type() == MessageType::None {
-            let end = sender.send(BodyPart::End).await;
-            let reusable = end.is_ok() && may_reuse && written && self.codec.keep_alive();
-            return reusable && self.buffer.is_empty();
-        }
-        let mut codec = std::mem::take(&mut self.codec).into_payload_codec();
         let outcome = relay(
-            &mut codec,
+            BodyDecoder::new(framing, codec),
             &mut self.buffer,
             &mut reader,
             (write, &mut written),
             &sender,
         )
         .await;
-        let reusable = match outcome {
-            Ok(true) => may_reuse && written && codec.keep_alive(),
+        let delivered = match outcome {
+            Ok(true) => true,
             Ok(false) => {
                 record_cancellation(Phase::Answering);
                 if !written {
@@ -308,8 +311,7 @@
                 false
             }
         };
-        self.codec = codec.into_message_codec();
-        reusable && self.buffer.is_empty()
+        delivered && may_reuse && written && self.buffer.is_empty()
     }
 
     /// Fails if the endpoint has closed an idle connection, or has sent bytes on it.
@@ -373,47 +375,48 @@
     Ok(None)
 }
 
-/// Whether the body has no length and is delimited by the end of the connection. The codec treats
-/// such a response as one without a body.
-fn ends_with_connection(head: &ResponseHead, head_only: bool) -> bool {
-    let headers = head.headers();
-    let has_body = !head_only && !matches!(head.status.as_u16(), 100..=199 | 204 | 304);
-    has_body
-        && !headers.contains_key("content-length")
-        && !headers.contains_key("transfer-encoding")
+/// Finds the end of a body in the received bytes.
+enum BodyDecoder {
+    /// This many bytes of the body are missing.
+    Length(u64),
+    Chunked(Box<ClientPayloadCodec>),
+    UntilClose,
 }
 
-/// Relays a body that ends with the connection. It is complete after a regular close, not after a
-/// reset.
-async fn relay_until_close(
-    buffer: &mut BytesMut,
-    reader: &mut tokio::net::tcp::ReadHalf<'_>,
-    sender: &mpsc::Sender<BodyPart>,
-) {
-    loop {
-        let chunk = buffer.split().freeze();
-        if !chunk.is_empty() && sender.send(BodyPart::Chunk(chunk)).await.is_err() {
-            return record_cancellation(Phase::Answering);
+impl BodyDecoder {
+    /// `codec` has decoded the head of the response.
+    fn new(framing: Framing, codec: ClientCodec) -> Self {
+        match framing {
+            Framing::Empty => Self::Length(0),
+            Framing::Length(length) => Self::Length(length.get()),
+            Framing::Chunked => Self::Chunked(Box::new(codec.into_payload_codec())),
+            Framing::UntilClose => Self::UntilClose,
         }
-        let read = tokio::select! {
-            read = reader.read_buf(buffer) => read,
-            () = sender.closed() => return record_cancellation(Phase::Answering),
-        };
-        let part = match read {
-            Ok(0) => BodyPart::End,
-            Ok(_) => continue,
-            Err(error) => BodyPart::Failed(Error::new(Kind::Lost, error.to_string())),
-        };
-        if sender.send(part).await.is_err() {
-            log::debug!("body ended after its reader had dropped it");
+    }
+
+    /// Takes the bytes of the body out of the buffer. Also returns whether the body has ended.
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<(Bytes, bool)> {
+        match self {
+            Self::Length(missing) => {
+                let received = usize::try_from(*missing).unwrap_or(usize::MAX);
+                let chunk = buffer.split_to(received.min(buffer.len())).freeze();
+                *missing -= chunk.len() as u64;
+                Ok((chunk, *missing == 0))
+            }
+            Self::Chunked(codec) => decode_chunks(codec, buffer),
+            Self::UntilClose => Ok((buffer.split().freeze(), false)),
         }
-        return;
+    }
+
+    /// Whether the body is complete when the endpoint closes the connection regularly.
+    const fn ends_with_connection(&self) -> bool {
+        matches!(self, Self::UntilClose)
     }
 }
 
 /// Relays a body. Returns whether it was delivered completely; if not, its reader has dropped it.
 async fn relay<W: Future<Output = io::Result<()>>>(
-    codec: &mut actix_http::h1::ClientPayloadCodec,
+    mut decoder: BodyDecoder,
     buffer: &mut BytesMut,
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     (mut write, written): (Pin<&mut W>, &mut bool),
@@ -422,7 +425,7 @@
     let mut framing = 0;
     loop {
         let received = buffer.len();
-        let (chunk, ended) = decode_chunks(codec, buffer)?;
+        let (chunk, ended) = decoder.decode(buffer)?;
         // Bytes that are decoded without a part of the body are framing.
         framing = if chunk.is_empty() {
             framing + received - buffer.len()
@@ -450,6 +453,9 @@
             () = sender.closed() => return Ok(false),
         };
         match read {
+            Ok(Some(0)) if decoder.ends_with_connection() => {
+                return Ok(sender.send(BodyPart::End).await.is_ok());
+            }
             Ok(Some(0)) => return Err(Error::new(Kind::Lost, "closed within the body")),
             Ok(_) => {}
             Err(error) => return Err(Error::new(Kind::Lost, error.to_string())),
@@ -458,10 +464,7 @@
 }
 
 /// Decodes all chunks in the buffer and joins them. Also returns whether the body has ended.
-fn decode_chunks(
-    codec: &mut actix_http::h1::ClientPayloadCodec,
-    buffer: &mut BytesMut,
-) -> Result<(Bytes, bool)> {
+fn decode_chunks(codec: &mut ClientPayloadCodec, buffer: &mut BytesMut) -> Result<(Bytes, bool)> {
     let mut whole = BytesMut::new();
     let mut first = Bytes::new();
     loop {
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Result, connection};
+use super::{Framing, Result, connection};
 
 /// Idle connections kept per endpoint. More are needed only in a burst.
 const IDLE_CONNECTIONS_MAX: usize = 32;
@@ -200,8 +200,8 @@
     pub head: ResponseHead,
     /// The body. Dropping it before its end closes the connection.
     pub body: Body,
-    /// Whether the body has neither a length nor chunks, and ends with its connection.
-    pub ends_with_connection: bool,
+    /// How the end of the body is found.
+    pub framing: Framing,
     /// Whether the connection has served other requests before. Only then can the response be a
     /// late copy of an earlier one.
     pub reused: bool,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,10 +9,12 @@
 //! reuses a connection that holds bytes beyond the response.
 
 mod connection;
+mod framing;
 mod imp;
 #[cfg(test)]
 mod tests;
 
+pub use framing::Framing;
 pub use imp::{Body, Client, Error, Gate, Kind, Response};
 
 /// Result of a request to an endpoint.
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -199,6 +199,64 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Guards against a body that ends elsewhere than its head says, and against reusing a connection
+/// on which it may end elsewhere.
+#[test]
+fn bodies_end_where_their_heads_say() {
+    const CHUNKS: &str = "5\r\nlabel\r\n0\r\n\r\n";
+    let heads = [
+        ("200", "Content-Length: 5", "label"),
+        ("200", "Content-Length: 0", ""),
+        ("200", "Transfer-Encoding: chunked", CHUNKS),
+        (
+            "200",
+            "Transfer-Encoding: ChunkeD\r\nContent-Length: 2",
+            CHUNKS,
+        ),
+        ("200", "Transfer-Encoding: identity", "label"),
+        (
+            "200",
+            "Transfer-Encoding: identity\r\nContent-Length: 2",
+            "label",
+        ),
+        ("200", "Transfer-Encoding: gzip, chunked", CHUNKS),
+        ("200", "Upgrade: websocket\r\nContent-Length: 5", "label"),
+        ("200", "X: y", "label"),
+        ("204", "X: y", ""),
+        ("204", "Transfer-Encoding: chunked", "0\r\n\r\n"),
+        ("204", "Content-Length: 5", "label"),
+        ("304", "Content-Length: 5", ""),
+    ];
+    let outcomes = actix::System::new().block_on(async move {
+        let mut outcomes = Vec::new();
+        for version in ["1.0", "1.1"] {
+            for (status, headers, body) in heads {
+                let response = format!("HTTP/{version} {status} -\r\n{headers}\r\n\r\n{body}");
+                let response: &'static [u8] = response.leak().as_bytes();
+                let mut reused = false;
+                let mut outcome_of = async |afterwards| {
+                    let (address, mut requests) = endpoint(response, afterwards).await;
+                    let client = Client::new();
+                    let first = outcome(&client, address).await;
+                    outcome(&client, address).await;
+                    requests.recv().await.expect("a request");
+                    reused = requests.recv().await.expect("a request") == 1;
+                    first
+                };
+                let closing = outcome_of(Afterwards::Close).await;
+                let kept =
+                    time::timeout(Duration::from_millis(200), outcome_of(Afterwards::KeepOpen));
+                let kept = kept.await.unwrap_or_else(|_elapsed| "waits".to_owned());
+                outcomes.push(format!(
+                    "{version} {status} {headers:?}: {closing}; kept open: {kept}, reused: {reused}"
+                ));
+            }
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against a response head that is read, and kept in memory, without end.
 #[test]
 fn endless_heads_are_errors() {
