Follow the store again in time after its connections went silent

Callers were answered by a service that a change of the configuration had taken them from: after all open connections to the store had gone silent, gateways sent requests to the old service until 3.35 s after the silence and 3.15 s after the acknowledgement, beyond stableWindowMs and configApplyMs.

Cause: a watch call that got no answer was followed by a read on another idle connection of the pool, which was as old and silent, too. And the timeouts of the chain (pause, watch call, new read) were chosen one by one, without a bound on their sum; with the pause of the endpoints' follower it was more than the three seconds even without the second silent connection.

Change: a call without an answer makes all further calls open new connections and sends the watch calls in progress once more. The wait of a watch call counts from the last answer. Keepalive probes would not do: the kernel behind a silent path may answer them.

--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -4,7 +4,7 @@
 
 use super::{config, serve, status};
 use crate::{
-    config::Section,
+    config::{ParsedDuration, Section},
     error::{Error, Kind},
     id::{Editor, Endpoint, Revision},
 };
@@ -69,6 +69,14 @@
                         .help(
                             "Settings file of the process [default: the path set by the platform]",
                         ),
+                )
+                .arg(
+                    Arg::new("store-recovery")
+                        .long("store-recovery")
+                        .env("STORE_RECOVERY")
+                        .value_name("TIME")
+                        .value_parser(str::parse::<ParsedDuration>)
+                        .help("Overrides store_recovery of the settings file"),
                 ),
         )
         .subcommand(config_command())
@@ -199,7 +207,10 @@
     let outcome = match matches.subcommand() {
         Some(("entry", matches)) => serve::entry(&argument::<String>(matches, "settings")),
         Some(("agent", matches)) => serve::agent(&argument::<String>(matches, "settings")),
-        Some(("gateway", matches)) => serve::gateway(matches.get_one::<String>("settings")),
+        Some(("gateway", matches)) => serve::gateway(
+            matches.get_one::<String>("settings"),
+            matches.get_one::<ParsedDuration>("store-recovery").copied(),
+        ),
         Some(("config", matches)) => config::run(matches),
         Some(("status", matches)) => status::show(matches),
         Some(("drain", matches)) => status::drain(matches),
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -2,7 +2,9 @@
 
 use super::imp::{Failure, Result};
 use crate::{
-    agent, entry,
+    agent,
+    config::ParsedDuration,
+    entry,
     error::{Error, Kind},
     gateway,
     id::Process,
@@ -36,29 +38,42 @@
     })
 }
 
-pub(super) fn gateway(file: Option<&String>) -> Result<()> {
+/// Runs a gateway. `store_recovery` goes before that of the settings file.
+pub(super) fn gateway(file: Option<&String>, store_recovery: Option<ParsedDuration>) -> Result<()> {
     let file = match file {
         Some(file) => file.clone(),
         None => platform::settings_file()?,
     };
-    let settings = settings::Gateway::open(&file).map_err(|faults| invalid(&faults))?;
+    let read_settings = || {
+        let mut settings = settings::Gateway::open(&file)?;
+        if let Some(ParsedDuration(recovery)) = store_recovery {
+            settings.store_recovery = recovery;
+        }
+        Ok(settings)
+    };
+    let settings = read_settings().map_err(|faults| invalid(&faults))?;
     open_log(settings.log, &settings.process)?;
     block_on(async {
         let mut signals = Signals::listen()?;
-        let gateway = gateway::open(&settings, platform::open(settings.store)?).await?;
+        let adapter = platform::open(settings.store, settings.store_recovery)?;
+        let gateway = gateway::open(&settings, adapter).await?;
         ::log::info!(address:% = gateway.address(), readiness:% = gateway.readiness(),
             settings:? = settings; "gateway is listening");
         while signals.next().await == SignalRequest::Reload {
-            check_settings(&file, &settings);
+            check_settings(&file, read_settings(), &settings);
         }
         gateway.stop().await;
         Ok(())
     })
 }
 
-/// Validates the settings file and logs whether it has changed. Changes take effect at the next start.
-fn check_settings(file: &str, current: &settings::Gateway) {
-    match settings::Gateway::open(file) {
+/// Logs whether the settings file is valid and has changed. Changes take effect at the next start.
+fn check_settings(
+    file: &str,
+    read: settings::Result<settings::Gateway>,
+    current: &settings::Gateway,
+) {
+    match read {
         Ok(settings) => ::log::info!(changed = settings != *current, file = file;
             "settings reloaded; changes take effect at the next start"),
         Err(faults) => ::log::error!(file = file, faults:% = faults;
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -31,6 +31,7 @@
 const SUGGESTION_CANDIDATES_MAX: usize = 2_000;
 
 /// A duration parsed from a string such as `"250ms"`.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct ParsedDuration(pub(crate) Duration);
 
 impl FromStr for ParsedDuration {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! the other modules; where the platform's name is unclear, the receiving field is documented.
 
 mod codec;
+mod connections;
 mod engine;
 mod ingress;
 mod list;
@@ -45,13 +46,14 @@
     })
 }
 
-/// Creates the adapter of the platform whose store listens at `store`.
+/// Creates the adapter of the platform whose store listens at `store`. It follows the store again within
+/// `recovery` after its open connections have gone silent.
 ///
 /// # Errors
 ///
 /// Fails if a key of the platform is not a valid path, which is a bug in this module.
-pub fn open(store: SocketAddr) -> Result<Adapter> {
-    let store = Store::new(store, clock::System::shared());
+pub fn open(store: SocketAddr, recovery: Duration) -> Result<Adapter> {
+    let store = Store::new(store, clock::System::shared()).with_recovery(recovery);
     Ok(Adapter {
         gateways_store: Rc::new(store.clone().with_watch_wait(GATEWAYS_WATCH_WAIT)),
         store: Rc::new(store),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,13 +1,15 @@
-use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_web::{
     http::{StatusCode, header::HeaderMap},
     web::Bytes,
 };
-use awc::{
-    Client,
-    error::{ConnectError, SendRequestError},
-};
+use awc::error::{ConnectError, SendRequestError};
 use futures_util::{
     FutureExt, StreamExt,
     stream::{self},
@@ -17,7 +19,9 @@
 use tokio::{sync::watch, time};
 
 use super::{
-    Result, names,
+    Result,
+    connections::Connections,
+    names,
     record::{
         Batch, Committed, Granted, Page, PreconditionFailed, Single, event, item, key, transaction,
     },
@@ -32,13 +36,21 @@
     unit::as_f64,
 };
 
-/// Timeout of one call. A slow store responds within 200 ms.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time that the store holds a watch call without events. It is short enough to detect an
-/// unresponsive store before the entries of live endpoints expire.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Time in which the store has to be followed again after the open connections went silent.
+const RECOVERY_DEFAULT: Duration = Duration::from_secs(3);
+/// Part of the recovery for the pause after a failed call, a new connection and a read.
+const REREAD_TIME: Duration = Duration::from_millis(500);
+/// Upper bound of the timeout of one call. A slow store responds within 200 ms.
+const CALL_TIMEOUT_MAX: Duration = Duration::from_millis(1_500);
+/// Lower bound of that timeout, for a short recovery.
+const CALL_TIMEOUT_MIN: Duration = Duration::from_millis(500);
+/// Upper bound of the time between two answers to the watch calls of a follower. It is short enough
+/// to detect an unresponsive store before the entries of live endpoints expire.
+const WATCH_WAIT_MAX: Duration = Duration::from_secs(2);
+/// Shortest time that the store is asked to hold a watch call without events.
+const WATCH_WAIT_MIN: Duration = Duration::from_millis(500);
 /// Time beyond the wait of a watch call after which the call has failed.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 /// Largest response, in bytes. A page of a range read has at most about 1 MB before base64.
 const RESPONSE_MAX: usize = 4 << 20;
 
@@ -46,8 +58,9 @@
 #[derive(Clone)]
 pub struct Store {
     address: SocketAddr,
-    client: Client,
+    connections: Connections,
     clock: Shared,
+    call_timeout: Duration,
     watch_wait: Duration,
     /// Era of the last answer that stated one.
     era: Rc<watch::Sender<Option<Era>>>,
@@ -57,6 +70,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Store")
             .field("address", &self.address)
+            .field("call_timeout", &self.call_timeout)
+            .field("watch_wait", &self.watch_wait)
             .finish_non_exhaustive()
     }
 }
@@ -66,22 +81,31 @@
     /// Connections are opened on demand.
     #[must_use]
     pub fn new(address: SocketAddr, clock: Shared) -> Self {
-        Self {
+        let store = Self {
             address,
+            connections: Connections::new(),
             clock,
-            watch_wait: WATCH_WAIT,
+            call_timeout: CALL_TIMEOUT_MAX,
+            watch_wait: WATCH_WAIT_MAX,
             era: Rc::default(),
-            // Each call has its own timeout.
-            client: Client::builder()
-                .disable_timeout()
-                .disable_redirects()
-                .no_default_headers()
-                .finish(),
-        }
+        };
+        store.with_recovery(RECOVERY_DEFAULT)
+    }
+
+    /// Sets the time in which changes in the store are seen again after all open connections have gone
+    /// silent, if new ones work; 3 s by default. The timeouts of calls follow from it.
+    #[must_use]
+    pub fn with_recovery(mut self, recovery: Duration) -> Self {
+        let failed_after = recovery.saturating_sub(REREAD_TIME);
+        self.call_timeout = failed_after.clamp(CALL_TIMEOUT_MIN, CALL_TIMEOUT_MAX);
+        let wait = failed_after.saturating_sub(WATCH_TIMEOUT_MARGIN);
+        self.watch_wait = wait.clamp(WATCH_WAIT_MIN, WATCH_WAIT_MAX);
+        self
     }
 
-    /// Sets the time that the store holds a watch call without events; the default is 2 s. A longer
-    /// time costs fewer calls, but delays the detection of an unresponsive store as much.
+    /// Sets the time between two answers to watch calls without events; the default follows from the
+    /// recovery. A longer time costs fewer calls, but delays the detection of an unresponsive store
+    /// as much.
     #[must_use]
     pub const fn with_watch_wait(mut self, wait: Duration) -> Self {
         self.watch_wait = wait;
@@ -98,7 +122,8 @@
         expected: Option<Era>,
         decode: impl FnOnce(&[u8]) -> serde_json::Result<T>,
     ) -> Result<(T, Era)> {
-        let request = self.client.get(format!("http://{}{path}", self.address));
+        let client = self.connections.client();
+        let request = client.get(format!("http://{}{path}", self.address));
         let request = request
             .query(&query)
             .map_err(|error| unavailable("the query cannot be written").with_source(error))?;
@@ -120,9 +145,10 @@
 
     /// Posts JSON to `path`. `route` labels the metric and has no variable parts.
     async fn write(&self, route: &'static str, path: &str, body: &Value) -> Result<Answer> {
-        let request = self.client.post(format!("http://{}{path}", self.address));
+        let client = self.connections.client();
+        let request = client.post(format!("http://{}{path}", self.address));
         let call = send(request.send_json(body));
-        self.call_with_timeout(route, CALL_TIMEOUT, call).await
+        self.call_with_timeout(route, self.call_timeout, call).await
     }
 
     /// Awaits a call up to a timeout and records its duration. A call without a response may still
@@ -138,6 +164,9 @@
         let elapsed = self.clock.now() - start;
         metrics::histogram!("store_call_seconds", "route" => route).record(elapsed.as_secs_f64());
         let answer = outcome.unwrap_or_else(|_elapsed| {
+            log::info!(route = route, waited_ms = elapsed.as_millis();
+                "store did not answer; further calls open new connections");
+            self.connections.replace();
             Err(unavailable("no answer in time").with_executed(Executed::Unknown))
         })?;
         if let Some(era) = answer.era {
@@ -173,6 +202,35 @@
         }
     }
 
+    /// Waits for events after a revision, or for the end of the wait, which counts from the last answer.
+    async fn next_batch(
+        &self,
+        prefix: &Path,
+        after: u64,
+        era: Option<Era>,
+        answered_at: Instant,
+    ) -> Result<(Batch, Era)> {
+        loop {
+            let mut replaced = self.connections.subscribe();
+            let elapsed = self.clock.now() - answered_at;
+            let wait = self.watch_wait.saturating_sub(elapsed).max(WATCH_WAIT_MIN);
+            let (after, wait_text) = (after.to_string(), wait.as_millis().to_string());
+            let query = [
+                ("prefix", key(prefix)),
+                ("after", after.as_str()),
+                ("waitMs", wait_text.as_str()),
+            ];
+            let limit = wait + WATCH_TIMEOUT_MARGIN;
+            let call = self.call(names::STORE_WATCH, &query, limit, era, Batch::parse);
+            tokio::select! {
+                biased;
+                answer = call => return answer,
+                // Another call got no answer, so the connection of this one may be silent, too.
+                Ok(()) = replaced.changed() => {}
+            }
+        }
+    }
+
     /// Reads all pages of the entries below a prefix.
     async fn read_pages(&self, prefix: &Path) -> Result<Range> {
         let mut range = Range::default();
@@ -186,7 +244,13 @@
                 &query
             };
             let (page, page_era) = self
-                .call(names::STORE_RANGE, query, CALL_TIMEOUT, era, Page::parse)
+                .call(
+                    names::STORE_RANGE,
+                    query,
+                    self.call_timeout,
+                    era,
+                    Page::parse,
+                )
                 .await?;
             era = Some(page_era);
             range.era = page_era;
@@ -211,7 +275,13 @@
         async move {
             let query = [("key", key(&path))];
             let (single, era) = self
-                .call(names::STORE_KEY, &query, CALL_TIMEOUT, None, Single::parse)
+                .call(
+                    names::STORE_KEY,
+                    &query,
+                    self.call_timeout,
+                    None,
+                    Single::parse,
+                )
                 .await?;
             Ok(Range {
                 items: single.entry.iter().filter_map(item).collect(),
@@ -228,24 +298,17 @@
 
     fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events> {
         let after = from.revision.get().saturating_sub(1);
-        let events = stream::unfold(Some((self.clone(), after, from.era)), move |state| {
+        let start = (self.clone(), after, from.era, self.clock.now());
+        let events = stream::unfold(Some(start), move |state| {
             let prefix = prefix.clone();
             async move {
-                let (store, after, era) = state?;
-                let wait = store.watch_wait;
-                let (since, wait_text) = (after.to_string(), wait.as_millis().to_string());
-                let query = [
-                    ("prefix", key(&prefix)),
-                    ("after", since.as_str()),
-                    ("waitMs", wait_text.as_str()),
-                ];
-                let limit = wait + WATCH_TIMEOUT_MARGIN;
-                let call = store.call(names::STORE_WATCH, &query, limit, era, Batch::parse);
-                match call.await {
+                let (store, after, era, answered_at) = state?;
+                match store.next_batch(&prefix, after, era, answered_at).await {
                     Ok((batch, era)) => {
                         let next = batch.revision.max(after);
                         let events = batch.events.iter().filter_map(event).collect();
-                        Some((Ok(events), Some((store, next, Some(era)))))
+                        let now = store.clock.now();
+                        Some((Ok(events), Some((store, next, Some(era), now))))
                     }
                     Err(error) => Some((Err(error), None)),
                 }
@@ -342,9 +405,9 @@
                 return Ok(());
             }
             let url = format!("http://{}{}/{lease}", self.address, names::LEASE_REVOKE);
-            let call = send(self.client.delete(url).send());
+            let call = send(self.connections.client().delete(url).send());
             let answer = self
-                .call_with_timeout(names::LEASE_REVOKE, CALL_TIMEOUT, call)
+                .call_with_timeout(names::LEASE_REVOKE, self.call_timeout, call)
                 .await?;
             match answer.status {
                 // A missing lease has already ended, for example by a call whose response was lost.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -23,7 +23,7 @@
     directory::{self, Codec as _},
     error::Executed,
     ingress::Protocol as _,
-    store::{Item, Path, Reader as _, Store as _, Txn, Write},
+    store::{Item, Path, Position, Reader as _, Store as _, Txn, Write},
 };
 
 const ENTRY: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"santiago-a",
@@ -433,6 +433,40 @@
     insta::assert_debug_snapshot!(updates);
 }
 
+/// Guards against timeouts that leave too little of the recovery for the calls after them, and against a
+/// pause before a watch call that delays the detection of silence by as much.
+#[test]
+fn timeouts_follow_from_the_recovery() {
+    let waits = [500, 2_000, 3_000, 4_000, 60_000].map(|recovery_ms| {
+        actix::System::new().block_on(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("a bound address");
+            let clock = Arc::new(clock::Manual::default());
+            let store = Store::new(address, Arc::clone(&clock) as clock::Shared)
+                .with_recovery(Duration::from_millis(recovery_ms));
+            let limits = format!("{store:?}").replace(&address.to_string(), "-");
+            let mut events = store
+                .watch(path("/servers/"), Position::default())
+                .await
+                .expect("a watch");
+            clock.advance(Duration::from_millis(700));
+            let call = task::spawn_local(async move { events.next().await.is_some() });
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n") {
+                head.push(stream.read_u8().await.expect("a request"));
+            }
+            call.abort();
+            let line = String::from_utf8_lossy(&head).into_owned();
+            let wait = line
+                .split(['&', ' '])
+                .find(|part| part.starts_with("waitMs"));
+            format!("{limits}, 0.7 s after an answer: {wait:?}")
+        })
+    });
+    insta::assert_debug_snapshot!(waits);
+}
+
 /// Guards against a call with the number of a lease of an earlier era, which may belong to a lease of
 /// another process.
 #[test]
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -12,6 +12,8 @@
     id::{Process, Zone},
 };
 
+/// Default time in which a gateway follows the store again.
+const STORE_RECOVERY_DEFAULT: Duration = Duration::from_secs(3);
 /// Default interval at which endpoints write to the store.
 const HEARTBEAT_DEFAULT: Duration = Duration::from_millis(1_200);
 /// Default stop delay. The load balancer checks readiness once a second and stops sending
@@ -38,6 +40,9 @@
     pub peers: Option<SocketAddr>,
     /// Address of the platform store.
     pub store: SocketAddr,
+    /// Time in which changes in the store take effect again after the open connections to it have gone
+    /// silent, if new ones work; 3 s by default. A longer time costs fewer calls to the store.
+    pub store_recovery: Duration,
     /// Interval at which endpoints write to the store; 1.2 s by default.
     pub heartbeat: Duration,
     /// Time from the announcement in the store that an endpoint leaves until it must get no more
@@ -78,6 +83,7 @@
             "readiness",
             "peers",
             "store",
+            "store_recovery",
             "heartbeat",
             "drain_notice",
             "stop_delay",
@@ -93,6 +99,12 @@
             r.address(value).map(Some)
         });
         let store = r.field(&fields, "store", Reader::address);
+        let store_recovery = r.optional(
+            &fields,
+            "store_recovery",
+            ParsedDuration(STORE_RECOVERY_DEFAULT),
+            Reader::text,
+        );
         let heartbeat = r.optional(
             &fields,
             "heartbeat",
@@ -125,6 +137,7 @@
             readiness: readiness?,
             peers: peers?,
             store: store?,
+            store_recovery: store_recovery?.0,
             heartbeat: heartbeat?.0,
             drain_notice: drain_notice?.0,
             stop_delay: stop_delay?.0,
