Tell the answer to an attempt from a copy of an earlier one

Callers were told that a request had not run, although an endpoint ran it (503, "not run: rejected: status 421").

Cause: copies of answers are told by the request id, which all attempts of a request share. Where two entries name one address, as after a start under another id, the second attempt went to the connection of the first; a copy of the first rejection was taken for its answer.

Change: an attempt to an address that had an earlier attempt of the request opens a connection of its own. The line on an answer of another request names its status and id.

Evidence: `gateway faulty::repeated_refusal_is_not_taken_for_the_answer_to_the_ next_attempt` failed before, (503, 2) for (200, 2). Whether the users saw this is only suspected: they kept no logs.

--- a/mulberrymill-bench/src/soak/backend.rs
+++ b/mulberrymill-bench/src/soak/backend.rs
@@ -207,6 +207,7 @@
         return HttpResponse::MisdirectedRequest()
             .insert_header(("Not-Executed", "1"))
             .insert_header(("Instance-Id", shared.id.clone()))
+            .insert_header(("Request-Id", id))
             .finish();
     }
     let State {
--- a/mulberrymill-bench/src/soak/imp.rs
+++ b/mulberrymill-bench/src/soak/imp.rs
@@ -297,6 +297,7 @@
             | Fault::Silent(_)
             | Fault::Unframed(_)
             | Fault::Change
+            | Fault::Alias(_)
     );
     if disturbs {
         // A gateway that has restarted or reconnected to the store reads everything again.
@@ -345,6 +346,15 @@
             soak.backends[number].0.set_unframed(false);
         }
         Fault::Change => write_plan(soak),
+        Fault::Alias(number) => {
+            let (backend, proxy) = &soak.backends[number];
+            let service = backend.id().split('-').next().unwrap_or_default();
+            let key = format!("servers/{}-alias", backend.id());
+            let entry = platform::entry(proxy.address(), service, SLOTS, "ready");
+            soak.store.put(&key, &entry);
+            time::sleep(step.lasts).await;
+            soak.store.remove(&key);
+        }
         Fault::Compact => soak.store.compact(),
         Fault::Lapse => soak.store.lapse_leases(),
         Fault::Storm => {
--- a/mulberrymill-bench/src/soak/plan.rs
+++ b/mulberrymill-bench/src/soak/plan.rs
@@ -16,6 +16,13 @@
 /// Duration of a silence in milliseconds. An endpoint that goes on after it is sound.
 const SILENCE_MS: std::ops::RangeInclusive<u64> = 900..=1_600;
 
+/// Number of times at which answers of endpoints are repeated or lost, half of them beside a second
+/// entry for the address of the endpoint.
+const ANSWER_FAULT_COUNT: std::ops::RangeInclusive<usize> = 0..=3;
+
+/// Delay of a repeated answer in milliseconds, up to which the next request may have been sent.
+const REPEAT_DELAY_MS: std::ops::RangeInclusive<u64> = 0..=40;
+
 /// Pause that an endpoint at fault asks for.
 const ABSURD_PAUSE: Duration = Duration::from_hours(24);
 
@@ -55,6 +62,8 @@
     Unframed(usize),
     /// The operator writes one configuration version.
     Change,
+    /// A second entry names the address of an endpoint, as after a start under another id.
+    Alias(usize),
 }
 
 /// A scheduled fault.
@@ -100,6 +109,10 @@
         for _ in 0..rng.random_range(SILENCE_COUNT) {
             steps.extend(silence(&mut rng, length, gateways, endpoints));
         }
+        let mut rng = self::rng(seed, 4);
+        for _ in 0..rng.random_range(ANSWER_FAULT_COUNT) {
+            steps.extend(answer_fault(&mut rng, length, endpoints));
+        }
         steps.sort_by_key(|step| step.at);
         Self { seed, steps }
     }
@@ -158,6 +171,26 @@
     ]
 }
 
+/// Answers that are repeated or lost, and at times a second entry for the same address.
+fn answer_fault(rng: &mut StdRng, length: Duration, endpoints: usize) -> Vec<Step> {
+    let endpoint = rng.random_range(0..endpoints);
+    let mode = if rng.random_bool(0.7) {
+        Mode::Repeat(Duration::from_millis(rng.random_range(REPEAT_DELAY_MS)))
+    } else {
+        Mode::Lose
+    };
+    let first = step(rng, length, |_| Fault::Endpoint(endpoint, mode));
+    let alias = Step {
+        fault: Fault::Alias(endpoint),
+        ..first
+    };
+    if rng.random_bool(0.5) {
+        vec![first, alias]
+    } else {
+        vec![first]
+    }
+}
+
 fn fault(rng: &mut StdRng, gateways: usize, endpoints: usize) -> Fault {
     let gateway = rng.random_range(0..gateways);
     let endpoint = rng.random_range(0..endpoints);
--- a/mulberrymill-bench/src/soak/proxy.rs
+++ b/mulberrymill-bench/src/soak/proxy.rs
@@ -39,6 +39,10 @@
     CutDown,
     /// Stops forwarding on the connections that are open now, permanently; new ones work.
     Silence,
+    /// Forwards each whole answer of the server once more after a delay.
+    Repeat(Duration),
+    /// Resets a connection in place of the server's first bytes on it.
+    Lose,
 }
 
 /// A loopback TCP proxy in front of a server. Dropping it closes its connections.
@@ -111,8 +115,8 @@
     let (client_read, mut client_write) = client.into_split();
     let (server_read, mut server_write) = upstream.into_split();
     let broken = tokio::select! {
-        broken = copy(client_read, &mut server_write, mode.clone(), Mode::CutUp) => broken,
-        broken = copy(server_read, &mut client_write, mode.clone(), Mode::CutDown) => broken,
+        broken = copy(client_read, &mut server_write, mode.clone(), Side::Client) => broken,
+        broken = copy(server_read, &mut client_write, mode.clone(), Side::Server) => broken,
         // Dropping the proxy drops the sender of the mode, which ends the connections too.
         changed = mode.wait_for(|now| {
             *now != current && matches!(*now, Mode::Reset | Mode::Refuse)
@@ -135,14 +139,35 @@
     }
 }
 
-/// Copies one direction until it ends, and returns whether bytes were lost. The mode `cut` holds this
-/// direction back.
+/// The sender of one direction of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Side {
+    Client,
+    Server,
+}
+
+/// Whether the bytes are a whole answer with a length, rather than a part of a stream.
+fn is_whole_answer(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+    length == Some(body.len().to_string().as_str()) && head.starts_with("HTTP/1.1 ")
+}
+
+/// Copies one direction until it ends, and returns whether bytes were lost.
 async fn copy(
     mut from: OwnedReadHalf,
     to: &mut OwnedWriteHalf,
     mut mode: watch::Receiver<Mode>,
-    cut: Mode,
+    side: Side,
 ) -> bool {
+    let cut = match side {
+        Side::Client => Mode::CutUp,
+        Side::Server => Mode::CutDown,
+    };
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         // The guard that `wait_for` returns locks the mode and must not outlive this block.
@@ -169,8 +194,22 @@
                 return true;
             }
         }
+        if current == Mode::Lose && side == Side::Server {
+            return true;
+        }
         if to.write_all(&buffer[..length]).await.is_err() {
             return true;
         }
+        if let Mode::Repeat(delay) = current
+            && side == Side::Server
+            && is_whole_answer(&buffer[..length])
+        {
+            time::sleep(delay).await;
+            // The fault ends when the mode changes.
+            let lasts = *mode.borrow() == current;
+            if lasts && to.write_all(&buffer[..length]).await.is_err() {
+                return true;
+            }
+        }
     }
 }
--- a/mulberrymill-bench/tests/gateway/faulty.rs
+++ b/mulberrymill-bench/tests/gateway/faulty.rs
@@ -1,16 +1,17 @@
 //! Endpoints whose answers are faulty. The endpoint is a raw socket, and the caller sees every byte of
 //! the answer.
 
-use std::net::SocketAddr;
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
+use awc::Client;
+use mulberrymill_bench::platform::{Store, entry};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     task,
 };
 
-use super::{Harness, config, departure::read_head};
-use mulberrymill_bench::platform::entry;
+use super::{Harness, STOP_SETTINGS, config, departure::read_head, open_gateway};
 
 /// Statuses that tell callers that a request has not run.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -79,6 +80,50 @@
     );
 }
 
+/// Guards against telling a caller that its request has not run, or sending it to yet another endpoint,
+/// because of a copy of the refusal of its first attempt: the address is listed under two ids, and the
+/// second attempt goes to it, too (REFUSED, TWICE).
+#[actix_web::test]
+async fn repeated_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
+    const REFUSAL: &str = "HTTP/1.1 421 Misdirected Request\r\nnot-executed: 1\r\n\
+                           request-id: once\r\ninstance-id: e3\r\ncontent-length: 0\r\n\r\n";
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nserver-stamp: s\r\nrequest-id: once\r\n\
+                          content-length: 5\r\n\r\nlabel";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let store = Store::bind().expect("a free port");
+    store.put("op/config", &config(3, "s1"));
+    for id in ["e1", "e2"] {
+        let entry = entry(address, "s1", 4, "ready");
+        store.put(&format!("servers/{id}"), &entry);
+    }
+    let harness = Harness {
+        gateway: open_gateway("gateway-1", store.address(), STOP_SETTINGS).await,
+        client: Client::default(),
+        store,
+    };
+    harness.wait_until_ready().await;
+    let requests = Rc::new(Cell::new(0));
+    let count = Rc::clone(&requests);
+    task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = Rc::clone(&count);
+            task::spawn_local(async move {
+                let mut has_refused = false;
+                while read_head(&mut stream).await.is_some() {
+                    has_refused |= count.replace(count.get() + 1) == 0;
+                    // All requests but the first are run, but a copy of the refusal comes first.
+                    let answer = if has_refused { REFUSAL } else { ANSWER };
+                    let sent = stream.write_all(answer.as_bytes()).await;
+                    sent.expect("a gateway that reads");
+                }
+            });
+        }
+    });
+    let answer = send(harness.gateway.address(), "/once/1", "once").await;
+    assert_eq!((status(&answer), requests.get()), (200, 2));
+}
+
 /// Whether an answer looks complete and successful to its caller.
 pub(super) fn is_complete_success(answer: &str) -> bool {
     let Some((head, body)) = answer.split_once("\r\n\r\n") else {
--- a/mulberrymill-bench/tests/soak.rs
+++ b/mulberrymill-bench/tests/soak.rs
@@ -2,13 +2,14 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use futures_util::{StreamExt, stream};
+use futures_util::{FutureExt, StreamExt, stream};
 use mulberrymill_bench::soak::{self, Config};
 
 /// Seeds, and the duration in seconds for which each sends requests. Seed 3 detects a gateway that
 /// retries requests that must be executed at most once; seeds 205, 208, 215 and 216 detect one that
-/// breaks off a resumable stream after a second of silence of its endpoint.
-const SEEDS: [(u64, u64); 7] = [
+/// breaks off a resumable stream after a second of silence of its endpoint; seeds 92000 and 92013 detect
+/// one that takes a copy of a rejection for the answer to the next attempt.
+const SEEDS: [(u64, u64); 9] = [
     (1, 4),
     (2, 4),
     (3, 8),
@@ -16,6 +17,8 @@
     (208, 4),
     (215, 4),
     (216, 4),
+    (92_000, 8),
+    (92_013, 8),
 ];
 
 /// Number of seeds that run concurrently.
@@ -41,7 +44,7 @@
             breaches.collect::<Vec<_>>()
         });
         let runs = stream::iter(runs).buffer_unordered(JOBS);
-        let breaches = runs.collect::<Vec<_>>().await.concat();
+        let breaches = runs.collect::<Vec<_>>().boxed_local().await.concat();
         assert!(breaches.is_empty(), "{breaches:#?}");
     });
 }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
     sync::Arc,
@@ -95,6 +96,7 @@
         ports,
         log,
         excluded: Vec::new(),
+        addresses: Vec::new(),
         sends: 0,
         failed_connections: 0,
         pauses_awaited: 0,
@@ -173,6 +175,8 @@
     pub(super) log: RequestLog,
     service: Service,
     excluded: Vec<Endpoint>,
+    /// Where attempts were sent to; two endpoints can be listed with one address for a while.
+    addresses: Vec<SocketAddr>,
     sends: u32,
     failed_connections: u32,
     pauses_awaited: u32,
@@ -684,7 +688,17 @@
             })
     }
 
-    fn new_attempt(&self, ticket: &Ticket, step: Step, resume_after: Option<EventId>) -> Attempt {
+    fn new_attempt(
+        &mut self,
+        ticket: &Ticket,
+        step: Step,
+        resume_after: Option<EventId>,
+    ) -> Attempt {
+        let address = ticket.choice().instance.address;
+        let repeats_address = self.addresses.contains(&address);
+        if !repeats_address {
+            self.addresses.push(address);
+        }
         Attempt {
             call: Rc::clone(&self.call),
             instance: Arc::clone(&ticket.choice().instance),
@@ -694,6 +708,7 @@
             fetch_from: ticket.choice().fetch_from,
             step,
             resume_after,
+            repeats_address,
         }
     }
 
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -126,6 +126,9 @@
     pub fetch_from: Option<SocketAddr>,
     /// The last event that was received, if a stream is resumed.
     pub resume_after: Option<EventId>,
+    /// Whether an earlier attempt was sent to the same address. A copy of its answer has the id of this
+    /// one, too, so both must not share a connection.
+    pub repeats_address: bool,
 }
 
 /// Whether a request was executed, according to the response.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -28,13 +28,26 @@
 /// Limit of a test whether an endpoint listens; a host without a listener refuses within a round
 /// trip.
 const LISTEN_TEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Characters of a request id in an error; ids of callers are shorter.
+const ID_LOGGED_MAX: usize = 64;
 /// Least urgent priority in the protocol.
 const RANK_MAX: u8 = 9;
 
 /// HTTP client of the endpoints. Clones share its connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EndpointClient {
     client: Client,
+    /// Opens a connection for each attempt, of which none has served an earlier one.
+    unshared: Client,
+}
+
+impl Default for EndpointClient {
+    fn default() -> Self {
+        Self {
+            client: Client::new(),
+            unshared: Client::without_reuse(),
+        }
+    }
 }
 
 /// Response to a prefill request.
@@ -59,7 +72,12 @@
             call: Some(Rc::clone(&attempt.call)),
             client: self.client.clone(),
         });
-        let response = self.client.send_through(gate, address, head, body).await;
+        let client = if attempt.repeats_address {
+            &self.unshared
+        } else {
+            &self.client
+        };
+        let response = client.send_through(gate, address, head, body).await;
         let response = response.map_err(|error| to_send_error(&error))?;
         let mut response = decode(response, &attempt)?;
         if attempt.step == Step::Prefill && response.status == 200 {
@@ -273,9 +291,15 @@
         None => reused && (sent.is_some() || refuses),
     };
     if is_other {
-        return Err(SendError::Lost(
-            "the answer may belong to another request".to_owned(),
-        ));
+        let id: String = echoed
+            .unwrap_or("none")
+            .chars()
+            .take(ID_LOGGED_MAX)
+            .collect();
+        let detail = "the answer may belong to another request";
+        return Err(SendError::Lost(format!(
+            "{detail}: status {status}, id {id}"
+        )));
     }
     // Status 421 means that another endpoint has the address, or that this one has changed its
     // stage.
