Ask the kernel whether an idle connection has ended

A request got a 502, although its endpoint was sound and another one could have run it: it was sent on an idle connection on which a copy of an answer had arrived, or which the endpoint had closed.

Cause: the check before a request asked the runtime, whose state of the socket is that of its last poll. In a busy process that is some time ago.

Change: the check peeks at the socket.

Evidence: `upstream::tests::request_is_not_sent_after_unpolled_bytes_or_a_close` failed before ("label", the copy, and "lost") and passes ("not sent" twice).

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -1,5 +1,6 @@
 use std::{
     io::{self, ErrorKind},
+    mem::MaybeUninit,
     net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
@@ -314,10 +315,11 @@
         delivered && may_reuse && written && self.buffer.is_empty()
     }
 
-    /// Fails if the endpoint has closed an idle connection, or has sent bytes on it.
+    /// Fails if the endpoint has closed an idle connection, or has sent bytes on it. Asks the kernel, since
+    /// the runtime may not have polled the socket since they arrived.
     fn check_idle(&self) -> Result<()> {
-        let mut byte = [0; 1];
-        match self.stream.try_read(&mut byte) {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        match SockRef::from(&self.stream).peek(&mut byte) {
             Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
             Ok(0) => Err(Error::new(Kind::NotSent, "the connection was closed")),
             Ok(_) => Err(Error::new(Kind::NotSent, "bytes beyond the last answer")),
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io::Write as _, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::RequestHead;
 use bytes::Bytes;
@@ -349,6 +349,40 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Guards against sending a request on a connection that the endpoint has closed, or on which a copy of
+/// an answer has arrived, because the runtime has not polled the socket since (MIXED, LOST).
+#[test]
+fn request_is_not_sent_after_unpolled_bytes_or_a_close() {
+    let outcomes = [Some(WITH_LENGTH), None].map(|copy| {
+        actix::System::new().block_on(async move {
+            // The endpoint is served by this thread, so that nothing is polled between its last act and
+            // the next request.
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let address = listener.local_addr().expect("a bound address");
+            let client = Client::new();
+            let first = task::spawn_local({
+                let client = client.clone();
+                async move { outcome(&client, address).await }
+            });
+            let (mut peer, _) = task::spawn_blocking(move || listener.accept())
+                .await
+                .expect("a running thread")
+                .expect("a connection");
+            peer.write_all(WITH_LENGTH).expect("a client that reads");
+            let first = first.await.expect("an outcome");
+            task::yield_now().await;
+            match copy {
+                Some(copy) => peer.write_all(copy).expect("an open connection"),
+                None => peer
+                    .shutdown(std::net::Shutdown::Write)
+                    .expect("an open connection"),
+            }
+            (first, outcome(&client, address).await)
+        })
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against reporting a request as possibly run although no connection was opened.
 #[test]
 fn refused_connection_is_reported_as_not_sent() {
