Close a connection whose answers are out of step

After one copy of an answer, all later requests on its connection failed with a 502 although they had run, those that may run once among them.

Cause: the request that got the copy was given up, but its connection went back to the pool with that request's own answer still due. Each further request then got the answer of the one before.

Change: an answer with another id than the request's, or without one on a connection in use again, closes the connection.

Evidence: `gateway faulty::connection_is_not_used_again_after_a_copy_of_an_ answer` failed before, [200, 502, 502, 502, 502, 502] for [200, 502, 200, 502, 200, 502].

--- a/mulberrymill-bench/tests/gateway/faulty.rs
+++ b/mulberrymill-bench/tests/gateway/faulty.rs
@@ -1,7 +1,7 @@
 //! Endpoints whose answers are faulty. The endpoint is a raw socket, and the caller sees every byte of
 //! the answer.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, collections::VecDeque, net::SocketAddr, rc::Rc};
 
 use awc::Client;
 use mulberrymill_bench::platform::{Store, entry};
@@ -80,6 +80,42 @@
     );
 }
 
+/// Guards against using a connection on which an answer is still due, after a copy took its place: each
+/// further request would get the answer of the one before, and fail although it has run (LOST).
+#[actix_web::test]
+async fn connection_is_not_used_again_after_a_copy_of_an_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let harness = open_harness(listener.local_addr().expect("a bound address")).await;
+    task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            task::spawn_local(async move {
+                // The answer to the first request of a connection comes twice.
+                let mut due = VecDeque::new();
+                while let Some(head) = read_head(&mut stream).await {
+                    let id = head
+                        .lines()
+                        .find(|line| line.starts_with("request-id: "))
+                        .expect("an id");
+                    let answer = format!("HTTP/1.1 200 OK\r\n{id}\r\ncontent-length: 0\r\n\r\n");
+                    if due.is_empty() {
+                        due.push_back(answer.clone());
+                    }
+                    due.push_back(answer);
+                    let next = due.pop_front().expect("an answer");
+                    let sent = stream.write_all(next.as_bytes()).await;
+                    sent.expect("a gateway that reads");
+                }
+            });
+        }
+    });
+    let mut statuses = Vec::new();
+    for id in ["1", "2", "3", "4", "5", "6"] {
+        let answer = send(harness.gateway.address(), &format!("/once/{id}"), id).await;
+        statuses.push(status(&answer));
+    }
+    assert_eq!(statuses, [200, 502, 200, 502, 200, 502]);
+}
+
 /// Guards against telling a caller that its request has not run, or sending it to yet another endpoint,
 /// because of a copy of the refusal of its first attempt: the address is listed under two ids, and the
 /// second attempt goes to it, too (REFUSED, TWICE).
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -159,7 +159,7 @@
         self.permit.standing() == Standing::Open
     }
 
-    fn on_head(&self, head: &ResponseHead) -> bool {
+    fn on_head(&self, head: &ResponseHead, reused: bool) -> bool {
         let headers = head.headers();
         let instance = self.permit.instance();
         let sent = self
@@ -167,14 +167,20 @@
             .as_ref()
             .and_then(|call| header_text(&call.headers, names::REQUEST_ID));
         // A copy of an earlier answer, and the answer of another instance that has the address now,
-        // say nothing of this one.
-        let is_copy = header_text(headers, names::REQUEST_ID).is_some_and(|id| Some(id) != sent);
+        // say nothing of this one. The answer that belongs to the request is still due after a copy,
+        // and would be that of the next one.
+        let echoed = header_text(headers, names::REQUEST_ID);
+        let in_step = match echoed {
+            Some(_) => echoed == sent,
+            None => sent.is_none() || !reused,
+        };
+        let is_copy = echoed.is_some() && !in_step;
         let is_other = header_text(headers, names::INSTANCE_ID).map_or_else(
             || head.status == StatusCode::MISDIRECTED_REQUEST,
             |id| id != instance.id.as_str(),
         );
         if is_copy || is_other {
-            return true;
+            return in_step;
         }
         let notice = decode_notice(head);
         let unreadable = headers
@@ -189,7 +195,7 @@
         }
         let call = self.call.as_ref().and_then(|call| call.id.clone());
         self.permit.record(notice, call);
-        !notice.leaving
+        in_step && !notice.leaving
     }
 }
 
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -270,7 +270,7 @@
                 return false;
             }
         };
-        let may_reuse = gate.is_none_or(|gate| gate.on_head(&head))
+        let may_reuse = gate.is_none_or(|gate| gate.on_head(&head, self.reused))
             && framing.permits_reuse(&head)
             && self.codec.keep_alive();
         let codec = ClientCodec::new(self.config.clone());
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -212,9 +212,9 @@
     /// Whether the request may be sent now. Asked right before its first byte is written.
     fn may_send(&self) -> bool;
 
-    /// Sees the head of the final response, also if nobody waits for it any more. Returns whether the
-    /// connection may be used again.
-    fn on_head(&self, head: &ResponseHead) -> bool;
+    /// Sees the head of the final response, also if nobody waits for it any more. `reused` states
+    /// whether the connection has served other requests before. Returns whether it may be used again.
+    fn on_head(&self, head: &ResponseHead, reused: bool) -> bool;
 }
 
 /// A request that is passed to a connection task.
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -197,7 +197,7 @@
         self.closure.borrow().standing(self.clock.now()) == Standing::Open
     }
 
-    fn on_head(&self, head: &ResponseHead) -> bool {
+    fn on_head(&self, head: &ResponseHead, _reused: bool) -> bool {
         self.record(head);
         true
     }
