--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -98,14 +98,20 @@
     /// to `s2`.
     async fn with_two_services() -> (Self, [Endpoint; 2]) {
         let harness = Self::open().await;
+        let endpoints = harness.add_two_services().await;
+        (harness, endpoints)
+    }
+
+    /// Adds routes to service `s1`, to which endpoint `e1` belongs, and endpoint `e2` of `s2`.
+    async fn add_two_services(&self) -> [Endpoint; 2] {
         let endpoints = ["e1", "e2"].map(|id| Endpoint::bind(id).expect("a free port"));
-        harness.store.put("op/config", &config(3, "s1"));
+        self.store.put("op/config", &config(3, "s1"));
         for (endpoint, (id, service)) in endpoints.iter().zip([("e1", "s1"), ("e2", "s2")]) {
             let entry = endpoint.entry(service, "ready");
-            harness.store.put(&format!("servers/{id}"), &entry);
+            self.store.put(&format!("servers/{id}"), &entry);
         }
-        harness.wait_until_answered_by("e1").await;
-        (harness, endpoints)
+        self.wait_until_answered_by("e1").await;
+        endpoints
     }
 
     /// Waits until a request below `/plain/` is answered by the endpoint with this id.
--- a/mulberrymill-bench/tests/gateway/silence.rs
+++ b/mulberrymill-bench/tests/gateway/silence.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use awc::Client;
-use mulberrymill_bench::platform::{Endpoint, Store};
+use mulberrymill_bench::platform::Store;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -91,13 +91,7 @@
         store,
         gateway,
     };
-    let endpoints = ["e1", "e2"].map(|id| Endpoint::bind(id).expect("a free port"));
-    harness.store.put("op/config", &config(3, "s1"));
-    for (endpoint, (id, service)) in endpoints.iter().zip([("e1", "s1"), ("e2", "s2")]) {
-        let entry = endpoint.entry(service, "ready");
-        harness.store.put(&format!("servers/{id}"), &entry);
-    }
-    harness.wait_until_answered_by("e1").await;
+    let _endpoints = harness.add_two_services().await;
     // The connection of this write is idle afterwards, beside those of the watches.
     for _ in 0..MAX_POLLS {
         if !harness.store.keys("gateways/").is_empty() {
