Let the peer of a test read the request before it answers

Cause: the peer of the test wrote its first answer as soon as the connection was accepted. If that came before the client's request, the client found bytes on an idle connection, sent nothing and closed, which reset the connection. The product is right there; the test left the order to chance.

--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -1,4 +1,9 @@
-use std::{io::Write as _, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io::{Read as _, Write as _},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_http::RequestHead;
 use bytes::Bytes;
@@ -364,10 +369,15 @@
                 let client = client.clone();
                 async move { outcome(&client, address).await }
             });
-            let (mut peer, _) = task::spawn_blocking(move || listener.accept())
-                .await
-                .expect("a running thread")
-                .expect("a connection");
+            let mut peer = task::spawn_blocking(move || {
+                let (mut peer, _) = listener.accept().expect("a connection");
+                // An answer before its request would end the connection.
+                let read = peer.read(&mut [0; 4096]).expect("a request");
+                assert!(read > 0, "the request has arrived");
+                peer
+            })
+            .await
+            .expect("a running thread");
             peer.write_all(WITH_LENGTH).expect("a client that reads");
             let first = first.await.expect("an outcome");
             task::yield_now().await;
