Close idle connections of callers by the configuration, and for new ones

Cause: idle connections were kept for two minutes whatever idleTimeoutMs said, which the plan did not contain, and nothing weighed them against new ones once the listener was full. On the way: a caller that sent half of a second head kept its connection without limit, since the timeout for a head held only for the first.

Change: the plan contains the limit. A task per thread of the listener is told what each connection is used for. It closes connections that were idle for the limit and five seconds, that have not sent a head in ten seconds, and, while fewer than a sixteenth of the places are free, the longest idle one for each new one. A connection closes only if the kernel holds no bytes of a further request. A lowered limit applies to connections that become idle after it. The task decides by a table without sockets or clock (listener/idle.rs).

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -18,6 +18,8 @@
 mod faulty;
 #[path = "gateway/framing.rs"]
 mod framing;
+#[path = "gateway/idle.rs"]
+mod idle;
 #[path = "gateway/notices.rs"]
 mod notices;
 #[path = "gateway/odd_entries.rs"]
--- a/src/front/imp.rs
+++ b/src/front/imp.rs
@@ -124,7 +124,7 @@
         workers: config.workers,
         connections_max: MAX_CONNECTIONS_PER_WORKER,
         head_timeout: HEAD_TIMEOUT,
-        idle_timeout: IDLE_TIMEOUT,
+        limits: Arc::new(IDLE_TIMEOUT),
         stop_timeout: SHUTDOWN_TIMEOUT,
         clock: Arc::clone(&config.clock),
     };
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -28,9 +28,9 @@
 
 /// Time within which the head of a request must arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time after which an idle connection of a caller is closed. It is longer than any idle time that
-/// callers are allowed, so that a connection is not closed while a request arrives on it.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+/// Time that an answer and the next request of its caller may be on their way, beyond the idle time that
+/// the caller is allowed.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
 /// Limit of the wait for connections of callers in a stop, which [`Server::stop`] ends before.
 const STOP_TIMEOUT: Duration = Duration::from_mins(1);
 /// Limit of concurrent connections of callers.
@@ -171,7 +171,7 @@
         workers: WORKERS,
         connections_max: CONNECTIONS_MAX,
         head_timeout: HEAD_TIMEOUT,
-        idle_timeout: IDLE_TIMEOUT,
+        limits: Arc::new(PlanLimits(config.plan.clone())),
         stop_timeout: STOP_TIMEOUT,
         clock: Arc::clone(&config.clock),
     };
@@ -184,6 +184,18 @@
     Ok((spawn(running), address))
 }
 
+/// The limits of the active plan.
+#[derive(Debug)]
+struct PlanLimits(watch::Receiver<Option<Arc<Plan>>>);
+
+impl listener::Limits for PlanLimits {
+    fn idle_timeout(&self) -> Duration {
+        let plan = self.0.borrow();
+        let limits = plan.as_ref().map(|plan| plan.limits()).unwrap_or_default();
+        limits.idle.saturating_add(IDLE_MARGIN)
+    }
+}
+
 fn new_context(config: &Config) -> Context {
     let ports = Ports {
         choose: config.choose.clone(),
--- a/src/listener/connection.rs
+++ b/src/listener/connection.rs
@@ -1,15 +1,22 @@
 use std::{
     io::{self, ErrorKind},
+    mem::MaybeUninit,
     pin::Pin,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::mpsc,
 };
 
+use super::{
+    idle::{Eviction, Reason},
+    monitor::{Activity, Monitor},
+};
 use crate::clock::Shared;
 
 /// Time from the departure of a caller to the end of its connection above which a line is logged.
@@ -17,24 +24,37 @@
 
 /// Connection of a caller. Once the caller has closed its side, writes fail: the HTTP server would
 /// otherwise keep the request in progress until its output is flushed, which a caller that does not
-/// read prevents. Also records how long the request was kept.
+/// read prevents. Also records how long the request was kept. An idle connection ends on order.
 #[derive(Debug)]
 pub(super) struct Connection {
     stream: TcpStream,
     clock: Shared,
     /// When the end of the caller's input was read.
     left_at: Option<Instant>,
+    activity: Activity,
+    evictions: mpsc::Receiver<Eviction>,
+    /// Whether it ends by an order to close it.
+    evicted: bool,
 }
 
 impl Connection {
-    pub(super) const fn new(stream: TcpStream, clock: Shared) -> Self {
+    pub(super) fn new(stream: TcpStream, clock: Shared, monitor: &Monitor) -> Self {
+        let (activity, evictions) = monitor.add();
         Self {
             stream,
             clock,
             left_at: None,
+            activity,
+            evictions,
+            evicted: false,
         }
     }
 
+    /// What the connection is used for; its requests report to it.
+    pub(super) fn activity(&self) -> Activity {
+        self.activity.clone()
+    }
+
     fn check_caller(&self) -> io::Result<()> {
         match self.left_at {
             Some(_) => Err(io::Error::new(
@@ -44,6 +64,28 @@
             None => Ok(()),
         }
     }
+
+    /// Handles an order to close the connection. An order to close an idle one doesn't count if a request
+    /// has arrived since, which the runtime may not have polled yet.
+    fn poll_evicted(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while let Some(eviction) = ready!(self.evictions.poll_recv(cx)) {
+            let may_close = eviction.reason == Reason::Receiving || !self.has_unread();
+            if may_close && self.activity.is_unchanged(&eviction) {
+                let reason = eviction.reason.as_str();
+                metrics::counter!("caller_connections_closed_total", "reason" => reason)
+                    .increment(1);
+                log::debug!(connection:% = eviction.id, reason; "idle connection is closed");
+                self.evicted = true;
+                return Poll::Ready(());
+            }
+        }
+        Poll::Pending
+    }
+
+    fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        SockRef::from(&self.stream).peek(&mut byte).is_ok()
+    }
 }
 
 impl AsyncRead for Connection {
@@ -52,9 +94,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.evicted {
+            return Poll::Ready(Ok(()));
+        }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if buf.filled().len() == before && buf.remaining() > 0 {
+        if Pin::new(&mut self.stream).poll_read(cx, buf)?.is_pending() {
+            return self.poll_evicted(cx).map(Ok);
+        }
+        if buf.filled().len() > before {
+            self.activity.on_read();
+        } else if buf.remaining() > 0 {
             let now = self.clock.now();
             self.left_at.get_or_insert(now);
         }
@@ -69,7 +118,13 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_caller()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        if self.evicted {
+            let detail = "the caller does not read its answer";
+            return Poll::Ready(Err(io::Error::new(ErrorKind::TimedOut, detail)));
+        }
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        self.activity.on_write();
+        Poll::Ready(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -84,6 +139,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.activity.end();
         let Some(left_at) = self.left_at else {
             return;
         };
--- a/src/listener/imp.rs
+++ b/src/listener/imp.rs
@@ -1,14 +1,19 @@
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use actix_http::{HttpService, Protocol, Request, Response, body::MessageBody};
+use actix_http::{HttpService, KeepAlive, Protocol, Request, Response, body::MessageBody};
 use actix_service::{
-    IntoServiceFactory, ServiceFactory, ServiceFactoryExt, fn_service, map_config,
+    IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt, apply_fn_factory, fn_service,
+    map_config,
 };
 use actix_web::dev::{AppConfig, Server as Running};
 use socket2::{Domain, Socket, Type};
 use tokio::net::TcpStream;
 
-use super::{Result, connection::Connection};
+use super::{
+    Result,
+    connection::Connection,
+    monitor::{self, Activity, Body},
+};
 use crate::{
     clock::Shared,
     error::{Error, Kind},
@@ -20,6 +25,20 @@
 /// Connections that the kernel keeps until they are accepted.
 const BACKLOG: i32 = 1_024;
 
+/// Limits of a listener that may change while it runs.
+pub trait Limits: fmt::Debug + Send + Sync {
+    /// Time after which an idle connection is closed. A connection that became idle under a higher limit
+    /// keeps that one.
+    fn idle_timeout(&self) -> Duration;
+}
+
+/// An idle timeout that does not change.
+impl Limits for Duration {
+    fn idle_timeout(&self) -> Duration {
+        *self
+    }
+}
+
 /// Parameters of a listener.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -27,12 +46,13 @@
     pub address: SocketAddr,
     /// Threads that serve callers.
     pub workers: usize,
-    /// Limit of concurrent connections of each thread.
+    /// Limit of concurrent connections of each thread. Shortly below it, the longest idle connection is
+    /// closed for each new one.
     pub connections_max: usize,
     /// Time within which the head of a request must arrive.
     pub head_timeout: Duration,
-    /// Time after which an idle connection is closed.
-    pub idle_timeout: Duration,
+    /// Limits that apply at each moment.
+    pub limits: Arc<dyn Limits>,
     /// Limit of the wait for responses in progress during a graceful stop; fractions of a second are
     /// dropped.
     pub stop_timeout: Duration,
@@ -69,35 +89,60 @@
         .disable_signals();
     let stop_signal = builder.graceful_shutdown_signal();
     let Config {
+        connections_max,
         head_timeout,
-        idle_timeout,
+        limits,
         clock,
         ..
     } = config.clone();
     let serve = move || {
         let clock = Arc::clone(&clock);
         let stop_signal = stop_signal.clone();
+        let monitor = monitor::spawn(
+            connections_max,
+            head_timeout,
+            Arc::clone(&limits),
+            Arc::clone(&clock),
+        );
+        let app = map_config(new_app(), |()| AppConfig::default());
+        let app = apply_fn_factory(app, |request: Request, app: &S::Service| {
+            let serving = request.conn_data::<Activity>().map(Activity::begin);
+            let response = app.call(request);
+            async move {
+                let response: Response<B> = response.await?.into();
+                Ok(response.map_body(|_head, body| Body::new(body, serving)))
+            }
+        });
         let http = HttpService::build()
             .graceful_shutdown_signal(move || {
                 let signal = stop_signal.clone();
                 async move { signal.notified().await }
             })
-            .keep_alive(idle_timeout)
+            // The monitor closes idle connections.
+            .keep_alive(KeepAlive::Os)
             .client_request_timeout(head_timeout)
             .client_disconnect_timeout(DISCONNECT_TIMEOUT)
             // A caller that closes its side of the connection cancels its request.
             .h1_allow_half_closed(false)
             .local_addr(address)
-            .finish(map_config(new_app(), |()| AppConfig::default()));
+            .on_connect_ext(|connection: &Connection, data| {
+                data.insert(connection.activity());
+            })
+            .finish(app);
         fn_service(move |stream: TcpStream| {
             let clock = Arc::clone(&clock);
+            let monitor = monitor.clone();
             async move {
                 // Nagle's algorithm would delay an event until the previous one is acknowledged.
                 if let Err(error) = stream.set_nodelay(true) {
                     log::debug!(error:% = error; "connection was lost before it was served");
                 }
                 let caller = stream.peer_addr().ok();
-                Ok((Connection::new(stream, clock), Protocol::Http1, caller))
+                Ok((
+                    Connection::new(stream, clock, &monitor),
+                    Protocol::Http1,
+                    caller,
+                ))
             }
         })
         .and_then(http)
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -73,6 +73,7 @@
 struct ConfigLimits {
     max_header_bytes: Option<u64>,
     max_body_bytes: Option<u64>,
+    idle_timeout_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -179,6 +180,10 @@
                 .limits
                 .max_body_bytes
                 .map_or(defaults.body, Bytes::new),
+            idle: config
+                .limits
+                .idle_timeout_ms
+                .map_or(defaults.idle, Duration::from_millis),
         };
         let routes = routes.collect();
         Ok(Plan::new(Version::new(config.version), routes, limits))
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -42,7 +42,7 @@
     {"name":"r-4","host":"ficu95.example","prefix":"/odd/","routeKind":"sideways",
      "service":"wuno96b"},
     {"name":"r-5","prefix":"/no-host/"}],
-    "services":[],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1024}}"#;
+    "services":[],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1024,"idleTimeoutMs":15000}}"#;
 
 fn path(key: &str) -> Path {
     key.parse().expect("a valid path")
--- a/src/route/imp.rs
+++ b/src/route/imp.rs
@@ -13,6 +13,9 @@
 /// Default limit of a request head.
 const DEFAULT_HEAD_LIMIT: Bytes = Bytes::new(16 << 10);
 
+/// Default time for which a caller may keep a connection idle.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_mins(2);
+
 /// Version of a plan. Later versions are larger, but not necessarily consecutive.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Version(u64);
@@ -143,13 +146,15 @@
     }
 }
 
-/// Limits on the size of requests.
+/// Limits on the size of requests, and on idle connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Maximum size of a request head, 16 KiB by default.
     pub head: Bytes,
     /// Maximum size of a request body, 4 MiB by default.
     pub body: Bytes,
+    /// Time for which a caller may keep a connection idle, two minutes by default.
+    pub idle: Duration,
 }
 
 impl Default for Limits {
@@ -157,6 +162,7 @@
         Self {
             head: DEFAULT_HEAD_LIMIT,
             body: DEFAULT_BODY_LIMIT,
+            idle: DEFAULT_IDLE_TIMEOUT,
         }
     }
 }
@@ -192,7 +198,7 @@
         self.version
     }
 
-    /// Limits on the size of requests.
+    /// Limits on the size of requests, and on idle connections.
     #[must_use]
     pub const fn limits(&self) -> Limits {
         self.limits
