Test notices of engines with real entries and agents, and log their end

The engine stand-in says both notices in its answers and numbers its runs, and two failure tests with real processes watch it: no request reaches an engine that says that it leaves until it restarts, and at most two reach one that asked for a pause.

--- a/mulberrymill-bench/src/engine/actor.rs
+++ b/mulberrymill-bench/src/engine/actor.rs
@@ -8,7 +8,7 @@
     unit::Tokens,
     wire,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{Block, Config, Event, Fault, Generate, Job, Model, Output, Report, Result, Tally};
 use crate::port::Port;
@@ -154,6 +154,8 @@
     streams: HashMap<Job, mpsc::UnboundedSender<AnswerPart>>,
     order_reply: Option<oneshot::Sender<Result<()>>>,
     port: Option<Port>,
+    /// Whether all answers say that the engine is leaving.
+    says_leaving: watch::Sender<bool>,
     timer: Option<SpawnHandle>,
     last_job: u64,
 }
@@ -165,11 +167,17 @@
             streams: HashMap::new(),
             order_reply: None,
             port: None,
+            says_leaving: watch::Sender::default(),
             timer: None,
             last_job: 0,
         }
     }
 
+    /// Follows whether all answers say that the engine is leaving.
+    pub(super) fn says_leaving(&self) -> watch::Receiver<bool> {
+        self.says_leaving.subscribe()
+    }
+
     /// Forwards the outputs of the model and sets the timer for its next event.
     fn poll_model(&mut self, ctx: &mut Context<Self>) {
         for output in self.model.poll() {
@@ -309,6 +317,7 @@
 
     fn handle(&mut self, InjectFault(fault): InjectFault, ctx: &mut Self::Context) -> Self::Result {
         self.model.fault(fault);
+        self.says_leaving.send_replace(self.model.says_leaving());
         self.poll_model(ctx);
         let port = self.port.clone();
         Box::pin(async move {
--- a/mulberrymill-bench/src/engine/control.rs
+++ b/mulberrymill-bench/src/engine/control.rs
@@ -34,6 +34,8 @@
     pub crash_next_change: bool,
     /// Offset at which the answer of the next accepted request breaks.
     pub break_next_at: Option<Bytes>,
+    /// Pause that is asked for in the refusal of each request.
+    pub pause: Option<Duration>,
 }
 
 impl Default for Faults {
@@ -43,6 +45,7 @@
             reports_frozen: false,
             crash_next_change: false,
             break_next_at: None,
+            pause: None,
         }
     }
 }
@@ -63,6 +66,8 @@
     pub stale_accepted: u64,
     /// Injected crashes.
     pub crashes: u64,
+    /// Requests refused by [`Fault::Pause`].
+    pub paused: u64,
 }
 
 /// Fault to inject; the serialized form is the body of `POST /fault`.
@@ -92,6 +97,13 @@
         /// Offset in the answer, in bytes.
         after_bytes: u64,
     },
+    /// Says in all answers that the engine is leaving, until it restarts, and goes on otherwise.
+    SayLeaving,
+    /// Refuses all requests and asks for a pause.
+    Pause {
+        /// Length of the pause in whole seconds; 0 ends the fault.
+        seconds: u64,
+    },
 }
 
 impl Model {
@@ -195,6 +207,12 @@
         self.tally
     }
 
+    /// Whether all answers say that the engine is leaving.
+    #[must_use]
+    pub const fn says_leaving(&self) -> bool {
+        self.says_leaving
+    }
+
     /// Injects a fault, or ends one.
     pub fn fault(&mut self, fault: Fault) {
         self.advance();
@@ -207,6 +225,10 @@
             Fault::BreakNextStream { after_bytes } => {
                 self.faults.break_next_at = Some(Bytes::new(after_bytes));
             }
+            Fault::SayLeaving => self.says_leaving = true,
+            Fault::Pause { seconds } => {
+                self.faults.pause = (seconds > 0).then(|| Duration::from_secs(seconds));
+            }
         }
     }
 
@@ -218,6 +240,7 @@
         self.role = self.config.role;
         self.models.clone_from(&self.config.models);
         self.draining = false;
+        self.says_leaving = false;
         self.fence = Fence::default();
         self.reset_work();
         self.outputs.push(Output::Crashed);
--- a/mulberrymill-bench/src/engine/http.rs
+++ b/mulberrymill-bench/src/engine/http.rs
@@ -1,9 +1,17 @@
 use std::{fmt::Write, sync::Arc, time::Duration};
 
 use actix::prelude::*;
-use actix_web::{HttpResponse, http::StatusCode, web};
+use actix_web::{
+    HttpResponse,
+    dev::Service as _,
+    http::{
+        StatusCode,
+        header::{HeaderName, HeaderValue, RETRY_AFTER},
+    },
+    web,
+};
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{TryFutureExt as _, stream};
 use mulberrymill::{
     error::{Error, Kind},
     id::{self, Fence},
@@ -26,6 +34,9 @@
 /// Answer length of a request without `max_tokens`.
 const DEFAULT_OUTPUT_TOKENS: u64 = 16;
 
+/// Header of all answers of an engine that leaves.
+const ENDPOINT_LEAVING: HeaderName = HeaderName::from_static("endpoint-leaving");
+
 /// Delay of an injected break, so that the bytes before it reach the client.
 const FLUSH_DELAY: Duration = Duration::from_millis(10);
 
@@ -36,10 +47,24 @@
 ///
 /// Fails if no port can be bound.
 pub fn bind(config: Config) -> crate::port::Result<Handle> {
-    let engine = Engine::new(config).start();
+    let engine = Engine::new(config);
+    let says_leaving = engine.says_leaving();
+    let engine = engine.start();
     let data = web::Data::new(engine.clone());
     let port = Port::bind(Arc::new(move |app: &mut web::ServiceConfig| {
-        routes(app.app_data(data.clone()));
+        let says_leaving = says_leaving.clone();
+        let announced = web::scope("").wrap_fn(move |request, service| {
+            let leaving = *says_leaving.borrow();
+            service.call(request).map_ok(move |mut response| {
+                if leaving {
+                    let headers = response.headers_mut();
+                    headers.insert(ENDPOINT_LEAVING, HeaderValue::from_static("1"));
+                }
+                response
+            })
+        });
+        let data = data.clone();
+        app.service(announced.configure(move |app| routes(app.app_data(data))));
     }))?;
     engine.do_send(AttachPort(port.clone()));
     let data = web::Data::new(engine.clone());
@@ -75,7 +100,11 @@
 fn error_response(error: &Error) -> HttpResponse {
     let kind = error.kind();
     let status = StatusCode::from_u16(kind.answer().status);
-    HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)).json(json!({
+    let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    if let Some(pause) = error.retry_after().filter(|_| kind == Kind::Paused) {
+        response.insert_header((RETRY_AFTER, pause.as_secs()));
+    }
+    response.json(json!({
         "error": {"kind": kind, "message": error.detail(), "executed": error.executed()},
     }))
 }
@@ -281,20 +310,24 @@
 }
 
 async fn load(engine: Data) -> HttpResponse {
-    match send(&engine, Load).await {
-        Ok((report, age)) => HttpResponse::Ok().json(json!({
-            "running": report.running,
-            "waiting": report.waiting,
-            "prefill_tokens": report.prefill.get(),
-            "decoding": report.decoding,
-            "cache": report.cache.get(),
-            "role": report.role,
-            "models": report.models,
-            "draining": report.draining,
-            "age_ms": u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        })),
-        Err(error) => error_response(&error),
-    }
+    let (tally, load) = match (send(&engine, GetTally).await, send(&engine, Load).await) {
+        (Ok(tally), Ok(load)) => (tally, load),
+        (Err(error), _) | (_, Err(error)) => return error_response(&error),
+    };
+    let (report, age) = load;
+    HttpResponse::Ok().json(json!({
+        // A number of the run stands in for the time of its start.
+        "started": tally.crashes,
+        "running": report.running,
+        "waiting": report.waiting,
+        "prefill_tokens": report.prefill.get(),
+        "decoding": report.decoding,
+        "cache": report.cache.get(),
+        "role": report.role,
+        "models": report.models,
+        "draining": report.draining,
+        "age_ms": u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+    }))
 }
 
 async fn order(engine: &Data, change: Change, fence: Option<Fence>) -> HttpResponse {
--- a/mulberrymill-bench/src/engine/model.rs
+++ b/mulberrymill-bench/src/engine/model.rs
@@ -53,6 +53,7 @@
     pub(super) models: Vec<mulberrymill::id::Model>,
     pub(super) role: Role,
     pub(super) draining: bool,
+    pub(super) says_leaving: bool,
     pub(super) crashed: bool,
     pub(super) cache: Cache,
     pub(super) sequences: Vec<Sequence>,
@@ -78,6 +79,7 @@
             models: config.models.clone(),
             role: config.role,
             draining: false,
+            says_leaving: false,
             crashed: false,
             cache: Cache::new(config.blocks),
             sequences: Vec::new(),
@@ -102,7 +104,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with `executed: no` if the engine is down, draining or changing its role, does not
+    /// Fails with `executed: no` if the engine is down, draining, pausing or changing its role, does not
     /// have the model, or has too few KV blocks for the request, and if the resume offset is after
     /// the end of the answer.
     pub fn submit(&mut self, job: Job, work: &Generate) -> Result<()> {
@@ -114,6 +116,11 @@
         if self.draining {
             return refuse(Kind::Leaving, "the engine is draining");
         }
+        if let Some(pause) = self.faults.pause {
+            self.tally.paused += 1;
+            let error = Error::new(Kind::Paused, "the engine asks for a pause");
+            return Err(error.with_retry_after(pause));
+        }
         if self.is_changing_role() {
             return refuse(Kind::NoEndpoint, "the engine is changing its role");
         }
--- a/mulberrymill-bench/tests/common/harness.rs
+++ b/mulberrymill-bench/tests/common/harness.rs
@@ -137,6 +137,16 @@
         logs.map(read).collect()
     }
 
+    /// Waits until a process has logged a line with all of these texts.
+    pub(crate) async fn wait_until_logged(&self, texts: &[&str]) {
+        wait_until("a process logs the line", async || {
+            let logs = self.logs();
+            let mut lines = logs.iter().flat_map(|(_, text)| text.lines());
+            lines.any(|line| texts.iter().all(|text| line.contains(text)))
+        })
+        .await;
+    }
+
     /// Number of requests that an engine has accepted.
     pub(crate) async fn accepted(&self, engine: usize) -> u64 {
         let accepted = self.fleet.engines[engine].accepted().await;
--- a/mulberrymill-bench/tests/failure.rs
+++ b/mulberrymill-bench/tests/failure.rs
@@ -11,6 +11,8 @@
 mod edit;
 #[path = "failure/freeze.rs"]
 mod freeze;
+#[path = "failure/notices.rs"]
+mod notices;
 #[path = "failure/stop.rs"]
 mod stop;
 #[path = "failure/store.rs"]
--- a/src/listener/idle.rs
+++ b/src/listener/idle.rs
@@ -4,9 +4,13 @@
 use std::{
     collections::{BTreeSet, HashMap},
     fmt,
+    str::FromStr,
     time::{Duration, Instant},
 };
 
+use super::Result;
+use crate::error::{Error, Kind};
+
 /// Share of the limit of connections that is kept free by closing idle ones, as its reciprocal.
 const RESERVE_DIVISOR: usize = 16;
 
@@ -31,6 +35,16 @@
     }
 }
 
+impl FromStr for Id {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse()
+            .map(Self)
+            .map_err(|_error| Error::new(Kind::BadRequest, "invalid number of a connection"))
+    }
+}
+
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
--- a/src/listener/tests.rs
+++ b/src/listener/tests.rs
@@ -205,10 +205,9 @@
     let at = |seconds| start + Duration::from_secs(seconds);
     let limit = Duration::from_secs;
     let mut table = Table::new(16, limit(5));
-    let idle = Id::default();
-    let receiving = idle.next();
-    let serving = receiving.next();
-    for id in [idle, receiving, serving] {
+    let ids = ["1", "2", "3"].map(|text| text.parse().expect("a number"));
+    let [_idle, receiving, serving] = ids;
+    for id in ids {
         assert_eq!(table.open(id, at(0), limit(10)), None);
     }
     table.change(receiving, Phase::Receiving, at(1), limit(10));
--- a/src/work/worker.rs
+++ b/src/work/worker.rs
@@ -63,6 +63,8 @@
     config: Config,
     /// What the endpoint has said of itself in its answers.
     closure: watch::Receiver<Closure>,
+    /// What followed from it at the last report.
+    reported: Standing,
     attempts: HashMap<Attempt, RunningAttempt>,
     /// Connections of entries.
     sessions: HashSet<Session>,
@@ -92,6 +94,7 @@
     let worker = Worker {
         closure: config.endpoint.closure(),
         config,
+        reported: Standing::Open,
         attempts: HashMap::new(),
         sessions: HashSet::new(),
         draining: false,
@@ -109,6 +112,7 @@
         probe(ctx.address(), Rc::clone(&self.config.endpoint));
         ctx.run_interval(PROBE_PERIOD, |worker, ctx| {
             worker.send_report();
+            worker.log_reopening();
             probe(ctx.address(), Rc::clone(&worker.config.endpoint));
         });
         // Reports a new document revision at once. Entries that lack the document learn of it from
@@ -116,7 +120,10 @@
         let revisions = changes(self.config.revision.clone());
         // Entries stop sending to an endpoint that has closed as soon as they know.
         let changes = stream::select(revisions, changes(self.closure.clone()));
-        let reports = wrap_stream(changes).map(|(), worker: &mut Self, _ctx| worker.send_report());
+        let reports = wrap_stream(changes).map(|(), worker: &mut Self, _ctx| {
+            worker.send_report();
+            worker.log_reopening();
+        });
         ctx.spawn(reports.finish());
     }
 
@@ -170,6 +177,16 @@
         (self.config.report)(self.report());
     }
 
+    /// Logs once that the endpoint takes requests again after it had asked for none.
+    fn log_reopening(&mut self) {
+        let standing = self.standing();
+        let former = std::mem::replace(&mut self.reported, standing);
+        if standing == Standing::Open && former != Standing::Open {
+            log::info!(endpoint:% = self.config.name, former:% = former;
+                "endpoint takes requests again");
+        }
+    }
+
     const fn is_leaving(&self) -> bool {
         self.draining || self.stopping || self.state.draining
     }
