Ignore delayed writes of a former run of an endpoint

Callers: requests reached an endpoint after it had said that it leaves (DRAIN).

Cause: unless the store had been restored, writes of an entry were ordered by sequence within one run only. A write of a former run that the store executed late, after a crash and a start under the same id, replaced what the current run had written: a draining endpoint was ready again, and one that had left was listed again.

Change: a write of an earlier run takes effect only if it comes more than a minute after the last one of the later run, so that an endpoint whose clock was set back is not ignored for good.

Test: delayed_writes_of_a_former_run_undo_no_drain, failed before: the draining endpoint was listed as ready at 100 ms, the removed one at 400 ms.

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -337,6 +337,7 @@
             sequence: self.codec.sequence(value),
             draining: instance.draining,
             revision,
+            received_at: now,
         };
         if !self.is_newer(&path, &write) {
             log::info!(endpoint:% = instance.id, draining = instance.draining, revision:% = revision;
--- a/src/directory/order.rs
+++ b/src/directory/order.rs
@@ -1,8 +1,14 @@
 //! Order of the writes of one entry, also across a restore of the store.
 
+use std::time::{Duration, Instant};
+
 use super::{Sequence, Started};
 use crate::id::Revision;
 
+/// Longest time by which the store may execute a write late. A write of an earlier run that comes later
+/// than that is of a new run, before which the clock of its host was set back.
+const WRITE_DELAY_MAX: Duration = Duration::from_mins(1);
+
 /// A write of an entry.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Write {
@@ -10,6 +16,8 @@
     pub(super) sequence: Option<Sequence>,
     pub(super) draining: bool,
     pub(super) revision: Revision,
+    /// When this process received it.
+    pub(super) received_at: Instant,
 }
 
 /// What is known of the endpoint of an entry.
@@ -76,7 +84,11 @@
             .map(|(last, next)| next.cmp(&last));
         if !self.restored {
             // A write that was delayed has a new revision.
-            return by_sequence != Some(Less);
+            let age = next
+                .received_at
+                .saturating_duration_since(self.write.received_at);
+            let is_of_former_run = by_run == Some(Less) && age <= WRITE_DELAY_MAX;
+            return !is_of_former_run && by_sequence != Some(Less);
         }
         match (by_run, by_sequence, known) {
             (Some(Greater), _, _) | (_, Some(Greater), _) => true,
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -388,6 +388,38 @@
     insta::assert_debug_snapshot!(trace.lines);
 }
 
+/// Guards against a delayed write of a former run that makes an endpoint ready again that is draining or
+/// gone (DRAIN), and against ignoring for good an endpoint whose clock was set back between two runs.
+#[test]
+fn delayed_writes_of_a_former_run_undo_no_drain() {
+    let mut trace = Trace::new();
+    let items = vec![
+        item("drains", "lm draining 200 3", 1),
+        item("leaves", "lm draining 200 3", 2),
+        item("sound", "lm ready 200 3", 3),
+        item("stepped", "lm ready 200 3", 4),
+    ];
+    trace.step(0, "read", Some(Update::Snapshot(items)));
+    trace.change(100, "delayed", put("drains", "lm ready 100 8", 5));
+    trace.change(200, "delayed again", put("drains", "lm ready 100 9", 6));
+    trace.change(300, "removed", delete("leaves", 7));
+    trace.change(400, "delayed", put("leaves", "lm ready 100 8", 8));
+    trace.change(500, "delayed", put("sound", "lm draining 100 8", 9));
+    let items = vec![
+        item("drains", "lm ready 100 9", 6),
+        item("leaves", "lm ready 100 8", 8),
+        item("sound", "lm draining 100 8", 9),
+        item("stepped", "lm ready 200 3", 4),
+    ];
+    trace.step(600, "read again", Some(Update::Snapshot(items)));
+    trace.change(
+        90_000,
+        "clock was set back",
+        put("stepped", "lm draining 150 1", 10),
+    );
+    insta::assert_debug_snapshot!(trace.lines);
+}
+
 /// Guards against requests to an endpoint that has left, because a copy of the store lists it again, and
 /// against ignoring one that registers again.
 #[test]
