Judge an endpoint by the same evidence at the choice and at the write

Callers: a request reached an endpoint that the store listed as draining or gone by then (DRAIN).

Cause: right before its first byte a request asked only what the endpoint had said in its answers. That the store had listed it as draining, removed it, or listed another run or address since the choice was not known there; a new connection alone may take half a second.

Change: Evidence holds what the store lists and what the endpoint said. The choice and the permit of a request judge by it, and a member that is dropped withholds what is still on its way.

Test: endpoint_is_judged_alike_at_the_choice_and_at_the_write; on the code before, every case was 'open'.

--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Availability, Update,
-    order::{Known, Last, Write},
+    order::{Last, Write},
 };
 use crate::{
     error::{Error, Kind, Result},
@@ -138,6 +138,40 @@
     pub stage: Option<Stage>,
 }
 
+/// What the store lists of an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Listing {
+    /// It takes requests.
+    #[default]
+    Ready,
+    /// It is stopping and must get no new work.
+    Draining,
+    /// Its entry was removed, or is that of another run now.
+    Removed,
+}
+
+impl Listing {
+    /// The state of a listed instance.
+    #[must_use]
+    pub const fn of(instance: &Instance) -> Self {
+        if instance.draining {
+            Self::Draining
+        } else {
+            Self::Ready
+        }
+    }
+}
+
+impl fmt::Display for Listing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Removed => "removed",
+        })
+    }
+}
+
 /// Decodes values of the store.
 pub trait Codec: fmt::Debug + Send + Sync {
     /// Decodes the entry of an endpoint.
@@ -406,13 +440,9 @@
     fn is_newer(&mut self, path: &Path, write: &Write) -> bool {
         let Some(entry) = self.entries.get_mut(path) else {
             let departed = self.departed.get_mut(path);
-            return departed.is_none_or(|departed| departed.last.precedes(write, Known::Removed));
-        };
-        let known = if entry.instance.draining {
-            Known::Draining
-        } else {
-            Known::Ready
+            return departed.is_none_or(|departed| departed.last.precedes(write, Listing::Removed));
         };
+        let known = Listing::of(&entry.instance);
         // Even an older write shows that the entry is in the store.
         entry.usable_until = None;
         entry.last.precedes(write, known)
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -14,4 +14,4 @@
 mod tests;
 
 pub use follow::{Availability, Update, UpdateSink, follow};
-pub use imp::{Codec, Directory, Instance, Sequence, Stage, Started};
+pub use imp::{Codec, Directory, Instance, Listing, Sequence, Stage, Started};
--- a/src/directory/order.rs
+++ b/src/directory/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Sequence, Started};
+use super::{Listing, Sequence, Started};
 use crate::id::Revision;
 
 /// Longest time by which the store may execute a write late. A write of an earlier run that comes later
@@ -20,14 +20,6 @@
     pub(super) received_at: Instant,
 }
 
-/// What is known of the endpoint of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Known {
-    Ready,
-    Draining,
-    Removed,
-}
-
 /// The last write of an entry that took effect.
 #[derive(Clone, Debug)]
 pub(super) struct Last {
@@ -68,7 +60,7 @@
 
     /// Whether `next` takes effect after this write. Notes the revision of an entry that cannot be
     /// ordered, so that a later one is recognized as written since the restore.
-    pub(super) fn precedes(&mut self, next: &Write, known: Known) -> bool {
+    pub(super) fn precedes(&mut self, next: &Write, known: Listing) -> bool {
         use std::cmp::Ordering::{Equal, Greater, Less};
 
         let by_run = self
@@ -92,10 +84,10 @@
         }
         match (by_run, by_sequence, known) {
             (Some(Greater), _, _) | (_, Some(Greater), _) => true,
-            (Some(Less), _, _) | (_, None, Known::Removed) => self.is_rewritten(next.revision),
-            (_, Some(Less), _) | (_, Some(Equal), Known::Removed) => false,
-            (_, _, Known::Draining) => next.draining,
-            (_, _, Known::Ready) => true,
+            (Some(Less), _, _) | (_, None, Listing::Removed) => self.is_rewritten(next.revision),
+            (_, Some(Less), _) | (_, Some(Equal), Listing::Removed) => false,
+            (_, _, Listing::Draining) => next.draining,
+            (_, _, Listing::Ready) => true,
         }
     }
 
--- /dev/null
+++ b/src/dispatch/evidence.rs
@@ -0,0 +1,27 @@
+use std::time::Instant;
+
+use crate::{
+    directory::Listing,
+    notice::{Closure, Standing},
+};
+
+/// What is known of an endpoint from which follows whether it may get requests. The choice of an endpoint
+/// and the write of a request to it rely on the same evidence.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// What the store lists of it.
+    pub listing: Listing,
+    /// What it said of itself in its answers.
+    pub closure: Closure,
+}
+
+impl Evidence {
+    /// Whether the endpoint may get new requests.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> Standing {
+        match self.listing {
+            Listing::Ready => self.closure.standing(now),
+            Listing::Draining | Listing::Removed => Standing::Leaving,
+        }
+    }
+}
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -90,7 +90,7 @@
             self.notices.set_run(&instance.id, instance.started);
             let closure = self.notices.closure(&instance.id);
             let mut member = known.unwrap_or_else(|| Member::new(Arc::clone(&instance), closure));
-            member.instance = Arc::clone(&instance);
+            member.set_instance(Arc::clone(&instance));
             self.members.insert(instance.id.clone(), member);
         }
         let members = &self.members;
@@ -134,8 +134,9 @@
         let Some(member) = self.members.get_mut(&endpoint) else {
             return Err(Error::new(Kind::Internal, "the chosen endpoint is unknown"));
         };
-        invariant::check(Invariant::Leaving, !member.instance.draining, || {
-            format!("{endpoint} was selected while it is draining")
+        let standing = member.standing(now);
+        invariant::check(Invariant::Leaving, standing == Standing::Open, || {
+            format!("{endpoint} was selected while it is {standing}")
         });
         member.in_flight += 1;
         member.backlog.add(demand.rank, prefill);
@@ -152,7 +153,7 @@
             report_age: member
                 .report
                 .map(|report| now.saturating_duration_since(report.received_at)),
-            closure: member.closure.subscribe(),
+            evidence: member.subscribe(),
         })
     }
 
@@ -175,7 +176,7 @@
             return;
         };
         if let Some(member) = member {
-            member.closure.send_replace(closure);
+            member.set_closure(closure);
         }
         let standing = closure.standing(now);
         // Answers to requests that were on their way prolong a pause by little.
@@ -383,7 +384,7 @@
             .values()
             .filter(|member| is_eligible(member, demand, now));
         let (paused, eligible): (Vec<&Member>, Vec<&Member>) =
-            eligible.partition(|member| member.closure().standing(now) == Standing::Paused);
+            eligible.partition(|member| member.standing(now) == Standing::Paused);
         if eligible.is_empty() {
             let opens_in = paused
                 .iter()
@@ -550,8 +551,7 @@
 fn is_eligible(member: &Member, demand: &Demand, now: Instant) -> bool {
     let instance = &member.instance;
     instance.service == demand.service
-        && !instance.draining
-        && member.closure().standing(now) != Standing::Leaving
+        && member.standing(now) != Standing::Leaving
         && !demand.excluded.contains(&instance.id)
         && (demand.need == Need::Start || instance.stage != Some(Stage::Prefill))
 }
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -5,8 +5,11 @@
 
 use tokio::sync::watch;
 
-use super::{Backlog, Load};
-use crate::{directory::Instance, notice::Closure};
+use super::{Backlog, Evidence, Load};
+use crate::{
+    directory::{Instance, Listing},
+    notice::{Closure, Standing},
+};
 
 /// Age from which a load report is ignored, about the duration of a request.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -33,8 +36,8 @@
     pub(super) backoff_until: Option<Instant>,
     /// When it last began to answer a request.
     pub(super) last_answer: Option<Instant>,
-    /// What the endpoint has said of itself, for requests that are on their way to it.
-    pub(super) closure: watch::Sender<Closure>,
+    /// What is known of the endpoint, also for requests that are on their way to it.
+    evidence: watch::Sender<Evidence>,
 }
 
 /// A load report of an endpoint.
@@ -49,6 +52,7 @@
 impl Member {
     /// A member without requests, failures or a load report.
     pub(super) fn new(instance: Arc<Instance>, closure: Closure) -> Self {
+        let listing = Listing::of(&instance);
         Self {
             instance,
             in_flight: 0,
@@ -58,7 +62,7 @@
             failures: 0,
             backoff_until: None,
             last_answer: None,
-            closure: watch::Sender::new(closure),
+            evidence: watch::Sender::new(Evidence { listing, closure }),
         }
     }
 
@@ -82,8 +86,33 @@
         self.backoff_until = None;
     }
 
+    /// Sets what the store lists of the same run.
+    pub(super) fn set_instance(&mut self, instance: Arc<Instance>) {
+        let listing = Listing::of(&instance);
+        self.instance = instance;
+        self.evidence
+            .send_modify(|evidence| evidence.listing = listing);
+    }
+
+    /// Sets what the endpoint has said of itself.
+    pub(super) fn set_closure(&self, closure: Closure) {
+        self.evidence
+            .send_modify(|evidence| evidence.closure = closure);
+    }
+
+    /// What the endpoint has said of itself.
     pub(super) fn closure(&self) -> Closure {
-        *self.closure.borrow()
+        self.evidence.borrow().closure
+    }
+
+    /// Whether the endpoint may get new requests.
+    pub(super) fn standing(&self, now: Instant) -> Standing {
+        self.evidence.borrow().standing(now)
+    }
+
+    /// Follows what is known of the endpoint.
+    pub(super) fn subscribe(&self) -> watch::Receiver<Evidence> {
+        self.evidence.subscribe()
     }
 
     pub(super) fn is_backing_off(&self, now: Instant) -> bool {
@@ -109,3 +138,11 @@
             .filter(|report| now.saturating_duration_since(report.received_at) < REPORT_MAX_AGE)
     }
 }
+
+impl Drop for Member {
+    /// Withholds the requests that are still on their way to the endpoint.
+    fn drop(&mut self) {
+        self.evidence
+            .send_modify(|evidence| evidence.listing = Listing::Removed);
+    }
+}
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -7,14 +7,14 @@
 use actix::Message;
 use tokio::sync::watch;
 
-use super::Ticket;
+use super::{Evidence, Ticket};
 use crate::{
     directory::Instance,
     error::Result,
     forecast::Pace,
     id::{self, Endpoint, PromptPart, Service, Zone},
     link::Session,
-    notice::{Closure, Notice},
+    notice::Notice,
     unit::Tokens,
     wire::Digest,
 };
@@ -93,8 +93,8 @@
     pub peer_requests: f64,
     /// Age of the last load report of the endpoint, `None` if it has sent none.
     pub report_age: Option<Duration>,
-    /// What the endpoint says of itself until the request is sent.
-    pub closure: watch::Receiver<Closure>,
+    /// What is known of the endpoint until the request is sent.
+    pub evidence: watch::Receiver<Evidence>,
 }
 
 /// Load that an endpoint reports with an answer, in requests of all processes.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 mod backlog;
 mod cost;
+mod evidence;
 mod failure;
 mod imp;
 mod member;
@@ -20,6 +21,7 @@
 
 pub use actor::{Config, Dispatcher, spawn};
 pub use backlog::Backlog;
+pub use evidence::Evidence;
 pub use imp::LoadBalancer;
 pub use message::{
     Choice, Choose, Demand, Ending, Finish, IsSilent, Load, MayRetry, Need, NoticeReceived,
--- a/src/dispatch/permit.rs
+++ b/src/dispatch/permit.rs
@@ -3,12 +3,12 @@
 use actix::Recipient;
 use tokio::sync::watch;
 
-use super::{Choice, NoticeReceived};
+use super::{Choice, Evidence, NoticeReceived};
 use crate::{
     clock::Shared,
     directory::Instance,
     id,
-    notice::{Closure, Notice, Standing},
+    notice::{Notice, Standing},
 };
 
 /// Tells, right before a request is written, whether its endpoint still takes requests, and reports
@@ -18,7 +18,7 @@
 #[derive(Clone)]
 pub struct Permit {
     instance: Arc<Instance>,
-    closure: watch::Receiver<Closure>,
+    evidence: watch::Receiver<Evidence>,
     notice: Recipient<NoticeReceived>,
     clock: Shared,
 }
@@ -35,7 +35,7 @@
     pub(super) fn new(choice: &Choice, notice: Recipient<NoticeReceived>, clock: Shared) -> Self {
         Self {
             instance: Arc::clone(&choice.instance),
-            closure: choice.closure.clone(),
+            evidence: choice.evidence.clone(),
             notice,
             clock,
         }
@@ -50,7 +50,7 @@
     /// Whether the endpoint may get a request now.
     #[must_use]
     pub fn standing(&self) -> Standing {
-        self.closure.borrow().standing(self.clock.now())
+        self.evidence.borrow().standing(self.clock.now())
     }
 
     /// Reports what the endpoint says of itself. An empty notice is not reported.
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -8,7 +8,7 @@
 use super::*;
 use crate::{
     clock::System,
-    directory::{Instance, Stage},
+    directory::{Instance, Stage, Started},
     forecast::Pace,
     id::{Endpoint, Zone},
     link::Session,
@@ -465,6 +465,69 @@
     assert_eq!(choices(&mut balancer, &demand, 1, now), [known.to_string()]);
 }
 
+/// Guards against requests that are written to an endpoint which the store has listed as draining or
+/// removed since it was chosen (DRAIN), and against withholding those to an endpoint that stays.
+#[test]
+fn endpoint_is_judged_alike_at_the_choice_and_at_the_write() {
+    let ready = || instance("s1", "print", None);
+    let with = |change: fn(&mut Instance)| {
+        let mut changed = ready();
+        change(Arc::make_mut(&mut changed));
+        changed
+    };
+    let draining = || with(|instance| instance.draining = true);
+    let started = |millis| {
+        move |instance: &mut Instance| instance.started = Some(Started::from_millis(millis))
+    };
+    let mut restarted = [ready(), ready()];
+    started(1)(Arc::make_mut(&mut restarted[0]));
+    started(2)(Arc::make_mut(&mut restarted[1]));
+    let cases = [
+        ("it stays", ready(), vec![vec![ready()]]),
+        ("it drains", ready(), vec![vec![draining()]]),
+        ("it is removed", ready(), vec![vec![]]),
+        (
+            "it is removed and listed again",
+            ready(),
+            vec![vec![], vec![ready()]],
+        ),
+        (
+            "it moves",
+            ready(),
+            vec![vec![with(|instance| {
+                instance.address = "127.0.0.1:9002".parse().expect("an address");
+            })]],
+        ),
+        (
+            "it starts again",
+            restarted[0].clone(),
+            vec![vec![restarted[1].clone()]],
+        ),
+        (
+            "a drain is taken back",
+            ready(),
+            vec![vec![draining()], vec![ready()]],
+        ),
+    ];
+    let standings = with_paused_time(async {
+        let mut standings = Vec::new();
+        for (what, chosen, changes) in cases {
+            let dispatcher = spawn(Config::new(System::shared(), zone("a")));
+            let set = |instances| dispatcher.send(SetInstances(instances));
+            set(vec![chosen]).await.expect("it runs");
+            let choose = Choose(demand("print", Need::Start, 0, None));
+            let ticket = dispatcher.send(choose).await.expect("it runs");
+            let permit = ticket.expect("s1").permit();
+            for change in changes {
+                set(change).await.expect("it runs");
+            }
+            standings.push(format!("{what}: {}", permit.standing()));
+        }
+        standings
+    });
+    insta::assert_debug_snapshot!(standings);
+}
+
 /// Guards against requests that stay counted as in flight after their caller disconnects while the
 /// dispatcher selects an endpoint.
 #[test]
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -170,7 +170,7 @@
     NotSent(String),
     /// The host refused the connection: the endpoint does not run.
     Refused(String),
-    /// It was not sent, since the endpoint has asked for no new requests meanwhile.
+    /// It was not sent, since the endpoint takes no new requests any more.
     Withheld,
     /// The endpoint may have received the request.
     Lost(String),
@@ -182,7 +182,7 @@
             Self::NotSent(detail) | Self::Refused(detail) | Self::Lost(detail) => {
                 f.write_str(detail)
             }
-            Self::Withheld => f.write_str("the endpoint has asked for no new requests"),
+            Self::Withheld => f.write_str("the endpoint takes no new requests"),
         }
     }
 }
