Stop writing a request once its endpoint is known to leave

Callers: a request reached an endpoint that had left by then (DRAIN).

Cause: the permit was asked before the first byte only. A body that is written slowly ended at an endpoint which the process had known to leave for as long as the write took.

Change: the gate of a request is awaited beside the write. When it is revoked, the connection is reset and the request counts as withheld: without its last byte it has not run. A pause does not revoke it.

Test: request_is_not_sent_to_its_end_once_its_endpoint_leaves; it fails with the branch taken out, as the endpoint then gets the whole request.

--- a/src/dispatch/permit.rs
+++ b/src/dispatch/permit.rs
@@ -53,6 +53,19 @@
         self.evidence.borrow().standing(self.clock.now())
     }
 
+    /// Returns once the endpoint takes no requests any more. A pause does not count: it may be shorter than
+    /// the write of a request.
+    pub fn closed(&self) -> impl Future<Output = ()> + 'static {
+        let mut evidence = self.evidence.clone();
+        let clock = Arc::clone(&self.clock);
+        async move {
+            let is_leaving =
+                |evidence: &Evidence| evidence.standing(clock.now()) == Standing::Leaving;
+            // Without its sender the endpoint has been removed.
+            let _ = evidence.wait_for(is_leaving).await;
+        }
+    }
+
     /// Reports what the endpoint says of itself. An empty notice is not reported.
     pub fn record(&self, notice: Notice, call: Option<id::Call>) {
         if !notice.is_empty() {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -159,6 +159,10 @@
         self.permit.standing() == Standing::Open
     }
 
+    fn revoked(&self) -> LocalBoxFuture<'static, ()> {
+        self.permit.closed().boxed_local()
+    }
+
     fn on_head(&self, head: &ResponseHead, reused: bool) -> bool {
         let headers = head.headers();
         let instance = self.permit.instance();
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -13,6 +13,7 @@
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
 };
 use bytes::{Bytes, BytesMut};
+use futures_util::{FutureExt, future::OptionFuture};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -157,6 +158,10 @@
     }
 }
 
+fn withheld() -> Error {
+    Error::new(Kind::Withheld, "the endpoint takes no requests now")
+}
+
 struct Connection {
     stream: TcpStream,
     /// Decodes the head of the next response.
@@ -205,8 +210,7 @@
         }
         let gate = pending.gate.take();
         if gate.as_ref().is_some_and(|gate| !gate.may_send()) {
-            let error = Error::new(Kind::Withheld, "the endpoint takes no requests now");
-            send_error(pending.responder, error);
+            send_error(pending.responder, withheld());
             return true;
         }
         let head_only = pending.head.method == Method::HEAD;
@@ -233,12 +237,19 @@
         let mut write = pin!(async move { writer.write_all(&encoded).await });
         let mut written = false;
         let mut interim_responses = 0;
+        let revoked = gate.as_ref().map(|gate| gate.revoked());
+        let mut revoked = OptionFuture::from(revoked).map(drop);
         let head = loop {
             let read = tokio::select! {
                 result = write.as_mut(), if !written => {
                     written = true;
                     result.map(|()| None)
                 }
+                () = &mut revoked, if !written && gate.is_some() => {
+                    discard_unsent(reader.as_ref());
+                    send_error(responder, withheld());
+                    return false;
+                }
                 read = reader.read_buf(&mut self.buffer) => read.map(Some),
                 () = responder.closed() => {
                     record_cancellation(if written { Phase::Waiting } else { Phase::Sending });
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -2,6 +2,7 @@
 
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Framing, Result, connection};
@@ -16,7 +17,7 @@
     NotSent,
     /// The host refused the connection: the endpoint does not run.
     Refused,
-    /// No byte was sent, since the [`Gate`] of the request did not permit it.
+    /// The request was not sent, or not to its end, since its [`Gate`] did not permit it.
     Withheld,
     /// The connection was lost after a part of the request was sent.
     Lost,
@@ -212,6 +213,10 @@
     /// Whether the request may be sent now. Asked right before its first byte is written.
     fn may_send(&self) -> bool;
 
+    /// Returns once the request may not be sent any more. Awaited until its last byte is written: a
+    /// request without its end has not run.
+    fn revoked(&self) -> LocalBoxFuture<'static, ()>;
+
     /// Sees the head of the final response, also if nobody waits for it any more. `reused` states
     /// whether the connection has served other requests before. Returns whether it may be used again.
     fn on_head(&self, head: &ResponseHead, reused: bool) -> bool;
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -7,6 +7,7 @@
 
 use actix_http::RequestHead;
 use bytes::Bytes;
+use futures_util::{FutureExt as _, future::LocalBoxFuture};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -425,3 +426,72 @@
     });
     assert!(matches!(closed, Ok(0) | Err(_)), "the connection is open");
 }
+
+/// Permits a request until it is told otherwise.
+#[derive(Debug, Default)]
+struct Revocable(Rc<Notify>);
+
+impl Gate for Revocable {
+    fn may_send(&self) -> bool {
+        true
+    }
+
+    fn revoked(&self) -> LocalBoxFuture<'static, ()> {
+        let revoked = Rc::clone(&self.0);
+        async move { revoked.notified().await }.boxed_local()
+    }
+
+    fn on_head(&self, _head: &actix_http::ResponseHead, _reused: bool) -> bool {
+        true
+    }
+}
+
+/// Guards against a request whose last byte is sent to an endpoint that has been known to leave since its
+/// first one was (DRAIN), and against reporting such a request as possibly run.
+#[actix_rt::test]
+async fn request_is_not_sent_to_its_end_once_its_endpoint_leaves() {
+    // More than the buffers of both sockets hold.
+    const BODY_SIZE: usize = 32 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let gate = Revocable::default();
+    let revoke = Rc::clone(&gate.0);
+    let (accepted, began) = tokio::sync::oneshot::channel();
+    let endpoint = task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut start = [0; 64];
+        stream
+            .read_exact(&mut start)
+            .await
+            .expect("the start of the request");
+        accepted.send(()).expect("the test waits");
+        revoke.notify_one();
+        // Reads on only after the request has been given up.
+        time::timeout(Duration::from_secs(30), async {
+            let mut received = start.len();
+            let mut buffer = vec![0; 64 << 10];
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+                received += read;
+            }
+            received
+        })
+        .await
+    });
+    let mut head = RequestHead::default();
+    head.method = actix_http::Method::POST;
+    head.uri = "/".parse().expect("a path");
+    let body = Bytes::from(vec![0; BODY_SIZE]);
+    let client = Client::new();
+    let sent = client
+        .send_through(Rc::new(gate), address, head, body)
+        .await;
+    began.await.expect("the request was begun");
+    let received = endpoint.await.expect("the endpoint runs");
+    let received = received.expect("the connection ends");
+    assert_eq!(sent.expect_err("it was given up").kind(), Kind::Withheld);
+    assert!(
+        received < BODY_SIZE,
+        "the endpoint received {received} bytes"
+    );
+}
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -1,4 +1,4 @@
-use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use actix_http::{ConnectionType, RequestHead, ResponseHead};
 use actix_web::http::{
@@ -6,6 +6,7 @@
     header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use bytes::Bytes;
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{sync::watch, time};
 
@@ -197,6 +198,19 @@
         self.closure.borrow().standing(self.clock.now()) == Standing::Open
     }
 
+    fn revoked(&self) -> LocalBoxFuture<'static, ()> {
+        let mut closure = self.closure.subscribe();
+        let clock = Arc::clone(&self.clock);
+        async move {
+            let is_leaving = |closure: &Closure| closure.standing(clock.now()) == Standing::Leaving;
+            if closure.wait_for(is_leaving).await.is_err() {
+                // The agent has ended, which ends the request too.
+                std::future::pending::<()>().await;
+            }
+        }
+        .boxed_local()
+    }
+
     fn on_head(&self, head: &ResponseHead, _reused: bool) -> bool {
         self.record(head);
         true
