Take the chain from the store to an endpoint from the drain notice

Callers: requests reached an endpoint for longer than the drain notice after the store had acknowledged that it drains or is gone (DRAIN).

Cause: each part of the way had a limit of its own, and nobody added them up. The grace period of missing entries counted from when the process saw the store return, which is later by the timeout of a call and a pause; the timeouts followed from the recovery of the store, which may be longer than the notice.

Change: Budget divides the drain notice. A grace period ends two seconds after the earliest return of the store, that is the last call that failed, plus a quarter of the notice at most. The store is followed again within seven eighths of the notice, and the longest pause between two calls is 0.4 s.

Test: grace_period_counts_from_the_return_of_the_store; without the limit each of its cases is usable for two seconds.

--- a/src/directory/follow.rs
+++ b/src/directory/follow.rs
@@ -21,22 +21,23 @@
 /// Delay before the first retry after a failed call.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 /// Maximum delay between retries, and so until a recovered store is detected.
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(400);
 
 /// Change of the store's availability, as seen by a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
     /// A call failed after earlier ones succeeded, or the first call failed.
     Unavailable,
-    /// A call succeeded after earlier ones failed.
-    Available,
+    /// A call succeeded after earlier ones failed. The last of these was made at this time, so the store
+    /// did not return long before it.
+    Available(Instant),
 }
 
 impl fmt::Display for Availability {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Unavailable => "lost",
-            Self::Available => "regained",
+            Self::Available(_) => "regained",
         })
     }
 }
@@ -76,9 +77,10 @@
         store,
         prefix,
         batch_delay,
-        clock,
         sink,
-        availability: None,
+        is_available: None,
+        last_call: clock.now(),
+        clock,
         last_read: None,
     };
     task::spawn_local(follower.run()).abort_handle()
@@ -90,7 +92,10 @@
     batch_delay: Duration,
     clock: clock::Shared,
     sink: UpdateSink,
-    availability: Option<Availability>,
+    /// `None` before the first call has ended.
+    is_available: Option<bool>,
+    /// When the last call was made, or the last call of a watch at the latest.
+    last_call: Instant,
     /// Era and revision of the last read of all keys.
     last_read: Option<(Era, Revision)>,
 }
@@ -127,8 +132,9 @@
     }
 
     async fn read_and_watch(&mut self) -> Result<std::convert::Infallible> {
+        let failed_call = std::mem::replace(&mut self.last_call, self.clock.now());
         let range = self.store.range(self.prefix.clone()).await?;
-        self.record_success(range.revision);
+        self.record_success(range.revision, failed_call);
         log::debug!(prefix:% = self.prefix, revision:% = range.revision,
             entries = range.items.len(); "read all keys with the prefix");
         let from = range.next();
@@ -145,6 +151,7 @@
         (self.sink)(Update::Snapshot(range.items));
         let mut events = self.store.watch(self.prefix.clone(), from).await?;
         loop {
+            self.last_call = self.clock.now();
             let batch = events.next().await;
             let batch = batch
                 .ok_or_else(|| Error::new(Kind::StoreUnavailable, "the watch has ended"))??;
@@ -156,19 +163,21 @@
         }
     }
 
-    fn record_success(&mut self, revision: Revision) {
-        if self.availability == Some(Availability::Unavailable) {
-            log::info!(prefix:% = self.prefix, revision:% = revision; "store is available again");
-            (self.sink)(Update::Availability(Availability::Available));
+    fn record_success(&mut self, revision: Revision, failed_call: Instant) {
+        if self.is_available == Some(false) {
+            log::info!(prefix:% = self.prefix, revision:% = revision,
+                failed_call_ms = (self.clock.now() - failed_call).as_millis();
+                "store is available again");
+            (self.sink)(Update::Availability(Availability::Available(failed_call)));
         }
-        self.availability = Some(Availability::Available);
+        self.is_available = Some(true);
     }
 
     fn record_failure(&mut self, error: &Error) {
-        if self.availability != Some(Availability::Unavailable) {
+        if self.is_available != Some(false) {
             log::warn!(prefix:% = self.prefix, error:% = error; "store is unavailable; retrying");
             (self.sink)(Update::Availability(Availability::Unavailable));
         }
-        self.availability = Some(Availability::Unavailable);
+        self.is_available = Some(false);
     }
 }
--- a/src/directory/imp.rs
+++ b/src/directory/imp.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Availability, Update,
+    Availability, Budget, Update,
     order::{Last, Write},
 };
 use crate::{
@@ -18,11 +18,9 @@
     store::{Change, Event, Item, Path},
 };
 
-/// Grace period after the store has recovered, during which missing entries stay usable. Endpoints
-/// register again within about two seconds. It must not be longer: an entry can also be missing
-/// because its endpoint left just before the recovery, and such an endpoint must get no request two
-/// seconds later.
-const RECOVERY_GRACE: Duration = Duration::from_secs(2);
+/// Time after the return of the store in which live endpoints register again. Missing entries stay usable
+/// for as long, and not longer: an entry can also be missing because its endpoint has left.
+const REGISTRATION_TIME: Duration = Duration::from_secs(2);
 /// Minimum duration of an outage, in heartbeats, for missing entries to be attributed to it.
 /// An entry expires after three heartbeats without renewal.
 const OUTAGE_HEARTBEATS: u32 = 2;
@@ -214,6 +212,7 @@
 pub struct Directory {
     codec: Arc<dyn Codec>,
     heartbeat: Duration,
+    budget: Budget,
     /// Addresses at which this process listens.
     own_addresses: Vec<SocketAddr>,
     entries: BTreeMap<Path, Entry>,
@@ -223,27 +222,32 @@
     departed: BTreeMap<Path, Departed>,
     /// Time of the last update from the store.
     last_update: Option<Instant>,
-    /// Time of the last restore, or end of the last outage that was long enough for entries to expire.
-    recovered_at: Option<Instant>,
-    /// Whether the last update said that the store is unavailable.
+    /// End of the grace period of entries that are missing since the last restore, or since the last outage
+    /// that was long enough for entries to expire.
+    grace_until: Option<Instant>,
+    /// Whether the store was unavailable since the last update.
     unavailable: bool,
+    /// When the last call was made that failed in the current outage.
+    failed_call: Option<Instant>,
 }
 
 impl Directory {
     /// Creates an empty directory. `heartbeat` is the interval at which endpoints renew their
     /// entries.
     #[must_use]
-    pub fn new(codec: Arc<dyn Codec>, heartbeat: Duration) -> Self {
+    pub fn new(codec: Arc<dyn Codec>, heartbeat: Duration, budget: Budget) -> Self {
         Self {
             codec,
             heartbeat,
+            budget,
             own_addresses: Vec::new(),
             entries: BTreeMap::new(),
             unusable: BTreeMap::new(),
             departed: BTreeMap::new(),
             last_update: None,
-            recovered_at: None,
+            grace_until: None,
             unavailable: false,
+            failed_call: None,
         }
     }
 
@@ -268,7 +272,9 @@
             }
             Update::Availability(Availability::Unavailable) => self.unavailable = true,
             Update::Restored => self.record_restore(now),
-            Update::Availability(Availability::Available) => {}
+            Update::Availability(Availability::Available(failed_call)) => {
+                self.failed_call = Some(failed_call);
+            }
         }
     }
 
@@ -300,18 +306,21 @@
             now.saturating_duration_since(last_update) >= self.heartbeat * OUTAGE_HEARTBEATS
         });
         if self.unavailable && long_outage {
-            self.recovered_at = Some(now);
+            let grace_end = self.grace_end(now);
+            self.grace_until = Some(grace_end);
             log::info!(away:? = self.last_update.map(|last_update| now - last_update),
-                entries = self.entries.len();
+                entries = self.entries.len(),
+                grace_ms = grace_end.saturating_duration_since(now).as_millis();
                 "store has recovered; missing endpoints stay usable for a grace period");
         }
         self.unavailable = false;
+        self.failed_call = None;
         self.last_update = Some(now);
     }
 
     /// Starts a grace period: what was registered after the copy was taken is missing in it.
     fn record_restore(&mut self, now: Instant) {
-        self.recovered_at = Some(now);
+        self.grace_until = Some(self.grace_end(now));
         for entry in self.entries.values_mut() {
             entry.last.record_restore();
         }
@@ -320,6 +329,16 @@
         }
     }
 
+    /// End of a grace period that starts now. The store returned before that was seen, at the earliest right
+    /// after a call that failed, and may have acknowledged before the outage that an endpoint leaves.
+    fn grace_end(&self, now: Instant) -> Instant {
+        let end = now + REGISTRATION_TIME;
+        let latest = self
+            .failed_call
+            .map(|failed_call| failed_call + REGISTRATION_TIME + self.budget.grace_excess());
+        latest.map_or(end, |latest| end.min(latest))
+    }
+
     fn replace(&mut self, items: Vec<Item>, now: Instant) {
         let listed: BTreeMap<Path, Item> = items
             .into_iter()
@@ -449,13 +468,13 @@
     }
 
     fn remove(&mut self, path: &Path, now: Instant) {
-        let grace_end = self
-            .recovered_at
-            .map(|recovered_at| recovered_at + RECOVERY_GRACE);
         let Some(entry) = self.entries.get_mut(path) else {
             return;
         };
-        if let Some(end) = grace_end.filter(|end| now < *end && !entry.instance.draining) {
+        if let Some(end) = self
+            .grace_until
+            .filter(|end| now < *end && !entry.instance.draining)
+        {
             entry.usable_until = Some(end);
         } else {
             log::info!(endpoint:% = entry.instance.id;
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -7,11 +7,13 @@
 //! that are missing after the store was restored from an older copy; what that copy lists does not undo
 //! what was seen before.
 
+mod budget;
 mod follow;
 mod imp;
 mod order;
 #[cfg(test)]
 mod tests;
 
+pub use budget::Budget;
 pub use follow::{Availability, Update, UpdateSink, follow};
 pub use imp::{Codec, Directory, Instance, Listing, Sequence, Stage, Started};
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -23,6 +23,7 @@
 };
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
 /// Decodes entries of the form `SERVICE STATE [STARTED SEQUENCE]`.
 #[derive(Debug)]
@@ -98,7 +99,7 @@
 impl Trace {
     fn new() -> Self {
         Self {
-            directory: Directory::new(Arc::new(TextCodec), HEARTBEAT),
+            directory: Directory::new(Arc::new(TextCodec), HEARTBEAT, Budget::new(DRAIN_NOTICE)),
             start: Instant::now(),
             lines: Vec::new(),
         }
@@ -154,6 +155,37 @@
     insta::assert_debug_snapshot!(trace.lines);
 }
 
+/// Guards against a grace period that counts from when a late process saw the store return: an endpoint
+/// that had left before the outage, as the store had acknowledged, got requests for longer (DRAIN).
+#[test]
+fn grace_period_counts_from_the_return_of_the_store() {
+    let ends = [200, 1_000, 2_400, 4_000].map(|seen_after_ms| {
+        let mut trace = Trace::new();
+        trace.step(0, "read", Some(three_entries()));
+        let lost = Update::Availability(Availability::Unavailable);
+        trace.step(1_000, "lost", Some(lost));
+        let failed_call = trace.start + Duration::from_secs(6);
+        let returned = Update::Availability(Availability::Available(failed_call));
+        let seen_at_ms = 6_000 + seen_after_ms;
+        trace.step(seen_at_ms, "a call succeeds", Some(returned));
+        let missing = Update::Snapshot(vec![item("e1", "lm ready", 9)]);
+        trace.step(seen_at_ms, "e2 is missing", Some(missing));
+        let is_usable = |at_ms: &u64| {
+            trace.step(*at_ms, "wait", None);
+            trace
+                .directory
+                .instances()
+                .any(|instance| instance.id.as_str() == "e2")
+        };
+        let usable = (seen_at_ms..12_000).step_by(100).take_while(is_usable);
+        format!(
+            "seen {seen_after_ms} ms after the last failed call: usable for {} ms",
+            usable.count() * 100
+        )
+    });
+    insta::assert_debug_snapshot!(ends);
+}
+
 /// Guards against a grace period without an outage: an endpoint that leaves must get no request two
 /// seconds later.
 #[test]
@@ -500,7 +532,7 @@
     #[test]
     fn drains_bind_and_no_endpoint_is_lost(steps in prop::collection::vec((0_u8..12, 0_usize..4), 1..80)) {
         let start = Instant::now();
-        let mut directory = Directory::new(Arc::new(TextCodec), HEARTBEAT);
+        let mut directory = Directory::new(Arc::new(TextCodec), HEARTBEAT, Budget::new(DRAIN_NOTICE));
         let mut store = Simulated::default();
         let mut copies = vec![store.clone()];
         let mut run = Written { started: 1, sequence: 0, draining: false };
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -20,12 +20,6 @@
 
 /// Delay after each batch of changes of the plan or of the list of gateways.
 const BATCH_DELAY: Duration = Duration::from_millis(500);
-/// Upper bound of the delay after each batch of endpoint changes. It is half of the time in which
-/// endpoints register again after an outage of the store, so that they are found in that time.
-const ENDPOINT_BATCH_DELAY_MAX: Duration = Duration::from_secs(1);
-/// Fraction of the drain notice that this delay may take; the rest is for the call itself and for
-/// requests on their way to the endpoint.
-const ENDPOINT_BATCH_DELAY_FRACTION: u32 = 3;
 /// Interval at which endpoints are removed whose grace period has ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay of a timer from which on a line is logged.
@@ -136,10 +130,11 @@
         Box::new(move |update| active_plan.apply(update)),
     );
 
+    let budget = settings.drain_budget();
     let any_known = watch::Sender::new(false);
     let endpoints = any_known.subscribe();
     let publisher = Rc::new(RefCell::new(EndpointPublisher {
-        directory: Directory::new(adapter.codec, settings.heartbeat),
+        directory: Directory::new(adapter.codec, settings.heartbeat, budget),
         dispatcher: dispatcher.clone(),
         any_known,
         clock: Arc::clone(&clock),
@@ -147,7 +142,7 @@
     let follow_endpoints = directory::follow(
         adapter.store,
         adapter.endpoints_prefix,
-        (settings.drain_notice / ENDPOINT_BATCH_DELAY_FRACTION).min(ENDPOINT_BATCH_DELAY_MAX),
+        budget.batch_delay(),
         Arc::clone(&clock),
         Box::new({
             let publisher = Rc::clone(&publisher);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -425,7 +425,11 @@
         );
         let mut seen = Vec::new();
         while seen.len() < 4 {
-            seen.push(updates.recv().await.expect("a running follower"));
+            seen.push(match updates.recv().await.expect("a running follower") {
+                // Without the time of the failed call.
+                directory::Update::Availability(availability) => format!("store {availability}"),
+                update => format!("{update:?}"),
+            });
         }
         task.abort();
         seen
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -9,6 +9,7 @@
 };
 use crate::{
     config::{ParsedDuration, Reader},
+    directory::Budget,
     id::{Process, Zone},
 };
 
@@ -41,7 +42,8 @@
     /// Address of the platform store.
     pub store: SocketAddr,
     /// Time in which changes in the store take effect again after the open connections to it have gone
-    /// silent, if new ones work; 3 s by default. A longer time costs fewer calls to the store.
+    /// silent, if new ones work; 3 s by default. A longer time costs fewer calls to the store, up to
+    /// seven eighths of `drain_notice`, which go before it.
     pub store_recovery: Duration,
     /// Interval at which endpoints write to the store; 1.2 s by default.
     pub heartbeat: Duration,
@@ -57,6 +59,20 @@
 }
 
 impl Gateway {
+    /// Division of the drain notice.
+    #[must_use]
+    pub const fn drain_budget(&self) -> Budget {
+        Budget::new(self.drain_notice)
+    }
+
+    /// Time in which the store is followed again after the open connections to it have gone silent: the
+    /// setting, or the part of the drain notice if that is shorter.
+    #[must_use]
+    pub fn store_recovery(&self) -> Duration {
+        self.store_recovery
+            .min(self.drain_budget().store_recovery())
+    }
+
     /// Reads and validates a settings file.
     ///
     /// # Errors
