Read in a copy of an earlier answer that its endpoint leaves

Callers: requests reached an endpoint that had said in an answer that it leaves (DRAIN).

Cause: the head of an answer that counts as a copy of an earlier one was not read for notices. The connection is that of the same run, so that it leaves holds all the same; a pause would be too late.

Test: leaving_is_noticed_in_a_copy_of_an_earlier_answer_too, failed before: requests went on to the endpoint.

--- a/mulberrymill-bench/tests/gateway/notices.rs
+++ b/mulberrymill-bench/tests/gateway/notices.rs
@@ -166,6 +166,26 @@
     }
 }
 
+/// Guards against requests to an endpoint that has said that it leaves in a copy of an earlier answer
+/// (DRAIN), and against a pause that such a copy asks for, perhaps long after its time.
+#[actix_web::test]
+async fn leaving_is_noticed_in_a_copy_of_an_earlier_answer_too() {
+    const EARLIER: &str = "request-id: earlier\r\n";
+    for (notice, arrives_again) in [
+        ("server-leaving: 1\r\n", false),
+        ("retry-after: 60\r\n", true),
+    ] {
+        let copying = Endpoint::open(&format!("{REFUSAL}{EARLIER}{notice}"), "").await;
+        let harness = open_harness(&[("e1", &copying)]).await;
+        while copying.arrivals() == 0 {
+            statuses(&harness, "/once/1", 1).await;
+        }
+        let before = copying.arrivals();
+        statuses(&harness, "/once/1", 10).await;
+        assert_eq!(copying.arrivals() > before, arrives_again, "{notice}");
+    }
+}
+
 /// Guards against requests to an endpoint during the pause that it asked for (BUDGET), with many of
 /// them on their way when it closes, and against an endpoint that stays closed.
 #[actix_web::test]
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -170,9 +170,9 @@
             .call
             .as_ref()
             .and_then(|call| header_text(&call.headers, names::REQUEST_ID));
-        // A copy of an earlier answer, and the answer of another instance that has the address now,
-        // say nothing of this one. The answer that belongs to the request is still due after a copy,
-        // and would be that of the next one.
+        // The answer of another instance that has the address now says nothing of this one. The answer
+        // that belongs to the request is still due after a copy of an earlier one, and would be that of
+        // the next request.
         let echoed = header_text(headers, names::REQUEST_ID);
         let in_step = match echoed {
             Some(_) => echoed == sent,
@@ -183,13 +183,18 @@
             || head.status == StatusCode::MISDIRECTED_REQUEST,
             |id| id != instance.id.as_str(),
         );
-        if is_copy || is_other {
+        if is_other {
             return in_step;
         }
-        let notice = decode_notice(head);
+        let mut notice = decode_notice(head);
+        if is_copy {
+            // A pause counts from the earlier answer. An endpoint that leaves does so for good.
+            notice.pause = None;
+        }
         let unreadable = headers
             .get(RETRY_AFTER)
-            .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE && notice.pause.is_none());
+            .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
+            .filter(|_| notice.pause.is_none() && !is_copy);
         if let Some(value) = unreadable {
             log::info!(endpoint:% = instance.id, value:? = value;
                 "endpoint asked for a pause that is not a number of seconds; ignored");
