Bound the bytes of answers that a gateway holds in all

Callers: a faulty endpoint sent bytes without end to many requests at once; the gateway held them all, ran out of memory, and the requests of other callers ended with it.

Cause: each head, event and body was bounded alone, and nobody summed them: 300 streams may hold a million bytes of an event each, on a gateway with 160 MB.

Change: the slice memory counts what is held for each endpoint. One may hold as much as is free, so that there is room for the others whatever it sends. Beyond that its request ends with an error, and a stream that may be resumed goes on at another endpoint; parts that only wait for a slow caller are not read further instead. A quarter of the new setting memory, 160 MiB by default, is for answers.

Test: endless_answers_of_one_endpoint_end_neither_the_process_nor_other_requests.

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -14,6 +14,8 @@
 
 #[path = "gateway/departure.rs"]
 mod departure;
+#[path = "gateway/endless.rs"]
+mod endless;
 #[path = "gateway/faulty.rs"]
 mod faulty;
 #[path = "gateway/framing.rs"]
@@ -75,8 +77,12 @@
             "readiness": "127.0.0.1:0", "store": "{store}", {stop_settings}}}"#,
     );
     let settings = settings::Gateway::parse("gateway.jsonc", &text).expect("valid settings");
-    let adapter =
-        platform::open(settings.store, settings.store_recovery()).expect("valid key names");
+    let adapter = platform::open(
+        settings.store,
+        settings.store_recovery(),
+        settings.buffers(),
+    )
+    .expect("valid key names");
     gateway::open(&settings, adapter).await.expect("free ports")
 }
 
--- /dev/null
+++ b/mulberrymill-bench/tests/gateway/endless.rs
@@ -0,0 +1,125 @@
+//! Answers of which many bytes have to be held at once, from an endpoint that then stalls.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use mulberrymill_bench::platform::entry;
+use tokio::{io::AsyncWriteExt, net::TcpListener, task, time};
+
+use super::{
+    Harness, MAX_POLLS, POLL_INTERVAL, config,
+    departure::read_head,
+    faulty::{self, status},
+};
+
+/// Requests that the endpoint has at a time.
+const REQUESTS: usize = 300;
+/// Half of the memory of the smallest gateway.
+const GROWTH_MAX: usize = 80 << 20;
+const STATUS_LINE: &[u8] = b"HTTP/1.1 200 OK\r\n";
+const EVENTS_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nserver-stamp: s\r\n\
+    content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Memory of this process, in bytes.
+fn resident_memory() -> usize {
+    let pages = std::fs::read_to_string("/proc/self/statm").expect("the memory of the process");
+    let resident = pages
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<usize>().ok());
+    resident.expect("a number of pages") * 4_096
+}
+
+/// Answers each request with these bytes, which do not end the answer, and then stalls. Returns its address,
+/// and the number of answers that it has written as far as the gateway took them.
+async fn endpoint(start: &'static [u8], filler: Rc<[u8]>) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let written = Rc::new(Cell::new(0));
+    let count = Rc::clone(&written);
+    task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (filler, count) = (Rc::clone(&filler), Rc::clone(&count));
+            task::spawn_local(async move {
+                if read_head(&mut stream).await.is_none() {
+                    return;
+                }
+                let mut sent = stream.write_all(start).await;
+                if sent.is_ok() {
+                    sent = stream.write_all(&filler).await;
+                }
+                count.set(count.get() + 1);
+                if sent.is_ok() {
+                    // Returns once the gateway closes the connection.
+                    let _ = read_head(&mut stream).await;
+                }
+            });
+        }
+    });
+    (address, written)
+}
+
+/// Guards against answers that are bounded one by one while their sum is not: hundreds of them used up the
+/// memory of a gateway, and with it ended the requests of all (processes that end by themselves, LOST).
+#[actix_web::test]
+async fn endless_answers_of_one_endpoint_end_neither_the_process_nor_other_requests() {
+    let mut event = b"200000\r\ndata: ".to_vec();
+    event.resize(1_000_000, b'x');
+    let mut header = b"x-filler: ".to_vec();
+    header.resize(60_000, b'x');
+    for (target, settings, start, filler) in [
+        ("/stream/1", r#""memory": "160MiB""#, EVENTS_HEAD, event),
+        ("/once/1", r#""memory": "32MiB""#, STATUS_LINE, header),
+    ] {
+        let (address, written) = endpoint(start, filler.into()).await;
+        let harness = Harness::with_settings(settings).await;
+        harness.store.put("op/config", &config(3, "s1"));
+        let faulty = entry(address, "s1", 400, "ready");
+        harness.store.put("servers/e1", &faulty);
+        harness.wait_until_ready().await;
+        let gateway = harness.gateway.address();
+        let before = resident_memory();
+        let answers: Rc<RefCell<Vec<String>>> = Rc::default();
+        let callers: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                let answers = Rc::clone(&answers);
+                task::spawn_local(async move {
+                    let answer = faulty::send(gateway, target, &format!("call-{number}")).await;
+                    answers.borrow_mut().push(answer);
+                })
+            })
+            .collect();
+        let mut peak = before;
+        for _ in 0..MAX_POLLS {
+            peak = peak.max(resident_memory());
+            if written.get() >= REQUESTS && !answers.borrow().is_empty() {
+                break;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+        let ended = answers.borrow().len();
+        assert!(ended < REQUESTS, "{target}: none is in progress any more");
+
+        let sound = super::Endpoint::bind("e2").expect("a free port");
+        harness.store.remove("servers/e1");
+        harness.store.put("servers/e2", &sound.entry("s1", "ready"));
+        harness.wait_until_answered_by("e2").await;
+        for number in 0..20 {
+            let answer = faulty::send(gateway, "/once/2", &format!("sound-{number}")).await;
+            assert_eq!(status(&answer), 200, "{target}");
+            peak = peak.max(resident_memory());
+        }
+        for caller in callers {
+            caller.abort();
+        }
+        let growth = peak - before;
+        println!("{target}: the process grew by {growth} bytes, {ended} answers were ended");
+        assert!(growth < GROWTH_MAX, "{target}: grew by {growth} bytes");
+        assert!(ended > 0, "{target}: no answer was ended");
+        let whole = |answer: &String| answer.ends_with("0\r\n\r\n") && status(answer) == 200;
+        assert!(!answers.borrow().iter().any(whole), "{target}");
+    }
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -55,7 +55,11 @@
     open_log(settings.log, &settings.process)?;
     block_on(async {
         let mut signals = Signals::listen()?;
-        let adapter = platform::open(settings.store, settings.store_recovery())?;
+        let adapter = platform::open(
+            settings.store,
+            settings.store_recovery(),
+            settings.buffers(),
+        )?;
         let gateway = gateway::open(&settings, adapter).await?;
         ::log::info!(address:% = gateway.address(), readiness:% = gateway.readiness(),
             settings:? = settings; "gateway is listening");
--- a/src/forward/event.rs
+++ b/src/forward/event.rs
@@ -94,6 +94,12 @@
         self.last_id
     }
 
+    /// Bytes of the incomplete event.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether all bytes received so far belong to complete events.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
--- a/src/forward/stream.rs
+++ b/src/forward/stream.rs
@@ -170,7 +170,7 @@
                         Some(splitter) => splitter.push(&bytes),
                         None => Ok(bytes),
                     };
-                    let ready = match ready {
+                    let ready = match ready.and_then(|ready| self.keep().map(|()| ready)) {
                         Ok(ready) => ready,
                         Err(error) => {
                             self.resume(error).await?;
@@ -203,6 +203,15 @@
         }
     }
 
+    /// Counts the bytes that are kept until their event is whole.
+    fn keep(&mut self) -> Result<()> {
+        let (Some(body), Some(splitter)) = (&mut self.body, &self.splitter) else {
+            return Ok(());
+        };
+        body.keep(splitter.pending_bytes() + total_bytes(&self.held))
+            .map_err(exceeded)
+    }
+
     /// Subtracts received bytes from a known length. Returns whether they are the last ones.
     fn count_bytes(&mut self, bytes: usize) -> Result<bool> {
         let Some(remaining) = &mut self.remaining_bytes else {
@@ -322,6 +331,11 @@
                     part = body.next(), if state == Silence::Lasts => {
                         state = Silence::after(&part, &mut splitter, may_be_cut_unseen);
                         self.held.push_back(part);
+                        let kept = splitter.pending_bytes() + total_bytes(&self.held);
+                        if let Err(error) = body.keep(kept) {
+                            self.held.push_back(Err(error));
+                            state = Silence::Broken;
+                        }
                     }
                 }
             }
@@ -494,6 +508,8 @@
         let cut_unseen = accepted.response.framing == Framing::UntilClose;
         let state = Silence::after(&part, &mut splitter, cut_unseen);
         held.push_back(part);
+        let kept = splitter.pending_bytes() + total_bytes(&held);
+        accepted.response.body.keep(kept).map_err(exceeded)?;
         match state {
             Silence::Lasts => {}
             Silence::Ended => return Ok(Continuation { accepted, held }),
@@ -522,6 +538,17 @@
     metrics::counter!("stalled_streams_total", "result" => result).increment(1);
 }
 
+/// Bytes of received parts.
+fn total_bytes(parts: &VecDeque<upstream::Result<Option<Bytes>>>) -> usize {
+    let parts = parts.iter().flatten().flatten();
+    parts.map(Bytes::len).sum()
+}
+
+fn exceeded(error: upstream::Error) -> Error {
+    let detail = "the endpoint sent more bytes than are held for it";
+    Error::new(Kind::EndpointFailed, detail).with_source(error)
+}
+
 fn exceeds_length() -> Error {
     Error::new(Kind::EndpointFailed, "the body exceeds its length")
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod listener;
 pub mod log;
 pub mod membership;
+pub mod memory;
 pub mod notice;
 pub mod operator;
 pub mod peers;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -16,7 +16,9 @@
     forward::{
         Attempt, Call, EndpointResponse, Execution, KvCache, KvHandle, SendError, Step, Upstream,
     },
+    memory::Pool,
     notice::{Notice, Pause, Standing},
+    unit,
     upstream::{self, Body, Client, Framing, Kind},
 };
 
@@ -41,15 +43,6 @@
     unshared: Client,
 }
 
-impl Default for EndpointClient {
-    fn default() -> Self {
-        Self {
-            client: Client::new(),
-            unshared: Client::without_reuse(),
-        }
-    }
-}
-
 /// Response to a prefill request.
 #[derive(Deserialize)]
 struct PrefillResponse {
@@ -57,10 +50,14 @@
 }
 
 impl EndpointClient {
-    /// Creates a client; connections are opened on demand.
+    /// Creates a client that holds up to `buffers` of answers; connections are opened on demand.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(buffers: unit::Bytes) -> Self {
+        let pool = Pool::new("answers", buffers);
+        Self {
+            client: Client::new().with_pool(pool.clone()),
+            unshared: Client::without_reuse().with_pool(pool),
+        }
     }
 
     async fn send_attempt(&self, attempt: Attempt) -> Result<EndpointResponse, SendError> {
@@ -378,6 +375,6 @@
         Kind::NotSent => SendError::NotSent(error.to_string()),
         Kind::Refused => SendError::Refused(error.to_string()),
         Kind::Withheld => SendError::Withheld,
-        Kind::Lost | Kind::Malformed => SendError::Lost(error.to_string()),
+        Kind::Lost | Kind::Malformed | Kind::Exceeded => SendError::Lost(error.to_string()),
     }
 }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -16,12 +16,23 @@
     error::{Error, Kind},
     forward::{Call, Generation, Upstream},
     id, ingress,
-    unit::Tokens,
+    unit::{self, Tokens},
 };
 
 /// Decodes the HTTP requests of the platform's clients.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Protocol;
+#[derive(Clone, Copy, Debug)]
+pub struct Protocol {
+    /// Bytes of answers that are held.
+    buffers: unit::Bytes,
+}
+
+impl Protocol {
+    /// Creates the protocol. Clients of endpoints hold up to `buffers` of answers.
+    #[must_use]
+    pub const fn new(buffers: unit::Bytes) -> Self {
+        Self { buffers }
+    }
+}
 
 impl ingress::Protocol for Protocol {
     fn readiness_path(&self) -> &'static str {
@@ -52,7 +63,7 @@
     }
 
     fn upstream(&self) -> Rc<dyn Upstream> {
-        Rc::new(EndpointClient::new())
+        Rc::new(EndpointClient::new(self.buffers))
     }
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -25,6 +25,7 @@
     clock,
     error::{Error, Kind},
     gateway::Adapter,
+    unit::Bytes,
 };
 
 pub use crate::error::Result;
@@ -47,12 +48,13 @@
 }
 
 /// Creates the adapter of the platform whose store listens at `store`. It follows the store again within
-/// `recovery` after its open connections have gone silent.
+/// `recovery` after its open connections have gone silent, and holds up to `buffers` of the answers of
+/// endpoints.
 ///
 /// # Errors
 ///
 /// Fails if a key of the platform is not a valid path, which is a bug in this module.
-pub fn open(store: SocketAddr, recovery: Duration) -> Result<Adapter> {
+pub fn open(store: SocketAddr, recovery: Duration, buffers: Bytes) -> Result<Adapter> {
     let store = Store::new(store, clock::System::shared()).with_recovery(recovery);
     Ok(Adapter {
         gateways_store: Rc::new(store.clone().with_watch_wait(GATEWAYS_WATCH_WAIT)),
@@ -61,6 +63,6 @@
         gateways_prefix: names::GATEWAYS_PREFIX.parse()?,
         plan_path: names::PLAN_KEY.parse()?,
         codec: Arc::new(Codec),
-        protocol: Arc::new(Protocol),
+        protocol: Arc::new(Protocol::new(buffers)),
     })
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -44,6 +44,10 @@
     {"name":"r-5","prefix":"/no-host/"}],
     "services":[],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1024,"idleTimeoutMs":15000}}"#;
 
+fn protocol() -> Protocol {
+    Protocol::new(crate::unit::Bytes::new(40 << 20))
+}
+
 fn path(key: &str) -> Path {
     key.parse().expect("a valid path")
 }
@@ -159,7 +163,7 @@
             "a:18446744073709551615,b:18446744073709551615,c:1",
         ))
         .to_http_request();
-    let call = Protocol.decode(&request, Bytes::new(), Instant::now());
+    let call = protocol().decode(&request, Bytes::new(), Instant::now());
     let shared = call.map(|call| call.generation.map(|it| it.shared.get()));
     assert_eq!(shared.ok(), Some(Some(1_460)));
 }
@@ -198,7 +202,7 @@
         .insert_header(("Request-Priority", "0"))
         .insert_header(("Serving-Stage", "prefill"))
         .to_http_request();
-    let call = Protocol
+    let call = protocol()
         .decode(&request, Bytes::from_static(b"body"), Instant::now())
         .expect("a request");
     insta::assert_debug_snapshot!((
@@ -230,7 +234,7 @@
         let request = TestRequest::get()
             .insert_header((name, value))
             .to_http_request();
-        let kind = Protocol
+        let kind = protocol()
             .decode(&request, Bytes::new(), Instant::now())
             .map_err(|error| error.kind());
         format!(
@@ -546,7 +550,7 @@
             .insert_header(("Token-Count", tokens))
             .insert_header(("Prefix-Hash", prefix))
             .to_http_request();
-        drop(Protocol.decode(&request, Bytes::new(), Instant::now()));
+        drop(protocol().decode(&request, Bytes::new(), Instant::now()));
     }
 }
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -11,8 +11,14 @@
     config::{ParsedDuration, Reader},
     directory::Budget,
     id::{Process, Zone},
+    unit::Bytes,
 };
 
+/// Default of the memory that a gateway may use.
+const MEMORY_DEFAULT: Bytes = Bytes::new(160 << 20);
+/// The memory divided by the part for answers. Buffers that grow may take twice what they hold, and the rest
+/// is for the process itself and for its callers.
+const BUFFERS_DIVISOR: u64 = 4;
 /// Default time in which a gateway follows the store again.
 const STORE_RECOVERY_DEFAULT: Duration = Duration::from_secs(3);
 /// Default interval at which endpoints write to the store.
@@ -54,11 +60,19 @@
     pub stop_delay: Duration,
     /// Time from the stop signal until the process is killed; 8 s by default.
     pub grace: Duration,
+    /// Memory that the process may use; 160 MiB by default.
+    pub memory: Bytes,
     /// Least severe level that is logged; `info` by default.
     pub log: Level,
 }
 
 impl Gateway {
+    /// Part of the memory for bytes of answers that are held until they can be passed on.
+    #[must_use]
+    pub const fn buffers(&self) -> Bytes {
+        Bytes::new(self.memory.get() / BUFFERS_DIVISOR)
+    }
+
     /// Division of the drain notice.
     #[must_use]
     pub const fn drain_budget(&self) -> Budget {
@@ -104,6 +118,7 @@
             "drain_notice",
             "stop_delay",
             "grace",
+            "memory",
             "log",
         ];
         let fields = r.object(value, &known)?;
@@ -145,6 +160,7 @@
             ParsedDuration(GRACE_DEFAULT),
             Reader::text,
         );
+        let memory = r.optional(&fields, "memory", MEMORY_DEFAULT, Reader::text);
         let log = r.optional(&fields, "log", Level::Info, log_level);
         Some(Self {
             process: process?,
@@ -158,6 +174,7 @@
             drain_notice: drain_notice?.0,
             stop_delay: stop_delay?.0,
             grace: grace?.0,
+            memory: memory?,
             log: log?,
         })
     }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -27,9 +27,10 @@
     Framing, Result,
     imp::{
         Body, BodyPart, Error, Gate, IdleConnections, Kind, PendingRequest, Response, add_idle,
-        remove_closed,
+        exceeded, remove_closed,
     },
 };
+use crate::memory::Reservation;
 
 /// Timeout of opening a connection. TCP retransmits a lost SYN only after one second, by which time
 /// another endpoint is the better choice.
@@ -59,7 +60,12 @@
 
 /// Starts a task that opens a connection, sends `pending`, and then serves further requests from
 /// the pool, if there is one.
-pub(super) fn spawn(address: SocketAddr, pending: PendingRequest, idle: Option<IdleConnections>) {
+pub(super) fn spawn(
+    address: SocketAddr,
+    pending: PendingRequest,
+    idle: Option<IdleConnections>,
+    held: Reservation,
+) {
     task::spawn_local(async move {
         let Some((pending, stream)) = connect(address, pending).await else {
             return;
@@ -71,6 +77,7 @@
             config,
             buffer: BytesMut::with_capacity(READ_BUFFER_SIZE),
             reused: false,
+            held,
         };
         if let Some(idle) = idle {
             connection.run(address, pending, &idle).await;
@@ -170,6 +177,8 @@
     buffer: BytesMut,
     /// Whether it has served a request before.
     reused: bool,
+    /// The bytes in `buffer`, beyond those that each connection may hold.
+    held: Reservation,
 }
 
 impl Connection {
@@ -262,6 +271,7 @@
                 Ok(Some(0)) => Err(Error::new(Kind::Lost, "closed before the answer")),
                 Ok(Some(_)) => {
                     decode_final_head(&mut self.codec, &mut self.buffer, &mut interim_responses)
+                        .and_then(|head| hold(&mut self.held, &self.buffer).map(|()| head))
                 }
                 Err(error) => Err(Error::new(Kind::Lost, error.to_string())),
             };
@@ -290,7 +300,7 @@
         let response = Response {
             head,
             framing,
-            body: Body::new(parts),
+            body: Body::new(parts, self.held.sibling()),
             reused: self.reused,
         };
         if responder.send(Ok(response)).is_err() {
@@ -300,7 +310,7 @@
         }
         let outcome = relay(
             BodyDecoder::new(framing, codec),
-            &mut self.buffer,
+            (&mut self.buffer, &mut self.held),
             &mut reader,
             (write, &mut written),
             &sender,
@@ -430,7 +440,7 @@
 /// Relays a body. Returns whether it was delivered completely; if not, its reader has dropped it.
 async fn relay<W: Future<Output = io::Result<()>>>(
     mut decoder: BodyDecoder,
-    buffer: &mut BytesMut,
+    (buffer, held): (&mut BytesMut, &mut Reservation),
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     (mut write, written): (Pin<&mut W>, &mut bool),
     sender: &mpsc::Sender<BodyPart>,
@@ -451,7 +461,8 @@
                 "the framing of a chunk is too long",
             ));
         }
-        if !chunk.is_empty() && sender.send(BodyPart::Chunk(chunk)).await.is_err() {
+        hold(held, buffer)?;
+        if !chunk.is_empty() && !pass_on(chunk, held, sender).await {
             return Ok(false);
         }
         if ended {
@@ -476,6 +487,29 @@
     }
 }
 
+/// Counts the bytes in a buffer, beyond those that each connection may hold.
+fn hold(held: &mut Reservation, buffer: &BytesMut) -> Result<()> {
+    let counted = buffer.len().saturating_sub(READ_BUFFER_SIZE);
+    held.resize(counted).map_err(|error| exceeded(&error))
+}
+
+/// Passes a part of a body to its reader. If the reader is slow and no more bytes are held for the
+/// endpoint, waits until it has taken the earlier parts. Returns whether there still is a reader.
+async fn pass_on(chunk: Bytes, held: &Reservation, sender: &mpsc::Sender<BodyPart>) -> bool {
+    let mut reservation = held.sibling();
+    let others_wait = sender.capacity() < sender.max_capacity();
+    if others_wait
+        && reservation.resize(chunk.len()).is_err()
+        && sender.reserve_many(sender.max_capacity()).await.is_err()
+    {
+        return false;
+    }
+    sender
+        .send(BodyPart::Chunk(chunk, reservation))
+        .await
+        .is_ok()
+}
+
 /// Decodes all chunks in the buffer and joins them. Also returns whether the body has ended.
 fn decode_chunks(codec: &mut ClientPayloadCodec, buffer: &mut BytesMut) -> Result<(Bytes, bool)> {
     let mut whole = BytesMut::new();
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Framing, Result, connection};
+use crate::memory::{Pool, Reservation};
 
 /// Idle connections kept per endpoint. More are needed only in a burst.
 const IDLE_CONNECTIONS_MAX: usize = 32;
@@ -23,6 +24,8 @@
     Lost,
     /// The endpoint sent bytes that are not a valid HTTP response.
     Malformed,
+    /// The endpoint sent more bytes than are held for it.
+    Exceeded,
 }
 
 impl fmt::Display for Kind {
@@ -33,6 +36,7 @@
             Self::Withheld => "withheld",
             Self::Lost => "lost",
             Self::Malformed => "malformed answer",
+            Self::Exceeded => "exceeded memory",
         })
     }
 }
@@ -70,7 +74,8 @@
 /// Message from a connection task to the reader of a body.
 #[derive(Debug)]
 pub(super) enum BodyPart {
-    Chunk(Bytes),
+    /// With the reservation of its bytes while they wait for the reader.
+    Chunk(Bytes, Reservation),
     End,
     Failed(Error),
 }
@@ -80,23 +85,35 @@
 pub struct Body {
     parts: mpsc::Receiver<BodyPart>,
     ended: bool,
+    /// The bytes that the reader keeps.
+    kept: Reservation,
 }
 
 impl Body {
-    pub(super) const fn new(parts: mpsc::Receiver<BodyPart>) -> Self {
+    pub(super) const fn new(parts: mpsc::Receiver<BodyPart>, kept: Reservation) -> Self {
         Self {
             parts,
             ended: false,
+            kept,
         }
     }
 
+    /// States how many of the received bytes the reader keeps from now on.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Exceeded`] if they are more than are held for the endpoint.
+    pub fn keep(&mut self, bytes: usize) -> Result<()> {
+        self.kept.resize(bytes).map_err(|error| exceeded(&error))
+    }
+
     /// A body that consists of `chunks` and ends with `end`; with `None` it never ends.
     #[cfg(test)]
     pub(crate) fn scripted(chunks: &[&'static str], end: Option<Result<()>>) -> Self {
         let (sender, parts) = mpsc::channel(chunks.len() + 1);
         let chunks = chunks
             .iter()
-            .map(|chunk| BodyPart::Chunk(Bytes::from(*chunk)));
+            .map(|chunk| BodyPart::Chunk(Bytes::from(*chunk), Reservation::uncounted()));
         let end = end.map(|end| end.map_or_else(BodyPart::Failed, |()| BodyPart::End));
         let never_ends = end.is_none();
         for part in chunks.chain(end) {
@@ -105,7 +122,7 @@
         if never_ends {
             tokio::task::spawn_local(async move { sender.closed().await });
         }
-        Self::new(parts)
+        Self::new(parts, Reservation::uncounted())
     }
 
     /// A body without end whose next part is always ready.
@@ -113,10 +130,15 @@
     pub(crate) fn endless(part: &'static str) -> Self {
         let (sender, parts) = mpsc::channel(2);
         tokio::task::spawn_local(async move {
-            let part = || BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+            let part = || {
+                BodyPart::Chunk(
+                    Bytes::from_static(part.as_bytes()),
+                    Reservation::uncounted(),
+                )
+            };
             while sender.send(part()).await.is_ok() {}
         });
-        Self::new(parts)
+        Self::new(parts, Reservation::uncounted())
     }
 
     /// A body without end that sends these parts in turn, one at an interval.
@@ -128,14 +150,17 @@
         let (sender, parts) = mpsc::channel(2);
         tokio::task::spawn_local(async move {
             for part in parts_in_turn.iter().cycle() {
-                let part = BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+                let part = BodyPart::Chunk(
+                    Bytes::from_static(part.as_bytes()),
+                    Reservation::uncounted(),
+                );
                 if sender.send(part).await.is_err() {
                     return;
                 }
                 tokio::time::sleep(interval).await;
             }
         });
-        Self::new(parts)
+        Self::new(parts, Reservation::uncounted())
     }
 
     /// A body that sends each part after its delay, and then ends.
@@ -145,7 +170,10 @@
         tokio::task::spawn_local(async move {
             for (delay, part) in parts_after {
                 tokio::time::sleep(*delay).await;
-                let part = BodyPart::Chunk(Bytes::from_static(part.as_bytes()));
+                let part = BodyPart::Chunk(
+                    Bytes::from_static(part.as_bytes()),
+                    Reservation::uncounted(),
+                );
                 if sender.send(part).await.is_err() {
                     return;
                 }
@@ -154,7 +182,7 @@
                 log::debug!("nobody reads the end of the body");
             }
         });
-        Self::new(parts)
+        Self::new(parts, Reservation::uncounted())
     }
 
     /// Returns the next bytes, or `None` at the end of a complete body.
@@ -167,7 +195,7 @@
             return Ok(None);
         }
         match self.parts.recv().await {
-            Some(BodyPart::Chunk(chunk)) => Ok(Some(chunk)),
+            Some(BodyPart::Chunk(chunk, _reservation)) => Ok(Some(chunk)),
             Some(BodyPart::End) => {
                 self.ended = true;
                 Ok(None)
@@ -189,6 +217,7 @@
                 return Err(Error::new(Kind::Malformed, "the body is too long"));
             }
             whole.extend_from_slice(&chunk);
+            self.keep(whole.len())?;
         }
         Ok(whole)
     }
@@ -241,6 +270,8 @@
 pub struct Client {
     /// `None` if connections are not reused.
     idle: Option<IdleConnections>,
+    /// Counts the bytes that are held of answers; `None` if they are not counted.
+    pool: Option<Pool>,
 }
 
 impl Default for Client {
@@ -255,13 +286,24 @@
     pub fn new() -> Self {
         Self {
             idle: Some(IdleConnections::default()),
+            pool: None,
         }
     }
 
+    /// Counts the bytes that are held of answers in a pool, by the address of the endpoint.
+    #[must_use]
+    pub fn with_pool(mut self, pool: Pool) -> Self {
+        self.pool = Some(pool);
+        self
+    }
+
     /// Creates a client that opens a connection for each request.
     #[must_use]
     pub const fn without_reuse() -> Self {
-        Self { idle: None }
+        Self {
+            idle: None,
+            pool: None,
+        }
     }
 
     /// Sends a request on an idle connection, or on a new one, and waits for the head of the
@@ -316,7 +358,9 @@
                 Err(returned) => pending = returned,
             }
         }
-        connection::spawn(address, pending, self.idle.clone());
+        let held = self.pool.as_ref().map(|pool| pool.reserve(address));
+        let held = held.unwrap_or_else(Reservation::uncounted);
+        connection::spawn(address, pending, self.idle.clone(), held);
         flatten(response.await)
     }
 
@@ -359,6 +403,11 @@
     }
 }
 
+/// The error for an endpoint that sent more bytes than are held for it.
+pub(super) fn exceeded(error: &crate::error::Error) -> Error {
+    Error::new(Kind::Exceeded, error.detail())
+}
+
 fn flatten(
     response: std::result::Result<Result<Response>, oneshot::error::RecvError>,
 ) -> Result<Response> {
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -236,7 +236,9 @@
         // It closed after the worker had started the attempt, which is no failure.
         upstream::Kind::Withheld => (Kind::Leaving, Executed::No),
         upstream::Kind::NotSent | upstream::Kind::Refused => (Kind::EndpointLost, Executed::No),
-        upstream::Kind::Lost | upstream::Kind::Malformed => (Kind::EndpointLost, Executed::Unknown),
+        upstream::Kind::Lost | upstream::Kind::Malformed | upstream::Kind::Exceeded => {
+            (Kind::EndpointLost, Executed::Unknown)
+        }
     };
     Error::new(kind, "there is no answer of the endpoint")
         .with_executed(executed)
