Give up a read of the store's entries that has no end

Cause: each page is bounded, and the pages together were not: a store that lists entries without end took all memory of the process, and the requests of all callers ended with it.

Test: read_of_entries_without_end_is_given_up; without the limit all 60 pages were to be read, 31 MB.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -33,7 +33,7 @@
     store::{
         self, Commit, Era, Events, Future, Item, Lease, Path, Position, Range, Reader, Txn, Write,
     },
-    unit::as_f64,
+    unit::{self, as_f64},
 };
 
 /// Time in which the store has to be followed again after the open connections went silent.
@@ -51,6 +51,10 @@
 const WATCH_WAIT_MIN: Duration = Duration::from_millis(500);
 /// Time beyond the wait of a watch call after which the call has failed.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+/// Most that is read of the entries below a prefix. Hundreds of endpoints take a few hundred kilobytes.
+const RANGE_MAX: unit::Bytes = unit::Bytes::new(16 << 20);
+/// What an entry takes besides its key and value, in bytes.
+const ITEM_OVERHEAD: usize = 128;
 /// Largest response, in bytes. A page of a range read has at most about 1 MB before base64.
 const RESPONSE_MAX: usize = 4 << 20;
 
@@ -236,6 +240,7 @@
         let mut range = Range::default();
         let mut after = String::new();
         let mut era = None;
+        let mut size = 0;
         loop {
             let query = [("prefix", key(prefix)), ("after", after.as_str())];
             let query = if after.is_empty() {
@@ -259,7 +264,16 @@
             if range.revision == Revision::default() {
                 range.revision = Revision::new(page.revision);
             }
-            range.items.extend(page.items.iter().filter_map(item));
+            range
+                .items
+                .extend(page.items.iter().filter_map(item).inspect(|item| {
+                    size += ITEM_OVERHEAD + item.path.as_str().len() + item.value.len();
+                }));
+            if size as u64 > RANGE_MAX.get() {
+                return Err(unavailable(
+                    "the entries below the prefix take too much memory",
+                ));
+            }
             if !page.truncated {
                 return Ok(range);
             }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -331,6 +331,27 @@
 const LAST_PAGE: &str = r#"{"items":[],"asOf":5}"#;
 const NO_EVENTS: &str = r#"{"events":[],"asOf":5}"#;
 
+/// Guards against a store that lists entries without end, which took all memory of the process.
+#[test]
+fn read_of_entries_without_end_is_given_up() {
+    const PAGES: usize = 60;
+    let value = "AAAA".repeat(175_000);
+    let pages = (0..PAGES).map(|number| {
+        let item = format!(r#"{{"key":"servers/e{number:02}","value":"{value}","rev":4}}"#);
+        let body = format!(r#"{{"items":[{item}],"truncated":true,"asOf":4}}"#);
+        answer("200 OK", "", &body)
+    });
+    let (error, pages_read) = actix::System::new().block_on(async {
+        let (store, count) = serve_script(pages.collect()).await;
+        let error = store
+            .range(path("/servers/"))
+            .await
+            .map(|range| range.items.len());
+        (error.map_err(|error| error.to_string()), count.get())
+    });
+    insta::assert_debug_snapshot!((error, pages_read));
+}
+
 /// Guards against a read or a watch that goes on over a restore of the store, whatever the status of the
 /// answer that shows it, and against a restore that is seen where the store states no era.
 #[test]
