Bound the bytes of callers' bodies that a gateway holds in all

Cause: each body was bounded by the configuration, and their sum was not. A body is held until its request has ended, so that a stream can be resumed.

Change: an eighth of the memory is for bodies, shared as that of answers, by the host of the caller. A request whose body finds no room is refused at once as not run.

--- a/mulberrymill-bench/tests/gateway/endless.rs
+++ b/mulberrymill-bench/tests/gateway/endless.rs
@@ -1,4 +1,4 @@
-//! Answers of which many bytes have to be held at once, from an endpoint that then stalls.
+//! Answers and bodies of which many bytes have to be held at once, and that do not end.
 
 use std::{
     cell::{Cell, RefCell},
@@ -7,7 +7,12 @@
 };
 
 use mulberrymill_bench::platform::entry;
-use tokio::{io::AsyncWriteExt, net::TcpListener, task, time};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::Mutex,
+    task, time,
+};
 
 use super::{
     Harness, MAX_POLLS, POLL_INTERVAL, config,
@@ -23,6 +28,9 @@
 const EVENTS_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nserver-stamp: s\r\n\
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 
+/// Held by a test that measures the memory of the process.
+static MEASURING: Mutex<()> = Mutex::const_new(());
+
 /// Memory of this process, in bytes.
 fn resident_memory() -> usize {
     let pages = std::fs::read_to_string("/proc/self/statm").expect("the memory of the process");
@@ -66,6 +74,7 @@
 /// memory of a gateway, and with it ended the requests of all (processes that end by themselves, LOST).
 #[actix_web::test]
 async fn endless_answers_of_one_endpoint_end_neither_the_process_nor_other_requests() {
+    let _measuring = MEASURING.lock().await;
     let mut event = b"200000\r\ndata: ".to_vec();
     event.resize(1_000_000, b'x');
     let mut header = b"x-filler: ".to_vec();
@@ -123,3 +132,66 @@
         assert!(!answers.borrow().iter().any(whole), "{target}");
     }
 }
+
+/// Guards against bodies of callers that are bounded one by one while their sum is not.
+#[actix_web::test]
+async fn unfinished_bodies_of_callers_do_not_end_the_process() {
+    let _measuring = MEASURING.lock().await;
+    let harness = Harness::with_settings(r#""memory": "32MiB""#).await;
+    let mut config = config(3, "s1");
+    config["limits"]["maxBodyBytes"] = 2_000_000.into();
+    harness.store.put("op/config", &config);
+    let sound = super::Endpoint::bind("e1").expect("a free port");
+    harness.store.put("servers/e1", &sound.entry("s1", "ready"));
+    harness.wait_until_answered_by("e1").await;
+    let gateway = harness.gateway.address();
+    let before = resident_memory();
+    let refusals: Rc<RefCell<Vec<u16>>> = Rc::default();
+    let sent = Rc::new(Cell::new(0));
+    let part: Rc<[u8]> = vec![b'x'; 900_000].into();
+    let callers: Vec<_> = (0..REQUESTS)
+        .map(|_| {
+            let (refusals, sent) = (Rc::clone(&refusals), Rc::clone(&sent));
+            let part = Rc::clone(&part);
+            task::spawn_local(async move {
+                let mut caller = TcpStream::connect(gateway).await.expect("a connection");
+                let head = "POST /once/1 HTTP/1.1\r\nhost: kitchen.example\r\n\
+                    request-id: call\r\ncontent-length: 1000000\r\n\r\n";
+                let written = async {
+                    caller.write_all(head.as_bytes()).await?;
+                    caller.write_all(&part).await
+                };
+                // The gateway may refuse the request before its body has arrived.
+                let _ = written.await;
+                sent.set(sent.get() + 1);
+                if let Some(answer) = read_head(&mut caller).await {
+                    refusals.borrow_mut().push(status(&answer));
+                }
+            })
+        })
+        .collect();
+    let mut peak = before;
+    for _ in 0..MAX_POLLS {
+        peak = peak.max(resident_memory());
+        if sent.get() >= REQUESTS && !refusals.borrow().is_empty() {
+            break;
+        }
+        time::sleep(POLL_INTERVAL).await;
+    }
+    for number in 0..20 {
+        let answer = faulty::send(gateway, "/once/2", &format!("sound-{number}")).await;
+        assert_eq!(status(&answer), 200);
+        peak = peak.max(resident_memory());
+    }
+    for caller in callers {
+        caller.abort();
+    }
+    let (growth, mut refusals) = (peak - before, refusals.take());
+    println!(
+        "the process grew by {growth} bytes, {} were refused",
+        refusals.len()
+    );
+    refusals.dedup();
+    assert_eq!(refusals, [503]);
+    assert!(growth < GROWTH_MAX, "grew by {growth} bytes");
+}
--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -9,6 +9,7 @@
 use super::Result;
 use crate::{
     error::{Error, Kind},
+    memory::Reservation,
     unit,
 };
 
@@ -20,12 +21,25 @@
 
 /// Receives a request body of at most `limit` bytes.
 pub(crate) async fn read_body(payload: Payload, limit: unit::Bytes) -> Result<Bytes> {
-    time::timeout(BODY_TIMEOUT, collect(payload, limit))
+    read_held_body(payload, limit, &mut Reservation::uncounted()).await
+}
+
+/// Receives a request body of at most `limit` bytes, which are counted in `held`.
+pub(crate) async fn read_held_body(
+    payload: Payload,
+    limit: unit::Bytes,
+    held: &mut Reservation,
+) -> Result<Bytes> {
+    time::timeout(BODY_TIMEOUT, collect(payload, limit, held))
         .await
         .map_err(|_elapsed| Error::new(Kind::RequestTimeout, "the body came too slowly"))?
 }
 
-async fn collect(mut payload: Payload, limit: unit::Bytes) -> Result<Bytes> {
+async fn collect(
+    mut payload: Payload,
+    limit: unit::Bytes,
+    held: &mut Reservation,
+) -> Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(part) = payload.next().await {
         let part = part.map_err(|error| {
@@ -37,6 +51,7 @@
                 format!("the body is larger than {limit}"),
             ));
         }
+        held.resize(body.len() + part.len())?;
         body.extend_from_slice(&part);
     }
     Ok(body.freeze())
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -162,6 +162,7 @@
         may_retry: dispatcher.clone().recipient(),
         is_silent: dispatcher.clone().recipient(),
         clock: Arc::clone(&clock),
+        body_buffers: settings.body_buffers(),
         metrics: metrics.clone(),
     })?;
     // The follower has not run yet, as nothing has been awaited since it was started.
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -22,8 +22,9 @@
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
     id, listener,
+    memory::Pool,
     route::Plan,
-    shutdown,
+    shutdown, unit,
 };
 
 /// Time within which the head of a request must arrive.
@@ -81,6 +82,8 @@
     pub is_silent: Recipient<IsSilent>,
     /// Time source of arrival times, deadlines and latencies.
     pub clock: Shared,
+    /// Bytes of callers' bodies that are held until their requests have ended.
+    pub body_buffers: unit::Bytes,
     /// Renders the metrics of this process.
     pub metrics: PrometheusHandle,
 }
@@ -114,6 +117,8 @@
 pub(super) struct Context {
     pub(super) config: Config,
     pub(super) ports: Ports,
+    /// Counts the bytes of callers' bodies.
+    pub(super) bodies: Pool,
 }
 
 /// The running servers for callers and for readiness and metrics.
@@ -208,6 +213,7 @@
     Context {
         config: config.clone(),
         ports,
+        bodies: Pool::new("bodies", config.body_buffers),
     }
 }
 
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -9,7 +9,7 @@
     },
     web,
 };
-use futures_util::stream::LocalBoxStream;
+use futures_util::{StreamExt, stream::LocalBoxStream};
 
 use super::{
     Result,
@@ -19,6 +19,7 @@
     error::{Error, Kind},
     forward::{self, Call, Response},
     front::{health, problem, receive},
+    memory::Reservation,
     route::{Plan, Route},
     unit,
     upstream::Framing,
@@ -35,8 +36,12 @@
     payload: web::Payload,
     context: web::Data<Context>,
 ) -> HttpResponse {
-    let mut response = match forward(&request, payload, &context).await {
-        Ok(response) => to_http_response(response),
+    // Senders are counted by host: each caller has many connections.
+    let mut sender = request.peer_addr().unwrap_or(context.config.listen);
+    sender.set_port(0);
+    let mut held = context.bodies.reserve(sender);
+    let mut response = match forward(&request, payload, &context, &mut held).await {
+        Ok(response) => to_http_response(response, held),
         Err(error) => error_response(&error),
     };
     // A stop may have begun after the request.
@@ -53,8 +58,9 @@
     request: &HttpRequest,
     payload: web::Payload,
     context: &Context,
+    held: &mut Reservation,
 ) -> Result<Response> {
-    let (call, route) = receive_request(request, payload, context)
+    let (call, route) = receive_request(request, payload, context, held)
         .await
         .inspect_err(|error| {
             let id = context.config.protocol.call_id(request);
@@ -77,6 +83,7 @@
     request: &HttpRequest,
     payload: web::Payload,
     context: &Context,
+    held: &mut Reservation,
 ) -> Result<(Call, Arc<Route>)> {
     let plan: Option<Arc<Plan>> = context.config.plan.borrow().clone();
     let plan = plan.ok_or_else(|| Error::new(Kind::NotReady, "no plan is known yet"))?;
@@ -89,7 +96,7 @@
     let arrived = context.ports.clock.now();
     let shutdown = context.config.shutdown.clone();
     let body = tokio::select! {
-        body = receive::read_body(payload, limits.body) => body?,
+        body = receive::read_held_body(payload, limits.body, held) => body?,
         () = shutdown.cut(&*context.ports.clock) => return Err(leaving()),
     };
     let call = context.config.protocol.decode(request, body, arrived)?;
@@ -129,7 +136,9 @@
     Ok(())
 }
 
-fn to_http_response(response: Response) -> HttpResponse {
+/// Builds the response. The body of the request is held until that of the response ends, since the stream may
+/// be resumed at another endpoint.
+fn to_http_response(response: Response, held: Reservation) -> HttpResponse {
     let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
     let declared = response.headers.get(CONTENT_LENGTH);
@@ -137,10 +146,13 @@
     for (name, value) in response.headers {
         builder.append_header((name, value));
     }
+    let body = response.body.inspect(move |_part| {
+        let _held = &held;
+    });
     match response.framing {
-        Framing::Empty => respond_without_body(builder, declared, response.body),
-        Framing::Length(length) => builder.body(SizedStream::new(length.get(), response.body)),
-        Framing::Chunked | Framing::UntilClose => builder.streaming(response.body),
+        Framing::Empty => respond_without_body(builder, declared, body.boxed_local()),
+        Framing::Length(length) => builder.body(SizedStream::new(length.get(), body)),
+        Framing::Chunked | Framing::UntilClose => builder.streaming(body),
     }
 }
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -19,6 +19,8 @@
 /// The memory divided by the part for answers. Buffers that grow may take twice what they hold, and the rest
 /// is for the process itself and for its callers.
 const BUFFERS_DIVISOR: u64 = 4;
+/// The memory divided by the part for bodies of callers.
+const BODY_BUFFERS_DIVISOR: u64 = 8;
 /// Default time in which a gateway follows the store again.
 const STORE_RECOVERY_DEFAULT: Duration = Duration::from_secs(3);
 /// Default interval at which endpoints write to the store.
@@ -67,6 +69,12 @@
 }
 
 impl Gateway {
+    /// Part of the memory for bodies of callers that are held until their requests have ended.
+    #[must_use]
+    pub const fn body_buffers(&self) -> Bytes {
+        Bytes::new(self.memory.get() / BODY_BUFFERS_DIVISOR)
+    }
+
     /// Part of the memory for bytes of answers that are held until they can be passed on.
     #[must_use]
     pub const fn buffers(&self) -> Bytes {
