Log how old the list of endpoints was at the choice, and record the time until the write

The hypotheses on DRAIN differ in what a request relied on when it was sent; the log line of a request now has listing_age_ms, and send_delay_seconds records the time from the choice to the write by what the endpoint's standing was then (withheld requests are those that are not open).

--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -3,8 +3,9 @@
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
-    Choose, Finish, IsSilent, LoadBalancer, MayRetry, Need, NoticeReceived, PeerCoverage,
-    PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket, ticket::Reports,
+    Choose, Finish, IsSilent, ListConfirmed, LoadBalancer, MayRetry, Need, NoticeReceived,
+    PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket,
+    ticket::Reports,
 };
 use crate::{clock::Shared, error::Result, id::Zone};
 
@@ -129,6 +130,14 @@
     }
 }
 
+impl Handler<ListConfirmed> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, _: ListConfirmed, _: &mut Context<Self>) {
+        self.balancer.confirm_list(self.clock.now());
+    }
+}
+
 impl Handler<SetInstances> for Dispatcher {
     type Result = ();
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -48,6 +48,8 @@
     zone: Zone,
     rng: StdRng,
     members: BTreeMap<Endpoint, Member>,
+    /// When the store last confirmed the list of endpoints.
+    list_confirmed_at: Option<Instant>,
     ejector: Ejector,
     budgets: BTreeMap<Service, WindowBudget>,
     peer_loads: PeerLoads,
@@ -68,6 +70,7 @@
             zone,
             rng: StdRng::seed_from_u64(seed),
             members: BTreeMap::new(),
+            list_confirmed_at: None,
             ejector: Ejector::new(),
             budgets: BTreeMap::new(),
             peer_loads: PeerLoads::default(),
@@ -80,6 +83,11 @@
         }
     }
 
+    /// Notes that the store has confirmed the list of endpoints.
+    pub const fn confirm_list(&mut self, now: Instant) {
+        self.list_confirmed_at = Some(now);
+    }
+
     /// Replaces the list of endpoints. Endpoints that remain at the same address keep their state.
     pub fn set_instances(&mut self, instances: Vec<Arc<Instance>>, now: Instant) {
         let mut old = std::mem::take(&mut self.members);
@@ -153,6 +161,9 @@
             report_age: member
                 .report
                 .map(|report| now.saturating_duration_since(report.received_at)),
+            listing_age: self
+                .list_confirmed_at
+                .map(|confirmed_at| now.saturating_duration_since(confirmed_at)),
             evidence: member.subscribe(),
         })
     }
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -93,6 +93,8 @@
     pub peer_requests: f64,
     /// Age of the last load report of the endpoint, `None` if it has sent none.
     pub report_age: Option<Duration>,
+    /// Time since the store last confirmed the list of endpoints; `None` before it has.
+    pub listing_age: Option<Duration>,
     /// What is known of the endpoint until the request is sent.
     pub evidence: watch::Receiver<Evidence>,
 }
@@ -225,6 +227,11 @@
     pub known: usize,
 }
 
+/// The store has answered that the list of endpoints is current.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct ListConfirmed;
+
 /// Replaces the list of endpoints. Endpoints that remain at the same address keep their state.
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -24,8 +24,8 @@
 pub use evidence::Evidence;
 pub use imp::LoadBalancer;
 pub use message::{
-    Choice, Choose, Demand, Ending, Finish, IsSilent, Load, MayRetry, Need, NoticeReceived,
-    PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest,
+    Choice, Choose, Demand, Ending, Finish, IsSilent, ListConfirmed, Load, MayRetry, Need,
+    NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest,
 };
 pub use permit::Permit;
 pub use ticket::Ticket;
--- a/src/dispatch/permit.rs
+++ b/src/dispatch/permit.rs
@@ -1,4 +1,4 @@
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Instant};
 
 use actix::Recipient;
 use tokio::sync::watch;
@@ -19,6 +19,7 @@
 pub struct Permit {
     instance: Arc<Instance>,
     evidence: watch::Receiver<Evidence>,
+    chosen_at: Instant,
     notice: Recipient<NoticeReceived>,
     clock: Shared,
 }
@@ -36,6 +37,7 @@
         Self {
             instance: Arc::clone(&choice.instance),
             evidence: choice.evidence.clone(),
+            chosen_at: choice.selected_at,
             notice,
             clock,
         }
@@ -47,6 +49,16 @@
         &self.instance
     }
 
+    /// Decides right before the first byte of a request is written, and records the time since the choice.
+    #[must_use]
+    pub fn admit(&self) -> Standing {
+        let standing = self.standing();
+        let delay = self.clock.now().saturating_duration_since(self.chosen_at);
+        metrics::histogram!("send_delay_seconds", "standing" => standing.to_string())
+            .record(delay.as_secs_f64());
+        standing
+    }
+
     /// Whether the endpoint may get a request now.
     #[must_use]
     pub fn standing(&self) -> Standing {
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -500,8 +500,8 @@
         ),
         (
             "it starts again",
-            restarted[0].clone(),
-            vec![vec![restarted[1].clone()]],
+            Arc::clone(&restarted[0]),
+            vec![vec![Arc::clone(&restarted[1])]],
         ),
         (
             "a drain is taken back",
--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -55,6 +55,8 @@
     /// until then.
     forecast: Option<(Duration, Tokens)>,
     endpoint: Option<Endpoint>,
+    /// Age of the list of endpoints when the last one was chosen.
+    listing_age: Option<Duration>,
     sends: u32,
     status: u16,
     end: End,
@@ -74,6 +76,7 @@
             shared_parts: Arc::clone(&call.shared_parts),
             forecast: None,
             endpoint: None,
+            listing_age: None,
             sends: 0,
             status: 0,
             end: End::CallerLeft,
@@ -96,6 +99,7 @@
     pub(super) fn sent(&mut self, choice: &Choice, what: &str) {
         self.sends += 1;
         self.endpoint = Some(choice.instance.id.clone());
+        self.listing_age = choice.listing_age;
         log::debug!(call:% = OrDash(self.call.as_ref()), endpoint:% = choice.instance.id,
             what = what, own = choice.own_requests, others = choice.peer_requests,
             report_age:? = choice.report_age; "sending request to endpoint");
@@ -167,7 +171,7 @@
         metrics::histogram!("request_seconds", "route" => route).record(total.as_secs_f64());
         log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
             endpoint:% = OrDash(self.endpoint.as_ref()), sends = self.sends,
-            status = self.status, prompt:? = self.prompt.map(Tokens::get),
+            listing_age_ms:? = self.listing_age.map(|age| age.as_millis()), status = self.status, prompt:? = self.prompt.map(Tokens::get),
             shared_parts:% = Joined(&self.shared_parts),
             forecast_ms:? = self.forecast.map(|(time, _)| time.as_millis()),
             tokens_ahead:? = self.forecast.map(|(_, tokens)| tokens.get()),
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{self, Shared},
     directory::{self, Codec, Directory, Update},
-    dispatch::{self, Dispatcher, SetInstances},
+    dispatch::{self, Dispatcher, ListConfirmed, SetInstances},
     entry::recorder,
     id::{Incarnation, Revision},
     ingress::{self, Protocol},
@@ -248,6 +248,7 @@
 
 impl EndpointPublisher {
     fn apply(&mut self, update: Update) {
+        let confirms = matches!(update, Update::Snapshot(_) | Update::Changes(_));
         let before: Vec<_> = self.directory.instances().map(Arc::clone).collect();
         self.directory.apply(update, self.clock.now());
         let after: Vec<_> = self.directory.instances().map(Arc::clone).collect();
@@ -255,6 +256,9 @@
         if before != after {
             self.publish(after);
         }
+        if confirms {
+            self.dispatcher.do_send(ListConfirmed);
+        }
     }
 
     fn expire(&mut self) {
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -6,6 +6,7 @@
 use crate::unit::Bytes;
 
 const LIMIT: u64 = 1_200;
+const LIMIT_BYTES: usize = 1_200;
 
 fn sender(number: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, number], 8_000))
@@ -28,7 +29,9 @@
             }
         }
         let mut other = pool.reserve(sender(100));
-        let room = (0..).take_while(|size| other.resize(*size).is_ok()).last();
+        let room = (0..=LIMIT_BYTES)
+            .take_while(|size| other.resize(*size).is_ok())
+            .last();
         drop(reservations);
         drop(other);
         format!(
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -153,7 +153,7 @@
 
 impl upstream::Gate for EndpointGate {
     fn may_send(&self) -> bool {
-        self.permit.standing() == Standing::Open
+        self.permit.admit() == Standing::Open
     }
 
     fn revoked(&self) -> LocalBoxFuture<'static, ()> {
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -358,9 +358,11 @@
                 Err(returned) => pending = returned,
             }
         }
-        let held = self.pool.as_ref().map(|pool| pool.reserve(address));
-        let held = held.unwrap_or_else(Reservation::uncounted);
-        connection::spawn(address, pending, self.idle.clone(), held);
+        let reservation = self
+            .pool
+            .as_ref()
+            .map_or_else(Reservation::uncounted, |pool| pool.reserve(address));
+        connection::spawn(address, pending, self.idle.clone(), reservation);
         flatten(response.await)
     }
 
