--- a/src/forward/record.rs
+++ b/src/forward/record.rs
@@ -171,7 +171,8 @@
         metrics::histogram!("request_seconds", "route" => route).record(total.as_secs_f64());
         log::info!(call:% = OrDash(self.call.as_ref()), route:% = self.route,
             endpoint:% = OrDash(self.endpoint.as_ref()), sends = self.sends,
-            listing_age_ms:? = self.listing_age.map(|age| age.as_millis()), status = self.status, prompt:? = self.prompt.map(Tokens::get),
+            listing_age_ms:? = self.listing_age.map(|age| age.as_millis()),
+            status = self.status, prompt:? = self.prompt.map(Tokens::get),
             shared_parts:% = Joined(&self.shared_parts),
             forecast_ms:? = self.forecast.map(|(time, _)| time.as_millis()),
             tokens_ahead:? = self.forecast.map(|(_, tokens)| tokens.get()),
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -146,6 +146,7 @@
     for (name, value) in response.headers {
         builder.append_header((name, value));
     }
+    // The stream owns the reservation.
     let body = response.body.inspect(move |_part| {
         let _held = &held;
     });
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -88,6 +88,7 @@
         ("{{heartbeatMs}}", "1200"),
         ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
+        ("{{limits.memoryMb}}", "260"),
     ];
     let text = values
         .iter()
