Pass the memory of a gateway by its environment

The template of the settings has a fixed set of fields, which the cases of review/ fill in; with another one none of them could run. The memory of the host is given as an option with a variable now, as the recovery of the store is.

--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -7,6 +7,7 @@
     config::{ParsedDuration, Section},
     error::{Error, Kind},
     id::{Editor, Endpoint, Revision},
+    unit::Bytes,
 };
 
 /// Environment variable with the operators' bearer key. An argument would be visible in the list of
@@ -77,6 +78,14 @@
                         .value_name("TIME")
                         .value_parser(str::parse::<ParsedDuration>)
                         .help("Overrides store_recovery of the settings file"),
+                )
+                .arg(
+                    Arg::new("memory")
+                        .long("memory")
+                        .env("MEMORY_LIMIT")
+                        .value_name("SIZE")
+                        .value_parser(str::parse::<Bytes>)
+                        .help("Overrides memory of the settings file"),
                 ),
         )
         .subcommand(config_command())
@@ -210,6 +219,7 @@
         Some(("gateway", matches)) => serve::gateway(
             matches.get_one::<String>("settings"),
             matches.get_one::<ParsedDuration>("store-recovery").copied(),
+            matches.get_one::<Bytes>("memory").copied(),
         ),
         Some(("config", matches)) => config::run(matches),
         Some(("status", matches)) => status::show(matches),
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -9,6 +9,7 @@
     gateway,
     id::Process,
     log, platform, settings,
+    unit::Bytes,
 };
 
 pub(super) fn entry(file: &str) -> Result<()> {
@@ -38,8 +39,12 @@
     })
 }
 
-/// Runs a gateway. `store_recovery` goes before that of the settings file.
-pub(super) fn gateway(file: Option<&String>, store_recovery: Option<ParsedDuration>) -> Result<()> {
+/// Runs a gateway. `store_recovery` and `memory` go before those of the settings file.
+pub(super) fn gateway(
+    file: Option<&String>,
+    store_recovery: Option<ParsedDuration>,
+    memory: Option<Bytes>,
+) -> Result<()> {
     let file = match file {
         Some(file) => file.clone(),
         None => platform::settings_file()?,
@@ -49,6 +54,7 @@
         if let Some(ParsedDuration(recovery)) = store_recovery {
             settings.store_recovery = recovery;
         }
+        settings.memory = memory.unwrap_or(settings.memory);
         Ok(settings)
     };
     let settings = read_settings().map_err(|faults| invalid(&faults))?;
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -88,7 +88,6 @@
         ("{{heartbeatMs}}", "1200"),
         ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
-        ("{{limits.memoryMb}}", "260"),
     ];
     let text = values
         .iter()
