--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -51,8 +51,8 @@
                 format!("the body is larger than {limit}"),
             ));
         }
-        held.resize(body.len() + part.len())?;
         body.extend_from_slice(&part);
+        held.resize(body.capacity())?;
     }
     Ok(body.freeze())
 }
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -213,7 +213,7 @@
     Context {
         config: config.clone(),
         ports,
-        bodies: Pool::new("bodies", config.body_buffers),
+        bodies: Pool::without_shares("bodies", config.body_buffers),
     }
 }
 
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -36,9 +36,7 @@
     payload: web::Payload,
     context: web::Data<Context>,
 ) -> HttpResponse {
-    // Senders are counted by host: each caller has many connections.
-    let mut sender = request.peer_addr().unwrap_or(context.config.listen);
-    sender.set_port(0);
+    let sender = request.peer_addr().unwrap_or(context.config.listen);
     let mut held = context.bodies.reserve(sender);
     let mut response = match forward(&request, payload, &context, &mut held).await {
         Ok(response) => to_http_response(response, held),
--- a/src/memory/imp.rs
+++ b/src/memory/imp.rs
@@ -16,6 +16,8 @@
     /// What the pool holds, in metrics.
     name: &'static str,
     limit: u64,
+    /// Whether a sender may hold no more than is free.
+    shares: bool,
     held: u64,
     senders: HashMap<SocketAddr, u64>,
 }
@@ -32,12 +34,23 @@
 }
 
 impl Pool {
-    /// Creates an empty pool. `name` labels its metrics.
+    /// Creates an empty pool in which a sender may hold as much as is free. `name` labels its metrics.
     #[must_use]
     pub fn new(name: &'static str, limit: Bytes) -> Self {
+        Self::create(name, limit, true)
+    }
+
+    /// Creates an empty pool in which one sender may hold all, for senders that cannot be told apart.
+    #[must_use]
+    pub fn without_shares(name: &'static str, limit: Bytes) -> Self {
+        Self::create(name, limit, false)
+    }
+
+    fn create(name: &'static str, limit: Bytes, shares: bool) -> Self {
         let state = State {
             name,
             limit: limit.get(),
+            shares,
             held: 0,
             senders: HashMap::new(),
         };
@@ -66,7 +79,8 @@
         let mut state = self.state.borrow_mut();
         let of_sender = state.senders.get(&sender).copied().unwrap_or_default();
         let free = state.limit.saturating_sub(state.held);
-        if of_sender.saturating_add(by) > free.saturating_sub(by) {
+        let exceeds_share = state.shares && of_sender.saturating_add(by) > free.saturating_sub(by);
+        if by > free || exceeds_share {
             metrics::counter!("held_bytes_exceeded_total", "pool" => state.name).increment(1);
             let detail = format!(
                 "too many bytes of {sender} are held: {} of {} in all",
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -20,7 +20,7 @@
 /// is for the process itself and for its callers.
 const BUFFERS_DIVISOR: u64 = 4;
 /// The memory divided by the part for bodies of callers.
-const BODY_BUFFERS_DIVISOR: u64 = 8;
+const BODY_BUFFERS_DIVISOR: u64 = 3;
 /// Default time in which a gateway follows the store again.
 const STORE_RECOVERY_DEFAULT: Duration = Duration::from_secs(3);
 /// Default interval at which endpoints write to the store.
