--- a/mulberrymill-bench/tests/gateway/endless.rs
+++ b/mulberrymill-bench/tests/gateway/endless.rs
@@ -28,16 +28,16 @@
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// Runs an ignored test of this module in a process of its own, whose memory only this test uses.
-fn run_alone(test: &str) {
+fn run_alone(name: &str) {
     let program = std::env::current_exe().expect("the path of this program");
     let output = std::process::Command::new(program)
-        .args(["--exact", test, "--ignored", "--nocapture"])
+        .args(["--exact", name, "--ignored", "--nocapture"])
         .output()
         .expect("this program starts");
     let text = String::from_utf8_lossy(&output.stdout);
     let errors = String::from_utf8_lossy(&output.stderr);
     assert!(output.status.success(), "{text}{errors}");
-    assert!(text.contains("1 passed"), "{test} was not run: {text}");
+    assert!(text.contains("1 passed"), "{name} was not run: {text}");
 }
 
 /// Memory of this process, in bytes.
