--- a/src/memory/imp.rs
+++ b/src/memory/imp.rs
@@ -40,7 +40,7 @@
         Self::create(name, limit, true)
     }
 
-    /// Creates an empty pool in which one sender may hold all, for senders that cannot be told apart.
+    /// Creates an empty pool in which one sender may hold all, for senders that cannot be distinguished.
     #[must_use]
     pub fn without_shares(name: &'static str, limit: Bytes) -> Self {
         Self::create(name, limit, false)
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -4,7 +4,7 @@
 //! answered at once, and each byte stays until the rest has come. A [`Pool`] counts the bytes that are held
 //! for each sender by a [`Reservation`]. A sender may hold as much as is still free, so that one of them gets
 //! half of the pool, two get a third each, and there is always room for the others. Where senders cannot be
-//! told apart, only the sum is bounded.
+//! distinguished, only the sum is bounded.
 
 mod imp;
 #[cfg(test)]
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -427,7 +427,7 @@
     assert!(matches!(closed, Ok(0) | Err(_)), "the connection is open");
 }
 
-/// Permits a request until it is told otherwise.
+/// Permits a request until it is revoked.
 #[derive(Debug, Default)]
 struct Revocable(Rc<Notify>);
 
