Authenticate requests by the customers' API keys

Cause: the platform's configuration may list customers with API keys. The gateway ignored the list, passed `Authorization` on to endpoints, and knew no priority of a customer.

The ingress authenticates after the lookup of the route and before it reads the body. `Authorization` and `Tenant` are removed, and `Tenant` is set when an attempt is encoded. The rank of a request comes from `Route::rank_for`. Without `tenants` nothing changes. The stand-in of an endpoint records three more headers.

--- a/mulberrymill-bench/src/platform/endpoint.rs
+++ b/mulberrymill-bench/src/platform/endpoint.rs
@@ -108,12 +108,15 @@
 }
 
 /// Request headers that are recorded in [`Seen::headers`].
-const RECORDED_HEADERS: [&str; 5] = [
+const RECORDED_HEADERS: [&str; 8] = [
     "request-id",
     "deadline-ms",
     "expect-instance",
     "kv-hold",
     "x-kept",
+    "authorization",
+    "tenant",
+    "request-priority",
 ];
 
 async fn respond(request: HttpRequest, body: Bytes, shared: web::Data<Shared>) -> HttpResponse {
--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -12,6 +12,8 @@
 use serde_json::{Value, json};
 use tokio::time;
 
+#[path = "gateway/customers.rs"]
+mod customers;
 #[path = "gateway/departure.rs"]
 mod departure;
 #[path = "gateway/endless.rs"]
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -654,7 +654,7 @@
         let demand = Demand {
             service: self.service.clone(),
             need,
-            rank: self.route.rank,
+            rank: self.route.rank_for(self.call.customer.as_deref()),
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
             shared_prefix: generation.map_or(Tokens::ZERO, |generation| generation.shared),
             shared_parts: Arc::clone(&self.call.shared_parts),
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -13,6 +13,7 @@
 
 use super::{EventId, Result};
 use crate::{
+    customer::Customer,
     directory::Instance,
     dispatch::{Load, Permit},
     error::{Error, Kind},
@@ -58,6 +59,8 @@
     pub shared_parts: Arc<[id::PromptPart]>,
     /// The last event that the caller received, if it resumes a stream.
     pub resume_after: Option<EventId>,
+    /// The customer whose key the request has.
+    pub customer: Option<Arc<Customer>>,
 }
 
 /// Identifies a KV cache within the engine that holds it: 1 to 128 printable ASCII characters
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -184,6 +184,7 @@
         rank: 0,
         attempts,
         event_gap: None,
+        public: false,
     })
 }
 
@@ -204,6 +205,7 @@
         }),
         shared_parts: Arc::default(),
         resume_after: None,
+        customer: None,
     }
 }
 
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -18,6 +18,7 @@
 use super::{Result, serve};
 use crate::{
     clock::Shared,
+    customer::{Customer, Key},
     dispatch::{Choose, IsSilent, MayRetry},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
@@ -55,6 +56,12 @@
     /// `Kind::BadRequest` on a malformed field.
     fn decode(&self, request: &HttpRequest, body: Bytes, arrived: Instant) -> Result<Call>;
 
+    /// The API key of a request; `None` if there is not exactly one well-formed key.
+    fn key(&self, request: &HttpRequest) -> Option<Key>;
+
+    /// Sets the customer of a request, and removes what the caller says of its identity.
+    fn identify(&self, call: &mut Call, customer: Option<Arc<Customer>>);
+
     /// Creates the client of the endpoints for one thread.
     fn upstream(&self) -> Rc<dyn Upstream>;
 }
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -16,6 +16,7 @@
     imp::{Config, Context},
 };
 use crate::{
+    customer::Customer,
     error::{Error, Kind},
     forward::{self, Call, Response},
     front::{health, problem, receive},
@@ -89,6 +90,7 @@
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = plan.find(host, request.path()).cloned();
     let route = route.ok_or_else(|| Error::new(Kind::NotFound, "there is no such route"))?;
+    let customer = authenticate(request, &plan, &route, context)?;
     let limits = plan.limits();
     check_head(request.headers(), limits.head)?;
     let arrived = context.ports.clock.now();
@@ -97,11 +99,29 @@
         body = receive::read_held_body(payload, limits.body, held) => body?,
         () = shutdown.cut(&*context.ports.clock) => return Err(leaving()),
     };
-    let call = context.config.protocol.decode(request, body, arrived)?;
+    let mut call = context.config.protocol.decode(request, body, arrived)?;
+    if plan.customers().is_some() {
+        context.config.protocol.identify(&mut call, customer);
+    }
     let call = admit(call, &route, context)?;
     Ok((call, route))
 }
 
+/// Finds the customer that sends a request, if the plan has customers.
+fn authenticate(
+    request: &HttpRequest,
+    plan: &Plan,
+    route: &Route,
+    context: &Context,
+) -> Result<Option<Arc<Customer>>> {
+    let Some(customers) = plan.customers() else {
+        return Ok(None);
+    };
+    let key = context.config.protocol.key(request);
+    let customer = customers.authenticate(key.as_ref(), route.public)?;
+    Ok(customer.cloned())
+}
+
 /// Refuses a request that a stopping process may be unable to answer, and limits the time of others
 /// to that of the stop.
 fn admit(mut call: Call, route: &Route, context: &Context) -> Result<Call> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod customer;
 pub mod directory;
 pub mod dispatch;
 pub mod edit;
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -3,10 +3,11 @@
     time::Duration,
 };
 
-use serde::Deserialize;
+use serde::{Deserialize, de::IgnoredAny};
 
 use super::{Result, list, names};
 use crate::{
+    customer::{self, Customer, Key},
     directory::{self, Instance, Sequence, Started},
     error::{Error, Kind},
     id,
@@ -66,6 +67,8 @@
     version: u64,
     #[serde(default)]
     limits: ConfigLimits,
+    /// Each entry is decoded on its own.
+    tenants: Option<IgnoredAny>,
 }
 
 #[derive(Default, Deserialize)]
@@ -98,6 +101,17 @@
     resumable: bool,
     /// Target for the longest gap between two events of a stream; not a gap between requests.
     gap_aim_ms: Option<f64>,
+    #[serde(default)]
+    public: bool,
+}
+
+/// A customer. It has no `Debug`, since it holds keys.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ConfigTenant {
+    name: id::Caller,
+    api_keys: Vec<String>,
+    priority: Option<u8>,
 }
 
 #[derive(Deserialize)]
@@ -186,10 +200,33 @@
                 .map_or(defaults.idle, Duration::from_millis),
         };
         let routes = routes.collect();
-        Ok(Plan::new(Version::new(config.version), routes, limits))
+        let plan = Plan::new(Version::new(config.version), routes, limits);
+        if config.tenants.is_none() {
+            return Ok(plan);
+        }
+        let tenants = list::elements(&text, "tenants").map_err(unusable)?;
+        Ok(plan.with_customers(to_customers(config.version, &tenants)))
     }
 }
 
+/// Decodes the customers. The reason why an entry cannot be read is not logged, since it may quote a key.
+fn to_customers(version: u64, tenants: &[&str]) -> customer::Directory {
+    let customers = tenants.iter().enumerate().filter_map(|(index, text)| {
+        let Ok(tenant) = serde_json::from_str::<ConfigTenant>(text) else {
+            log::error!(version = version, index = index;
+                "customer cannot be read; its keys are unknown");
+            return None;
+        };
+        let customer = Customer {
+            name: tenant.name,
+            rank: tenant.priority,
+        };
+        let keys = tenant.api_keys.iter().map(|key| Key::new(key)).collect();
+        Some((customer, keys))
+    });
+    customer::Directory::new(customers)
+}
+
 fn to_route(route: ConfigRoute) -> Result<Route> {
     let kind = match (route.route_kind.as_str(), route.resumable) {
         ("idempotent", _) => route::Kind::Idempotent,
@@ -219,6 +256,7 @@
         rank: route.priority,
         attempts: route.max_attempts.max(1),
         event_gap: route.gap_aim_ms.map(duration_from_ms),
+        public: route.public,
     })
 }
 
@@ -243,6 +281,7 @@
         rank: 0,
         attempts: 1,
         event_gap: None,
+        public: false,
     })
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -234,6 +234,9 @@
         attempt.remaining.as_millis().to_string(),
     )?;
     set(names::EXPECT_INSTANCE, attempt.instance.id.to_string())?;
+    if let Some(customer) = &attempt.call.customer {
+        set(names::TENANT, customer.name.to_string())?;
+    }
     if attempt.call.generation.is_some() {
         set(
             names::REQUEST_PRIORITY,
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -7,12 +7,13 @@
 
 use actix_web::{
     HttpRequest,
-    http::header::{CONTENT_LENGTH, HeaderMap},
+    http::header::{AUTHORIZATION, CONTENT_LENGTH, HeaderMap},
     web::Bytes,
 };
 
 use super::{EndpointClient, Result, names};
 use crate::{
+    customer::{Customer, Key},
     error::{Error, Kind},
     forward::{Call, Generation, Upstream},
     id, ingress,
@@ -43,6 +44,22 @@
         header_text(request.headers(), names::REQUEST_ID).and_then(|id| id.parse().ok())
     }
 
+    fn key(&self, request: &HttpRequest) -> Option<Key> {
+        let mut values = request.headers().get_all(AUTHORIZATION);
+        let value = values.next().filter(|_| values.next().is_none())?;
+        let (scheme, key) = value.to_str().ok()?.split_once(' ')?;
+        let key = key.trim_start_matches(' ');
+        let is_bearer = scheme.eq_ignore_ascii_case("bearer");
+        let is_whole = !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
+        (is_bearer && is_whole).then(|| Key::new(key))
+    }
+
+    fn identify(&self, call: &mut Call, customer: Option<Arc<Customer>>) {
+        call.headers.remove(AUTHORIZATION);
+        call.headers.remove(names::TENANT);
+        call.customer = customer;
+    }
+
     fn decode(&self, request: &HttpRequest, body: Bytes, arrived: Instant) -> Result<Call> {
         let received = request.headers();
         let timeout = header_number::<u64>(received, names::DEADLINE_MS)?;
@@ -59,6 +76,7 @@
             generation: parse_generation(received)?,
             shared_parts: parse_shared_parts(received),
             resume_after: resume_after.transpose()?,
+            customer: None,
         })
     }
 
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -52,6 +52,8 @@
 pub(super) const SERVING_STAGE: &str = "serving-stage";
 /// Address of an engine from which the shared parts of a prompt are copied.
 pub(super) const KV_FETCH: &str = "kv-fetch";
+/// Name of the customer that sent a request.
+pub(super) const TENANT: &str = "tenant";
 /// Location of the KV cache of a request, as `address/handle`.
 pub(super) const KV_SOURCE: &str = "kv-source";
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -20,6 +20,7 @@
 
 use super::*;
 use crate::{
+    customer::Key,
     directory::{self, Codec as _},
     error::Executed,
     ingress::Protocol as _,
@@ -153,6 +154,60 @@
     assert!(route.timeout.checked_mul(1_000).is_some());
 }
 
+/// Guards against an unreadable customer that costs the others their keys, or the process its plan, and
+/// against requests that need no key because the list of customers is unreadable.
+#[test]
+fn unreadable_customers_are_skipped() {
+    let lists = [
+        ("none", ""),
+        ("empty", r#""tenants":[],"#),
+        ("not a list", r#""tenants":{},"#),
+        (
+            "one of each",
+            r#""tenants":[{"name":"hule930","apiKeys":["a"],"priority":1,"more":1e999},
+                {"name":"two words","apiKeys":["b"]}, {"name":"fida11","apiKeys":"c"}, 7,
+                {"name":"mona2","apiKeys":["d"],"priority":-1}, {"apiKeys":["e"]},
+                {"name":"juri5","apiKeys":["f"]}],"#,
+        ),
+    ];
+    let results = lists.map(|(name, list)| {
+        let text = CONFIGURATION.replacen("\"services\"", &format!("{list}\"services\""), 1);
+        let plan = Codec.plan(text.as_bytes()).map_err(|error| error.kind());
+        let found = plan.map(|plan| {
+            let customers = plan.customers()?;
+            let keys = ["a", "b", "c", "d", "e", "f"].map(Key::new);
+            let owners = keys.iter().filter_map(|key| customers.find(key));
+            Some(owners.cloned().collect::<Vec<_>>())
+        });
+        format!("{name}: {found:?}")
+    });
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a key that is taken from a malformed or repeated header.
+#[test]
+fn only_one_whole_bearer_key_is_read() {
+    let cases: [&[&str]; 9] = [
+        &["Bearer k-1"],
+        &["bearer  k-1"],
+        &[],
+        &["Bearer"],
+        &["Bearer "],
+        &["Basic k-1"],
+        &["k-1"],
+        &["Bearer k-1, Bearer k-1"],
+        &["Bearer k-1", "Bearer k-1"],
+    ];
+    let read = cases.map(|values| {
+        let request = values.iter().fold(TestRequest::get(), |request, value| {
+            request.append_header(("Authorization", *value))
+        });
+        let key = protocol().key(&request.to_http_request());
+        format!("{values:?}: {}", key == Some(Key::new("k-1")))
+    });
+    insta::assert_debug_snapshot!(read);
+}
+
 /// Guards against a request whose numbers overflow.
 #[test]
 fn shared_tokens_do_not_overflow() {
--- a/src/route/imp.rs
+++ b/src/route/imp.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 
 use crate::{
+    customer::{self, Customer},
     error::{Error, Kind as ErrorKind, Result},
     id,
     unit::Bytes,
@@ -124,9 +125,19 @@
     pub attempts: u32,
     /// Target for the longest gap between two events of a stream, if there is one.
     pub event_gap: Option<Duration>,
+    /// Whether requests without the key of a customer are served, if the plan has customers.
+    pub public: bool,
 }
 
 impl Route {
+    /// Returns the priority rank of a request, 0 is the most urgent: that of its customer, if the customer
+    /// has one.
+    #[must_use]
+    pub fn rank_for(&self, customer: Option<&Customer>) -> u8 {
+        let rank = customer.and_then(|customer| customer.rank);
+        rank.unwrap_or(self.rank)
+    }
+
     /// Returns the service for one request, selected at random by weight. If all weights are 0,
     /// this is the first target; without targets, it is `None`.
     pub fn select_service(&self, rng: &mut impl Rng) -> Option<&id::Service> {
@@ -174,6 +185,7 @@
     /// Routes by host, then by path prefix.
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     limits: Limits,
+    customers: Option<Arc<customer::Directory>>,
 }
 
 impl Plan {
@@ -192,6 +204,19 @@
         plan
     }
 
+    /// Adds the customers: requests need the key of one of them, except on public routes.
+    #[must_use]
+    pub fn with_customers(mut self, customers: customer::Directory) -> Self {
+        self.customers = Some(Arc::new(customers));
+        self
+    }
+
+    /// The customers; `None` if requests need no key.
+    #[must_use]
+    pub fn customers(&self) -> Option<&Arc<customer::Directory>> {
+        self.customers.as_ref()
+    }
+
     /// Version of the plan.
     #[must_use]
     pub const fn version(&self) -> Version {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -19,6 +19,7 @@
 //!     rank: 2,
 //!     attempts: 2,
 //!     event_gap: None,
+//!     public: false,
 //! };
 //! let plan = Plan::new(
 //!     Version::new(1),
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -17,6 +17,7 @@
         rank: 0,
         attempts: 1,
         event_gap: None,
+        public: false,
     }
 }
 
