Accept keys only while the plan is confirmed

Cause: a gateway that does not reach the store, or whose host was suspended, accepted a removed key for as long as it kept the last plan.

Change: the setting `key_revocation` limits this. The follower passes on when each store call was sent, as the time since boot, which counts suspension. `ActivePlan` records the time as of which the store showed that no plan is newer; unreadable, deleted and older plans confirm nothing. While the confirmation is older than four fifths of the setting, requests with a key get 503, keys on public routes are ignored, and the process is not ready. The recovery of the store is limited to half of the setting, since a confirmation is up to two waits of a watch call old. Without the setting nothing changes.

This change does not touch the registration.

--- a/mulberrymill-bench/tests/gateway/customers.rs
+++ b/mulberrymill-bench/tests/gateway/customers.rs
@@ -72,3 +72,41 @@
     }
     insta::assert_debug_snapshot!(steps);
 }
+
+/// Waits until a request has this status.
+async fn wait_for_status(harness: &Harness, target: &str, key: &str, expected: u16) {
+    for _ in 0..MAX_POLLS {
+        if status(harness, target, Some(key)).await == expected {
+            return;
+        }
+        time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("{target} never had status {expected}");
+}
+
+/// Guards against a removed key that is accepted without end by a gateway that does not reach the store,
+/// against requests on public routes that are refused with it, and against a gateway that accepts no keys
+/// after the store has returned.
+#[actix_web::test]
+async fn keys_are_refused_while_the_plan_is_not_confirmed() {
+    let settings = format!(r#"{STOP_SETTINGS}, "key_revocation": "3s""#);
+    let harness = Harness::with_settings(&settings).await;
+    let endpoint = Endpoint::bind("e1").expect("a free port");
+    let entry = endpoint.entry("s1", "ready");
+    harness.store.put("servers/e1", &entry);
+    harness.store.put("op/config", &config_with_customers(4));
+    wait_for_status(&harness, "/once/1", "k-1", 200).await;
+    harness.store.port().down().await;
+    wait_for_status(&harness, "/once/1", "k-1", 503).await;
+    assert_eq!(status(&harness, "/once/1", None).await, 401);
+    assert_eq!(status(&harness, "/plain/1", Some("k-1")).await, 200);
+    assert_eq!(received(&endpoint), ["request-priority: 1"]);
+    assert_eq!(harness.readiness_status().await, 503);
+    let mut without_key = config_with_customers(5);
+    without_key["tenants"][0]["apiKeys"] = json!([]);
+    harness.store.put("op/config", &without_key);
+    harness.store.port().up().await.expect("the port is free");
+    wait_for_status(&harness, "/once/1", "k-2", 200).await;
+    assert_eq!(status(&harness, "/once/1", Some("k-1")).await, 401);
+    assert_eq!(harness.readiness_status().await, 200);
+}
--- a/src/clock/imp.rs
+++ b/src/clock/imp.rs
@@ -7,6 +7,8 @@
     time::{Duration, Instant, SystemTime},
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A source of time.
 pub trait Clock: fmt::Debug + Send + Sync {
     /// Monotonic time, for intervals and deadlines.
@@ -14,6 +16,10 @@
 
     /// Wall-clock time, only for logs and timestamps in answers, since it may jump.
     fn wall(&self) -> SystemTime;
+
+    /// Time since the boot of the host, including time in which it was suspended. Monotonic time stops
+    /// while a host is suspended, and wall-clock time jumps.
+    fn since_boot(&self) -> Duration;
 }
 
 /// A clock shared by several tasks.
@@ -40,6 +46,12 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn since_boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        // The kernel returns no negative times for this clock.
+        Duration::try_from(time).unwrap_or_default()
+    }
 }
 
 /// A clock that advances only by [`Manual::advance`]. Clones share the same time.
@@ -86,4 +98,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
 }
--- a/src/customer/mod.rs
+++ b/src/customer/mod.rs
@@ -17,10 +17,12 @@
 //! # Ok::<(), mulberrymill::id::Error>(())
 //! ```
 
+mod freshness;
 mod imp;
 #[cfg(test)]
 mod tests;
 
+pub use freshness::Freshness;
 pub use imp::{Customer, Directory, Key};
 
 use crate::error::Result;
--- a/src/customer/tests.rs
+++ b/src/customer/tests.rs
@@ -1,4 +1,9 @@
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::watch;
+
 use super::*;
+use crate::clock::Manual;
 
 fn customer(name: &str, rank: Option<u8>) -> Customer {
     let name = name.parse().expect("a valid name");
@@ -31,3 +36,37 @@
     }
     insta::assert_debug_snapshot!(results);
 }
+
+/// Guards against keys that are accepted by a process without a recent confirmation, such as one that was
+/// suspended, and against a process that accepts no key after the store has returned.
+#[test]
+fn keys_are_accepted_until_the_confirmation_is_too_old() {
+    let clock = Manual::new();
+    let confirmed = watch::Sender::new(None);
+    let freshness = |revocation: Option<u64>| {
+        let revocation = revocation.map(Duration::from_secs);
+        Freshness::new(confirmed.subscribe(), revocation, Arc::new(clock.clone()))
+    };
+    let (strict, lenient) = (freshness(Some(5)), freshness(None));
+    let mut states = Vec::new();
+    let mut state = |name: &str| {
+        let strict = strict.check(strict.confirmed()).is_ok();
+        let lenient = lenient.check(lenient.confirmed()).is_ok();
+        states.push(format!(
+            "{name}: strict {strict}, without a limit {lenient}"
+        ));
+    };
+    state("not confirmed");
+    clock.advance(Duration::from_secs(10));
+    confirmed.send_replace(Some(Duration::from_secs(9)));
+    state("1 s old");
+    clock.advance(Duration::from_millis(2_999));
+    state("3.999 s old");
+    clock.advance(Duration::from_millis(1));
+    state("4 s old");
+    confirmed.send_replace(Some(Duration::from_secs(12)));
+    state("confirmed again");
+    clock.advance(Duration::from_hours(1));
+    state("suspended for an hour");
+    insta::assert_debug_snapshot!(states);
+}
--- a/src/directory/follow.rs
+++ b/src/directory/follow.rs
@@ -56,8 +56,10 @@
     Availability(Availability),
 }
 
-/// Receives the updates of a follower, in order.
-pub type UpdateSink = Box<dyn FnMut(Update)>;
+/// Receives the updates of a follower, in order. The second argument is the time since boot at which the
+/// call was sent that led to the update, or an earlier time: a snapshot or a list of changes shows what
+/// the store had acknowledged by then.
+pub type UpdateSink = Box<dyn FnMut(Update, Duration)>;
 
 /// Starts a task that follows all keys with `prefix`: it reads them, then watches for changes.
 /// After a failure, or when the store has compacted the revision at which the watch starts, it
@@ -80,6 +82,7 @@
         sink,
         is_available: None,
         last_call: clock.now(),
+        sent: clock.since_boot(),
         clock,
         last_read: None,
     };
@@ -96,6 +99,8 @@
     is_available: Option<bool>,
     /// When the last call was made, or the last call of a watch at the latest.
     last_call: Instant,
+    /// The same, as the time since boot.
+    sent: Duration,
     /// Era and revision of the last read of all keys.
     last_read: Option<(Era, Revision)>,
 }
@@ -132,7 +137,8 @@
     }
 
     async fn read_and_watch(&mut self) -> Result<std::convert::Infallible> {
-        let failed_call = std::mem::replace(&mut self.last_call, self.clock.now());
+        let failed_call = self.last_call;
+        self.record_call();
         let range = self.store.range(self.prefix.clone()).await?;
         self.record_success(range.revision, failed_call);
         log::debug!(prefix:% = self.prefix, revision:% = range.revision,
@@ -146,29 +152,39 @@
                 revision:% = range.revision, revision_before:% = revision,
                 entries = range.items.len();
                 "store was restored from an older copy; read all keys again");
-            (self.sink)(Update::Restored);
+            self.pass(Update::Restored);
         }
-        (self.sink)(Update::Snapshot(range.items));
+        self.pass(Update::Snapshot(range.items));
         let mut events = self.store.watch(self.prefix.clone(), from).await?;
         loop {
-            self.last_call = self.clock.now();
+            // A watch sends its next call no earlier than when it is polled for the answer.
+            self.record_call();
             let batch = events.next().await;
             let batch = batch
                 .ok_or_else(|| Error::new(Kind::StoreUnavailable, "the watch has ended"))??;
             let quiet = batch.is_empty();
-            (self.sink)(Update::Changes(batch));
+            self.pass(Update::Changes(batch));
             if !quiet {
                 time::sleep(self.batch_delay).await;
             }
         }
     }
 
+    fn record_call(&mut self) {
+        self.last_call = self.clock.now();
+        self.sent = self.clock.since_boot();
+    }
+
+    fn pass(&mut self, update: Update) {
+        (self.sink)(update, self.sent);
+    }
+
     fn record_success(&mut self, revision: Revision, failed_call: Instant) {
         if self.is_available == Some(false) {
             log::info!(prefix:% = self.prefix, revision:% = revision,
                 failed_call_ms = (self.clock.now() - failed_call).as_millis();
                 "store is available again");
-            (self.sink)(Update::Availability(Availability::Available(failed_call)));
+            self.pass(Update::Availability(Availability::Available(failed_call)));
         }
         self.is_available = Some(true);
     }
@@ -176,7 +192,7 @@
     fn record_failure(&mut self, error: &Error) {
         if self.is_available != Some(false) {
             log::warn!(prefix:% = self.prefix, error:% = error; "store is unavailable; retrying");
-            (self.sink)(Update::Availability(Availability::Unavailable));
+            self.pass(Update::Availability(Availability::Unavailable));
         }
         self.is_available = Some(false);
     }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -249,7 +249,7 @@
             "/endpoints/".parse().expect("a valid path"),
             Duration::from_millis(500),
             System::shared(),
-            Box::new(move |update| {
+            Box::new(move |update, _sent| {
                 sink.borrow_mut().push(match update {
                     Update::Snapshot(items) => format!("read {} entries", items.len()),
                     Update::Changes(events) => format!("{} changes", events.len()),
@@ -293,7 +293,7 @@
             "/endpoints/".parse().expect("a valid path"),
             batch_delay,
             System::shared(),
-            Box::new(move |update| {
+            Box::new(move |update, _sent| {
                 if let Update::Changes(events) = update {
                     // All but the last event were written 100 ms apart before it.
                     let oldest = Duration::from_millis(100 * (events.len().max(1) as u64 - 1));
@@ -600,7 +600,7 @@
             "/endpoints/".parse().expect("a valid path"),
             Duration::from_millis(500),
             System::shared(),
-            Box::new(move |update| sink.borrow_mut().push(describe(&update))),
+            Box::new(move |update, _sent| sink.borrow_mut().push(describe(&update))),
         );
         time::sleep(Duration::from_secs(1)).await;
         let backup = store.back_up();
@@ -683,7 +683,7 @@
             "/endpoints/".parse().expect("a valid path"),
             Duration::from_millis(500),
             System::shared(),
-            Box::new(|_update| ()),
+            Box::new(|_update, _sent| ()),
         );
         time::sleep(Duration::from_secs(10)).await;
         task.abort();
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -617,6 +617,10 @@
     fn wall(&self) -> SystemTime {
         self.0.wall()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.0.since_boot()
+    }
 }
 
 /// Guards against a body without end that is relayed past the deadline, because its next part is
--- a/src/front/tests/harness.rs
+++ b/src/front/tests/harness.rs
@@ -3,7 +3,7 @@
 
 use std::{
     sync::{Arc, OnceLock},
-    time::{Instant, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use actix::{Actor, Context, Handler};
@@ -49,6 +49,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH
     }
+
+    fn since_boot(&self) -> Duration {
+        clock::System.since_boot()
+    }
 }
 
 /// Fake of the operator console, whose store is unreachable, and of the agents' record lookup.
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -7,6 +7,7 @@
 use super::{ActivePlan, Result};
 use crate::{
     clock::{self, Shared},
+    customer::Freshness,
     directory::{self, Codec, Directory, Update},
     dispatch::{self, Dispatcher, ListConfirmed, SetInstances},
     entry::recorder,
@@ -122,12 +123,17 @@
 
     let mut active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
     let plan = active_plan.subscribe();
+    let freshness = Freshness::new(
+        active_plan.subscribe_confirmed(),
+        settings.key_revocation,
+        Arc::clone(&clock),
+    );
     let follow_plan = directory::follow(
         Rc::clone(&adapter.store),
         adapter.plan_path,
         BATCH_DELAY,
         Arc::clone(&clock),
-        Box::new(move |update| active_plan.apply(update)),
+        Box::new(move |update, sent| active_plan.apply(update, sent)),
     );
 
     let budget = settings.drain_budget();
@@ -146,7 +152,7 @@
         Arc::clone(&clock),
         Box::new({
             let publisher = Rc::clone(&publisher);
-            move |update| publisher.borrow_mut().apply(update)
+            move |update, _sent| publisher.borrow_mut().apply(update)
         }),
     );
 
@@ -156,6 +162,7 @@
         readiness: settings.readiness,
         protocol: adapter.protocol,
         plan,
+        freshness,
         endpoints,
         shutdown: shutdown_watch,
         choose: dispatcher.clone().recipient(),
@@ -233,7 +240,7 @@
         gateways.clone(),
         BATCH_DELAY,
         Arc::clone(clock),
-        Box::new(move |update| mesh.do_send(peers::GatewaysChanged(update))),
+        Box::new(move |update, _sent| mesh.do_send(peers::GatewaysChanged(update))),
     );
     (PeerLinks { presence, listener }, follow)
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::ActivePlan;
 use crate::{
@@ -73,7 +73,7 @@
         ("newest plan", put("12")),
     ];
     let states = feeds.map(|(name, update)| {
-        active_plan.apply(update);
+        active_plan.apply(update, Duration::ZERO);
         let version = receiver
             .borrow()
             .as_ref()
@@ -100,7 +100,7 @@
         ("newer, at a revision given out before", put("9")),
     ];
     let versions = feeds.map(|(name, update)| {
-        active_plan.apply(update);
+        active_plan.apply(update, Duration::ZERO);
         let version = receiver
             .borrow()
             .as_ref()
@@ -109,3 +109,44 @@
     });
     insta::assert_debug_snapshot!(versions);
 }
+
+/// Guards against a confirmation by an answer that does not show that the active plan is the newest, and
+/// against one that moves back in time.
+#[test]
+fn only_answers_that_show_the_newest_plan_confirm_it() {
+    let mut active_plan = ActivePlan::new(Arc::new(VersionOnly), path("/plan"));
+    let confirmed = active_plan.subscribe_confirmed();
+    let quiet = || Update::Changes(Vec::new());
+    let feeds = [
+        ("nothing is known", Update::Snapshot(Vec::new())),
+        ("quiet", quiet()),
+        ("first plan", snapshot("/plan", "4")),
+        ("quiet", quiet()),
+        ("unreadable plan", put("seven")),
+        ("quiet", quiet()),
+        ("newer plan", put("7")),
+        ("deleted", change(Change::Delete)),
+        ("quiet", quiet()),
+        ("read again", snapshot("/plan", "7")),
+        (
+            "store lost",
+            Update::Availability(Availability::Unavailable),
+        ),
+        ("restored", Update::Restored),
+        ("older copy", snapshot("/plan", "4")),
+        ("quiet", quiet()),
+        ("written again", put("7")),
+        ("quiet", quiet()),
+    ];
+    let mut states = Vec::new();
+    for (second, (name, update)) in (1..).zip(feeds) {
+        active_plan.apply(update, Duration::from_secs(second));
+        states.push(format!("{second} s, {name}: {:?}", *confirmed.borrow()));
+    }
+    active_plan.apply(quiet(), Duration::from_secs(3));
+    states.push(format!(
+        "answer to an earlier call: {:?}",
+        *confirmed.borrow()
+    ));
+    insta::assert_debug_snapshot!(states);
+}
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -18,7 +18,7 @@
 use super::{Result, serve};
 use crate::{
     clock::Shared,
-    customer::{Customer, Key},
+    customer::{Customer, Freshness, Key},
     dispatch::{Choose, IsSilent, MayRetry},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
@@ -77,6 +77,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// The active plan; `None` until the first one is received.
     pub plan: watch::Receiver<Option<Arc<Plan>>>,
+    /// Whether the plan was confirmed recently enough for requests with a key.
+    pub freshness: Freshness,
     /// Whether at least one endpoint is known.
     pub endpoints: watch::Receiver<bool>,
     /// Follows whether the process stops.
@@ -110,12 +112,17 @@
         if self.shutdown.schedule().is_some() {
             return Err(Error::new(Kind::Leaving, "the process is stopping"));
         }
-        if self.plan.borrow().is_none() || !*self.endpoints.borrow() {
+        let confirmed = self.freshness.confirmed();
+        let plan = self.plan.borrow().clone();
+        if plan.is_none() || !*self.endpoints.borrow() {
             return Err(Error::new(
                 Kind::NotReady,
                 "no plan or no endpoint is known",
             ));
         }
+        if plan.is_some_and(|plan| plan.customers().is_some()) {
+            self.freshness.check(confirmed)?;
+        }
         Ok(())
     }
 }
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -84,13 +84,15 @@
     context: &Context,
     held: &mut Reservation,
 ) -> Result<(Call, Arc<Route>)> {
+    // Read before the plan: one that replaces the plan in between is confirmed, too.
+    let confirmed = context.config.freshness.confirmed();
     let plan: Option<Arc<Plan>> = context.config.plan.borrow().clone();
     let plan = plan.ok_or_else(|| Error::new(Kind::NotReady, "no plan is known yet"))?;
     let host = request.headers().get(HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = plan.find(host, request.path()).cloned();
     let route = route.ok_or_else(|| Error::new(Kind::NotFound, "there is no such route"))?;
-    let customer = authenticate(request, &plan, &route, context)?;
+    let customer = authenticate(request, &plan, &route, confirmed, context)?;
     let limits = plan.limits();
     check_head(request.headers(), limits.head)?;
     let arrived = context.ports.clock.now();
@@ -107,17 +109,24 @@
     Ok((call, route))
 }
 
-/// Finds the customer that sends a request, if the plan has customers.
+/// Finds the customer that sends a request, if the plan has customers. While the plan is not confirmed, any
+/// key may have been removed or added: it is refused, or ignored on a public route.
 fn authenticate(
     request: &HttpRequest,
     plan: &Plan,
     route: &Route,
+    confirmed: Option<Duration>,
     context: &Context,
 ) -> Result<Option<Arc<Customer>>> {
     let Some(customers) = plan.customers() else {
         return Ok(None);
     };
     let key = context.config.protocol.key(request);
+    let key = match context.config.freshness.check(confirmed) {
+        Ok(()) => key,
+        Err(error) if key.is_some() && !route.public => return Err(error),
+        Err(_) => None,
+    };
     let customer = customers.authenticate(key.as_ref(), route.public)?;
     Ok(customer.cloned())
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -501,7 +501,7 @@
             path("/servers/"),
             Duration::ZERO,
             clock::System::shared(),
-            Box::new(move |update| drop(sender.send(update))),
+            Box::new(move |update, _sent| drop(sender.send(update))),
         );
         let mut seen = Vec::new();
         while seen.len() < 4 {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -62,6 +62,9 @@
     pub stop_delay: Duration,
     /// Time from the stop signal until the process is killed; 8 s by default.
     pub grace: Duration,
+    /// Time after which no request may run with a key that was removed from the plan. With it, requests
+    /// with a key are refused while the plan is not confirmed for four fifths of this time.
+    pub key_revocation: Option<Duration>,
     /// Memory that the process may use; 160 MiB by default.
     pub memory: Bytes,
     /// Least severe level that is logged; `info` by default.
@@ -88,11 +91,15 @@
     }
 
     /// Time in which the store is followed again after the open connections to it have gone silent: the
-    /// setting, or the part of the drain notice if that is shorter.
+    /// setting, or the part of the drain notice or of the revocation time if that is shorter. A confirmation
+    /// of the plan is up to two waits of a watch call old, each of which is shorter than the recovery, and
+    /// has to be renewed within four fifths of the revocation time.
     #[must_use]
     pub fn store_recovery(&self) -> Duration {
+        let confirmation = self.key_revocation.map_or(Duration::MAX, |time| time / 2);
         self.store_recovery
             .min(self.drain_budget().store_recovery())
+            .min(confirmation)
     }
 
     /// Reads and validates a settings file.
@@ -126,6 +133,7 @@
             "drain_notice",
             "stop_delay",
             "grace",
+            "key_revocation",
             "memory",
             "log",
         ];
@@ -168,6 +176,9 @@
             ParsedDuration(GRACE_DEFAULT),
             Reader::text,
         );
+        let key_revocation = r.optional(&fields, "key_revocation", None, |r, value| {
+            r.text(value).map(|ParsedDuration(time)| Some(time))
+        });
         let memory = r.optional(&fields, "memory", MEMORY_DEFAULT, Reader::text);
         let log = r.optional(&fields, "log", Level::Info, log_level);
         Some(Self {
@@ -182,6 +193,7 @@
             drain_notice: drain_notice?.0,
             stop_delay: stop_delay?.0,
             grace: grace?.0,
+            key_revocation: key_revocation?,
             memory: memory?,
             log: log?,
         })
--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -331,7 +331,8 @@
     /// Reads all keys that start with `prefix`.
     fn range(&self, prefix: Path) -> Future<'_, Range>;
 
-    /// Watches all keys that start with `prefix` for changes at position `from` or later.
+    /// Watches all keys that start with `prefix` for changes at position `from` or later. If the store
+    /// answers calls instead of sending events by itself, each call is sent when the stream is polled.
     fn watch(&self, prefix: Path, from: Position) -> Future<'_, Events>;
 }
 
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -88,14 +88,19 @@
         ("{{heartbeatMs}}", "1200"),
         ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
+        ("{{bounds.revokeMs}}", "5000"),
     ];
     let text = values
         .iter()
         .fold(template.to_owned(), |text, (placeholder, value)| {
             text.replace(placeholder, value)
         });
-    insta::assert_debug_snapshot!(mulberrymill::settings::Gateway::parse(
-        "gateway.jsonc",
-        &text
-    ));
+    let (start, end) = ("{{#bounds.revokeStrict}}", "{{/bounds.revokeStrict}}");
+    let strict = text.replace(start, "").replace(end, "");
+    let (before, section) = text.split_once(start).expect("a section");
+    let (_, after) = section.split_once(end).expect("the end of the section");
+    let parse = |text: &str| mulberrymill::settings::Gateway::parse("gateway.jsonc", text);
+    insta::assert_debug_snapshot!(parse(&format!("{before}{after}")));
+    let strict = parse(&strict).map(|settings| settings.key_revocation);
+    insta::assert_debug_snapshot!(strict);
 }
