Place requests of customers by what becomes late

Cause: with customers, all kinds of request share a rank, and on a fleet with separate stages a long prompt at a decode engine stretches the pauses of all streams there beyond what callers accept.

Change: for requests with a customer, the cost of a placement counts the request itself if its forecast misses the target, and the streams that long prefills delay, by the share of exposed streams that were late so far. Forecasts gain the mean error by stage and size. Gateways exchange digests every 30 ms instead of 100. A connection to an endpoint is given up after 200 ms.

--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Demand, Need,
+    lateness::Lateness,
     member::Member,
     peer_load::{PeerLoad, PeerLoads},
 };
@@ -107,6 +108,10 @@
     pub(super) fetches: bool,
     /// Expected time until the endpoint answers; zero for a plain service.
     pub(super) forecast: Duration,
+    /// The forecast without what is learned of the errors of forecasts.
+    pub(super) bare_forecast: Duration,
+    /// Whether the prefills there delay streams that run beside them.
+    pub(super) delays_streams: bool,
 }
 
 /// An endpoint that may be selected, and what the peers do there.
@@ -129,6 +134,7 @@
     /// Time to prefill a token at a prefill engine, in seconds.
     prefill_seconds: f64,
     pause_pressure: f64,
+    lateness: Option<Lateness>,
     preferred_zone: &'a Zone,
     home: Option<&'a Endpoint>,
     now: Instant,
@@ -148,7 +154,12 @@
         let pause_pressure = model.pause_pressure(&demand.service, now);
         let delays = requests_per_decode_engine(candidates) * pause_pressure;
         let decode_slowdown = seconds(Some(Stage::Decode)) / prefill_seconds * (1.0 + delays);
-        let decode_weight = home_weight(decode_slowdown);
+        let lateness = Lateness::new(model, demand, now);
+        let decode_weight = if lateness.is_none_or(|lateness| lateness.allows_decode_homes()) {
+            home_weight(decode_slowdown)
+        } else {
+            0.0
+        };
         let prefills =
             |candidate: &Candidate<'_>| candidate.member.instance.stage != Some(Stage::Decode);
         let any_prefills = candidates.iter().any(prefills);
@@ -167,6 +178,7 @@
             model,
             prefill_seconds,
             pause_pressure,
+            lateness,
             preferred_zone,
             home,
             now,
@@ -192,6 +204,8 @@
                 tokens_ahead: Tokens::ZERO,
                 fetches: false,
                 forecast: Duration::ZERO,
+                bare_forecast: Duration::ZERO,
+                delays_streams: false,
             };
         }
         let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
@@ -217,31 +231,67 @@
             Some(Stage::Prefill) => KV_TRANSFER.as_secs_f64(),
             Some(Stage::Decode) | None => 0.0,
         };
-        // Every stream that runs at the engine is delayed by the prefill.
-        let delayed_streams = match instance.stage {
-            Some(Stage::Prefill) => 0.0,
-            Some(Stage::Decode) | None => own * requests * self.pause_pressure,
-        };
         let zone = if is_remote {
             REMOTE_ZONE
         } else {
             Duration::ZERO
         };
-        let forecast = wait + own + fetch + transfer;
+        let bare_forecast = Duration::from_secs_f64(wait + own + fetch + transfer);
+        let excess = match self.lateness {
+            Some(_) => self.model.excess(instance, prefill, self.now),
+            None => Duration::ZERO,
+        };
+        let forecast = bare_forecast + excess;
+        let all_queued = as_f64(urgent.saturating_add(less_urgent))
+            + candidate.peers.urgent_tokens
+            + candidate.peers.less_urgent_tokens;
+        let work = Work {
+            queued: Duration::from_secs_f64(all_queued * seconds),
+            own: Duration::from_secs_f64(own),
+        };
         Placement {
-            cost: forecast
-                + delayed_streams
+            cost: forecast.as_secs_f64()
+                + self.harm(instance.stage, requests, work, forecast)
                 + eviction
                 + requests * REQUEST_OVERHEAD.as_secs_f64()
                 + zone.as_secs_f64(),
             prefill,
             tokens_ahead: Tokens::new(round(queued)) + prefill,
             fetches,
-            forecast: Duration::from_secs_f64(forecast),
+            forecast,
+            bare_forecast,
+            delays_streams: instance.stage == Some(Stage::Decode)
+                && self
+                    .lateness
+                    .is_some_and(|lateness| lateness.delays_streams(work.queued + work.own)),
+        }
+    }
+
+    /// What a placement costs the request itself and the streams that run at the engine, beyond the time
+    /// until the request is answered, in seconds.
+    fn harm(&self, stage: Option<Stage>, requests: f64, work: Work, forecast: Duration) -> f64 {
+        match (self.lateness, stage) {
+            (None, Some(Stage::Prefill)) => 0.0,
+            // Every stream that runs at the engine is delayed by the prefill.
+            (None, _) => work.own.as_secs_f64() * requests * self.pause_pressure,
+            (Some(lateness), Some(Stage::Prefill)) => lateness.of_request(forecast).as_secs_f64(),
+            (Some(lateness), _) => {
+                let streams = lateness.of_streams(requests, work.queued, work.own);
+                (lateness.of_request(forecast) + streams).as_secs_f64()
+            }
         }
     }
 }
 
+/// Time that an engine spends on prefills.
+#[derive(Clone, Copy)]
+struct Work {
+    /// For requests that were placed there before.
+    queued: Duration,
+    /// For the request that is placed.
+    own: Duration,
+}
+
 /// Mean number of requests in flight at a decode engine; 0 without one.
 fn requests_per_decode_engine(candidates: &[Candidate<'_>]) -> f64 {
     let engines = candidates
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -148,6 +148,9 @@
         });
         member.in_flight += 1;
         member.backlog.add(demand.rank, prefill);
+        if placement.delays_streams {
+            member.crowded_at = Some(now);
+        }
         Ok(Choice {
             instance: Arc::clone(&member.instance),
             rank: demand.rank,
@@ -155,6 +158,7 @@
             tokens_ahead: placement.tokens_ahead,
             fetch_from,
             forecast: placement.forecast,
+            bare_forecast: placement.bare_forecast,
             selected_at: now,
             own_requests: member.in_flight,
             peer_requests: peer_load(&self.peer_loads, member, demand.rank, now).requests,
@@ -231,10 +235,12 @@
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
             member.backlog.subtract(progress.rank, progress.prompt);
             member.last_answer = Some(now);
-            if let Some((tokens, selected_at)) = progress.prefill {
+            if let Some((tokens, selected_at, expected)) = progress.prefill {
                 let elapsed = now.saturating_duration_since(selected_at);
                 let seen = Observation { tokens, elapsed };
                 self.model.record_prefill(&member.instance, seen, now);
+                self.model
+                    .record_excess(&member.instance, expected, elapsed, now);
             }
             if let Some(load) = progress.load {
                 member.report = Some(Report {
@@ -270,6 +276,10 @@
                 pace.break_off(now);
             }
             self.model.record_pace(&service, pace, now);
+            let exposed = member.crowded_at.zip(pace.started_at());
+            if exposed.is_some_and(|(crowded_at, started_at)| crowded_at >= started_at) {
+                self.model.record_exposed(&service, pace, now);
+            }
         }
         match finish.ending {
             Ending::Served => {
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -36,6 +36,8 @@
     pub(super) backoff_until: Option<Instant>,
     /// When it last began to answer a request.
     pub(super) last_answer: Option<Instant>,
+    /// When this process last added a prefill to a backlog that delays the streams there.
+    pub(super) crowded_at: Option<Instant>,
     /// What is known of the endpoint, also for requests that are on their way to it.
     evidence: watch::Sender<Evidence>,
 }
@@ -62,6 +64,7 @@
             failures: 0,
             backoff_until: None,
             last_answer: None,
+            crowded_at: None,
             evidence: watch::Sender::new(Evidence { listing, closure }),
         }
     }
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -11,7 +11,7 @@
 use crate::{
     directory::Instance,
     error::Result,
-    forecast::Pace,
+    forecast::{Expectation, Pace},
     id::{self, Endpoint, PromptPart, Service, Zone},
     link::Session,
     notice::Notice,
@@ -52,6 +52,9 @@
     pub affinity: Option<u64>,
     /// Time until the deadline of the request.
     pub remaining: Duration,
+    /// Time in which an answer is still in time, zero if it is late already. `None` if placements are
+    /// compared by time alone.
+    pub target: Option<Duration>,
     /// Endpoints to exclude, because they have failed or rejected this request.
     pub excluded: Vec<Endpoint>,
     /// Zone that holds the KV cache, preferred over the zone of the process.
@@ -84,6 +87,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Expected time until the endpoint answers; zero for a plain service.
     pub forecast: Duration,
+    /// The forecast without what is learned of the errors of forecasts.
+    pub bare_forecast: Duration,
     /// When the endpoint was selected.
     pub selected_at: Instant,
     /// Requests of this process in flight there, including this one.
@@ -122,9 +127,9 @@
     pub prompt: Tokens,
     /// Load that the endpoint sent with the answer, if any.
     pub load: Option<Load>,
-    /// Prompt tokens that were ahead of a successful answer, and when the endpoint was selected;
-    /// `None` for an answer that says nothing about the speed of the endpoint.
-    pub prefill: Option<(Tokens, Instant)>,
+    /// Prompt tokens that were ahead of a successful answer, when the endpoint was selected, and what
+    /// was expected then; `None` for an answer that says nothing about the speed of the endpoint.
+    pub prefill: Option<(Tokens, Instant, Expectation)>,
 }
 
 /// How a request ended at an endpoint.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod failure;
 mod imp;
+mod lateness;
 mod member;
 mod message;
 mod peer_load;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -45,6 +45,7 @@
         shared_parts: Arc::default(),
         affinity,
         remaining: Duration::from_mins(1),
+        target: None,
         excluded: Vec::new(),
         preferred_zone: None,
     }
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -6,7 +6,12 @@
 use actix::Recipient;
 
 use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Progress};
-use crate::{clock::Shared, forecast::Pace, id::PromptPart, unit::Tokens};
+use crate::{
+    clock::Shared,
+    forecast::{Expectation, Pace},
+    id::PromptPart,
+    unit::Tokens,
+};
 
 /// Where a [`Ticket`] and its [`Permit`]s report to.
 #[derive(Clone, Debug)]
@@ -66,12 +71,20 @@
     /// how fast the endpoint is; a rejection may come without any work.
     pub fn record_first_response(&mut self, load: Option<Load>, succeeded: bool) {
         let prompt = std::mem::replace(&mut self.pending_prefill, Tokens::ZERO);
+        let expected = Expectation {
+            own: self.choice.prefill_tokens,
+            forecast: self.choice.bare_forecast,
+        };
         self.reports.progress.do_send(Progress {
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
             prompt,
             load,
-            prefill: succeeded.then_some((self.choice.tokens_ahead, self.choice.selected_at)),
+            prefill: succeeded.then_some((
+                self.choice.tokens_ahead,
+                self.choice.selected_at,
+                expected,
+            )),
         });
     }
 
--- a/src/forecast/imp.rs
+++ b/src/forecast/imp.rs
@@ -36,6 +36,18 @@
 /// Half-life of observed pauses, about the duration of a stream.
 const PRESSURE_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Share of late streams beside long prefills that is assumed without observations.
+const LATE_SHARE_PRIOR: f64 = 0.5;
+/// Number of streams after which observations outweigh the assumed share.
+const LATE_SHARE_PRIOR_STREAMS: f64 = 20.0;
+/// Half-life of observed streams beside long prefills. It outlasts several bursts: placement avoids what
+/// would be observed.
+const LATE_SHARE_HALF_LIFE: Duration = Duration::from_secs(20);
+/// Number of answers after which their delay beyond the forecast is half believed.
+const EXCESS_PRIOR_ANSWERS: f64 = 10.0;
+/// Bounds of the delay of one answer beyond its forecast, in seconds.
+const EXCESS_RANGE: (f64, f64) = (-1.0, 2.0);
+
 /// The time that an engine took to begin its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Observation {
@@ -45,6 +57,15 @@
     pub elapsed: Duration,
 }
 
+/// How an answer compares with its forecast.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expectation {
+    /// Prompt tokens to prefill of the request itself.
+    pub own: Tokens,
+    /// Expected time to the answer, without [`Model::excess`].
+    pub forecast: Duration,
+}
+
 /// Estimates of engine performance, without I/O or a clock of its own.
 ///
 /// An estimate without observations equals its prior, and returns to it when observations cease.
@@ -56,6 +77,12 @@
     engines: BTreeMap<Endpoint, Average>,
     /// Squared relative pauses over pauses.
     pauses: BTreeMap<Service, Average>,
+    /// Late streams over streams, of those that ran beside a long prefill.
+    late_streams: BTreeMap<Service, Average>,
+    /// Longest pause that the callers of the last stream accepted.
+    pause_targets: BTreeMap<Service, Duration>,
+    /// Seconds beyond the forecast over answers, by the order of magnitude of the prefill.
+    excesses: BTreeMap<(Service, Option<Stage>, u32), Average>,
 }
 
 impl Model {
@@ -89,9 +116,36 @@
             pauses
                 .or_insert_with(|| Average::new(PRESSURE_HALF_LIFE, now))
                 .add(pace.squares(), f64::from(pace.pauses()), now);
+            self.pause_targets.insert(service.clone(), pace.target());
+        }
+    }
+
+    /// Records whether a stream was late that ran beside a long prefill.
+    pub fn record_exposed(&mut self, service: &Service, pace: Pace, now: Instant) {
+        if pace.pauses() > 0 {
+            let streams = self.late_streams.entry(service.clone());
+            streams
+                .or_insert_with(|| Average::new(LATE_SHARE_HALF_LIFE, now))
+                .add(f64::from(u8::from(pace.is_late())), 1.0, now);
         }
     }
 
+    /// Records by how much an answer was later than its forecast.
+    pub fn record_excess(
+        &mut self,
+        instance: &Instance,
+        expected: Expectation,
+        elapsed: Duration,
+        now: Instant,
+    ) {
+        let seconds = elapsed.as_secs_f64() - expected.forecast.as_secs_f64();
+        let (least, most) = EXCESS_RANGE;
+        let excesses = self.excesses.entry(excess_key(instance, expected.own));
+        excesses
+            .or_insert_with(|| Average::new(RATE_HALF_LIFE, now))
+            .add(seconds.clamp(least, most), 1.0, now);
+    }
+
     /// Prompt tokens per second that the engines of a stage prefill, their waiting requests
     /// included.
     #[must_use]
@@ -119,6 +173,31 @@
         pressure.min(PRESSURE_MAX)
     }
 
+    /// Share, from 0 to 1, of the streams beside long prefills that are late.
+    #[must_use]
+    pub fn late_share(&self, service: &Service, now: Instant) -> f64 {
+        let seen = self.late_streams.get(service);
+        seen.map_or(LATE_SHARE_PRIOR, |seen| {
+            seen.ratio(LATE_SHARE_PRIOR, LATE_SHARE_PRIOR_STREAMS, now)
+        })
+    }
+
+    /// Longest pause that callers of a service accept; `None` before its first stream.
+    #[must_use]
+    pub fn pause_target(&self, service: &Service) -> Option<Duration> {
+        self.pause_targets.get(service).copied()
+    }
+
+    /// Time by which answers of engines of this stage come later than forecast, for requests of about this
+    /// size. It covers work of peers that is not known yet, which delays a short prompt by many times its own
+    /// work where long ones are prefilled.
+    #[must_use]
+    pub fn excess(&self, instance: &Instance, own: Tokens, now: Instant) -> Duration {
+        let seen = self.excesses.get(&excess_key(instance, own));
+        let seconds = seen.map_or(0.0, |seen| seen.ratio(0.0, EXCESS_PRIOR_ANSWERS, now));
+        Duration::from_secs_f64(seconds.max(0.0))
+    }
+
     /// Removes the engines for which `known` returns false.
     pub fn retain(&mut self, known: impl Fn(&Endpoint) -> bool) {
         self.engines.retain(|endpoint, _| known(endpoint));
@@ -137,6 +216,12 @@
     }
 }
 
+/// Groups answers by service, stage and order of magnitude of the prefill (powers of four).
+fn excess_key(instance: &Instance, own: Tokens) -> (Service, Option<Stage>, u32) {
+    let magnitude = (u64::BITS - own.get().leading_zeros()) / 2;
+    (instance.service.clone(), instance.stage, magnitude)
+}
+
 fn bounded(estimate: f64, prior: f64) -> f64 {
     estimate.clamp(prior / RATE_RANGE, prior * RATE_RANGE)
 }
--- a/src/forecast/mod.rs
+++ b/src/forecast/mod.rs
@@ -39,5 +39,5 @@
 mod tests;
 
 pub(crate) use average::Average;
-pub use imp::{Model, Observation};
+pub use imp::{Expectation, Model, Observation};
 pub use pace::Pace;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -660,6 +660,7 @@
             shared_parts: Arc::clone(&self.call.shared_parts),
             affinity: generation.and_then(|generation| generation.affinity),
             remaining: self.remaining(),
+            target: self.target(),
             excluded: self.excluded.clone(),
             preferred_zone,
         };
@@ -688,6 +689,14 @@
             })
     }
 
+    /// Time in which an answer is still in time. Customers have ranks of their own, so the rank of a request
+    /// does not tell an urgent kind from others, and its target has to.
+    fn target(&self) -> Option<Duration> {
+        self.call.customer.as_ref()?;
+        let late_at = self.call.arrived + self.route.latency_target;
+        Some(late_at.saturating_duration_since(self.ports.clock.now()))
+    }
+
     fn new_attempt(
         &mut self,
         ticket: &Ticket,
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -14,6 +14,7 @@
     ingress::{self, Protocol},
     link::{self, Identity},
     peers::{self, Presence},
+    route::Plan,
     settings, shutdown,
     store::{Path, Reader, Store},
 };
@@ -155,7 +156,7 @@
         listen: settings.listen,
         readiness: settings.readiness,
         protocol: adapter.protocol,
-        plan,
+        plan: plan.clone(),
         endpoints,
         shutdown: shutdown_watch,
         choose: dispatcher.clone().recipient(),
@@ -179,6 +180,7 @@
                 &adapter.gateways_store,
                 &adapter.gateways_prefix,
                 &dispatcher,
+                plan.clone(),
                 &clock,
             );
             (Some(links), Some(follow))
@@ -211,6 +213,7 @@
     store: &Rc<dyn Store>,
     gateways: &Path,
     dispatcher: &Addr<Dispatcher>,
+    plan: watch::Receiver<Option<Arc<Plan>>>,
     clock: &Shared,
 ) -> (PeerLinks, AbortHandle) {
     let entry = gateways.join(&settings.process);
@@ -226,7 +229,7 @@
         // Gateways read the plan from the store and never exchange it, so no revision is announced.
         revision: watch::Sender::new(Revision::default()).subscribe(),
     };
-    let config = peers::Config::new(identity, Arc::clone(clock), dispatcher.into());
+    let config = peers::Config::new(identity, Arc::clone(clock), dispatcher.into(), plan);
     let (mesh, listener) = peers::spawn(config, port);
     let follow = directory::follow(
         Rc::clone(store) as Rc<dyn Reader>,
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -10,6 +10,8 @@
     WrapFuture,
 };
 
+use tokio::sync::watch;
+
 use super::Roster;
 use crate::{
     clock::Shared,
@@ -17,6 +19,7 @@
     dispatch::{Dispatcher, PeerCoverage, PeerDigest, PeerDisconnected, TakeDigest},
     id::{Endpoint, Process},
     link::{self, Identity, Outbox, Peer, Session},
+    route::Plan,
     unit::as_f64,
     wire::{Digest, Frame, Usage},
 };
@@ -24,6 +27,9 @@
 /// Interval at which changes are sent. A prompt of a thousand tokens takes an engine about 12 ms,
 /// so a longer interval hides most of the work; a shorter one costs a wake-up per peer each time.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while requests are placed by their latency target. A prompt of 12,000 tokens that peers do not
+/// know of yet makes a short one late that they place behind it.
+const TARGETED_DIGEST_INTERVAL: Duration = Duration::from_millis(30);
 /// Time without changes after which an empty digest is sent. Links that are silent for three
 /// seconds are closed.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -58,16 +64,33 @@
     identity: Identity,
     clock: Shared,
     recipients: Recipients,
+    plan: watch::Receiver<Option<Arc<Plan>>>,
 }
 
 impl Config {
-    /// Parameters of a mesh for the process that `identity` names.
+    /// Parameters of a mesh for the process that `identity` names. Digests are sent more often while the
+    /// plan has customers, whose requests are placed by their latency target.
     #[must_use]
-    pub const fn new(identity: Identity, clock: Shared, recipients: Recipients) -> Self {
+    pub const fn new(
+        identity: Identity,
+        clock: Shared,
+        recipients: Recipients,
+        plan: watch::Receiver<Option<Arc<Plan>>>,
+    ) -> Self {
         Self {
             identity,
             clock,
             recipients,
+            plan,
+        }
+    }
+
+    fn digest_interval(&self) -> Duration {
+        let plan = self.plan.borrow();
+        if plan.as_ref().is_some_and(|plan| plan.customers().is_some()) {
+            TARGETED_DIGEST_INTERVAL
+        } else {
+            DIGEST_INTERVAL
         }
     }
 }
@@ -213,11 +236,11 @@
     }
 }
 
-impl Actor for Mesh {
-    type Context = Context<Self>;
-
-    fn started(&mut self, ctx: &mut Context<Self>) {
-        ctx.run_interval(DIGEST_INTERVAL, |mesh, ctx| {
+impl Mesh {
+    /// Sends a digest after each interval.
+    fn schedule_digest(&self, ctx: &mut Context<Self>) {
+        ctx.run_later(self.config.digest_interval(), |mesh, ctx| {
+            mesh.schedule_digest(ctx);
             if mesh.links.is_empty() {
                 return;
             }
@@ -238,6 +261,14 @@
     }
 }
 
+impl Actor for Mesh {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        self.schedule_digest(ctx);
+    }
+}
+
 /// Snapshot or changes of the gateways' entries in the store.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -201,7 +201,12 @@
     let loopback = "127.0.0.1:0".parse().expect("an address");
     let port = BoundListener::bind(loopback).await.expect("a free port");
     let (mesh, listener) = spawn(
-        Config::new(identity, clock, Recipients::from(&dispatcher)),
+        Config::new(
+            identity,
+            clock,
+            Recipients::from(&dispatcher),
+            watch::Sender::new(None).subscribe(),
+        ),
         port,
     );
     Gateway {
@@ -224,6 +229,7 @@
             shared_parts: Arc::default(),
             affinity: None,
             remaining: Duration::from_mins(1),
+            target: None,
             excluded: Vec::new(),
             preferred_zone: None,
         };
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -34,7 +34,7 @@
 
 /// Timeout of opening a connection. TCP retransmits a lost SYN only after one second, by which time
 /// another endpoint is the better choice.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which an idle connection is closed, below the idle timeout of common servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Value of `TCP_USER_TIMEOUT`: the connection is closed if sent bytes are not acknowledged for
