Make the times of the authority parameters

Cause: the duties of gateways need a lease of three seconds; the entry's is nine. After a restore of the store, which hands out revisions again, the check for increasing fencing numbers also failed, and the delayed deletion of a key could meet the key of another process.

Change: authority::Timing, whose defaults are the entry's times as before. Fencing numbers are compared within an era, a permit states its era, and no key is deleted in another era.

--- a/src/authority/imp.rs
+++ b/src/authority/imp.rs
@@ -10,22 +10,16 @@
 use tokio::time;
 
 use super::{
-    Changed, Result, Term,
+    Changed, Result, Term, Timing,
     key::{self, Creation},
-    term::{LEASE_TTL, RENEWAL_INTERVAL},
 };
 use crate::{
     clock,
     id::{Fence, Group, Incarnation, Process},
     invariant::{self, Invariant},
-    store::{Item, Lease, Store},
+    store::{Era, Item, Lease, Store},
 };
 
-/// Mean interval between reads of the group keys. Polling needs one read per interval, and no
-/// pending watch per process.
-const POLL_INTERVAL: Duration = Duration::from_secs(3);
-/// Delay before a failed renewal is retried.
-const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Upper bound of the random delay before a process acquires a group, times the number of groups
 /// that it then holds. A process with fewer groups tends to acquire a free one first.
 const ACQUIRE_DELAY_PER_GROUP: Duration = Duration::from_millis(100);
@@ -44,6 +38,8 @@
     pub store: Rc<dyn Store>,
     /// Clock by which permits and terms expire.
     pub clock: clock::Shared,
+    /// Times of the lease, of its renewals and of the polls.
+    pub timing: Timing,
 }
 
 /// A running holder.
@@ -61,8 +57,9 @@
     pub(super) term: Option<Term>,
     /// Expiry of the last permit for each group. The key of a group is not deleted before.
     pub(super) permit_expiry: BTreeMap<Group, Instant>,
-    /// Highest fencing number with which this process has held or deleted the key of each group.
-    highest: BTreeMap<Group, Fence>,
+    /// Highest fencing number with which this process has held or deleted the key of each group, and
+    /// its era. After a restore, the store hands out revisions again.
+    highest: BTreeMap<Group, (Era, Fence)>,
     pub(super) subscribers: Vec<Recipient<Changed>>,
     acquiring: bool,
     renewing: bool,
@@ -158,20 +155,26 @@
                     // The answer may have arrived after the renewed term expired.
                     holder.expire();
                     holder.schedule_expiry(ctx);
-                    Self::schedule_renewal(RENEWAL_INTERVAL, ctx);
+                    Self::schedule_renewal(holder.config.timing.renewal_interval(), ctx);
                 }
                 (Some(_), Ok(false)) => {
                     holder.end_term();
                     holder.renewing = false;
                 }
-                (_, Err(_)) => Self::schedule_renewal(RENEWAL_RETRY_DELAY, ctx),
+                (_, Err(_)) => {
+                    Self::schedule_renewal(holder.config.timing.renewal_retry_delay(), ctx);
+                }
                 (None, Ok(_)) => Self::schedule_renewal(Duration::ZERO, ctx),
             }
         }));
     }
 
     fn poll(&mut self, ctx: &mut Context<Self>) {
-        let interval = POLL_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
+        let interval = self
+            .config
+            .timing
+            .poll_interval()
+            .mul_f64(self.rng.random_range(0.8..1.2));
         ctx.run_later(interval, Self::poll);
         self.acquire_missing(ctx);
     }
@@ -216,15 +219,16 @@
     fn resolve_own_key(&mut self, group: &Group, item: &Item, ctx: &mut Context<Self>) {
         let Some(term) = &self.term else { return };
         let fence = Fence::new(item.created.get());
+        let numbered = (term.lease().era(), fence);
         if term.groups().contains_key(group) || !key::is_own(&self.config, term.lease(), item) {
             return;
         }
         // A transaction in flight may still delete a key that this process has released.
-        let fresh = self.highest.get(group).is_none_or(|old| *old < fence);
+        let fresh = self.highest.get(group).is_none_or(|old| *old < numbered);
         if fresh && self.wanted.contains(group) {
             self.gain(group, fence);
         } else {
-            self.delete(group, fence, ctx);
+            self.delete(group, numbered, ctx);
         }
     }
 
@@ -232,10 +236,11 @@
         self.expire();
         let Some(term) = &mut self.term else { return };
         term.add_group(group.clone(), fence);
-        let highest = self.highest.insert(group.clone(), fence);
+        let numbered = (term.lease().era(), fence);
+        let highest = self.highest.insert(group.clone(), numbered);
         invariant::check(
             Invariant::Authority,
-            highest.is_none_or(|old| old < fence),
+            highest.is_none_or(|old| old < numbered),
             || format!("fencing number {fence} of group {group} is not above {highest:?}"),
         );
         let gained = vec![(group.clone(), fence)];
@@ -268,7 +273,7 @@
         let call = async move {
             let (lease, granted) = match lease {
                 Some(lease) => (lease, false),
-                None => (config.store.grant(LEASE_TTL).await?, true),
+                None => (config.store.grant(config.timing.lease_ttl()).await?, true),
             };
             Ok((lease, granted, key::create(&config, &name, lease).await))
         };
@@ -289,7 +294,9 @@
                     {
                         holder.gain(&group, fence);
                     }
-                    Ok(Creation::Created(fence)) => holder.delete(&group, fence, ctx),
+                    Ok(Creation::Created(fence)) => {
+                        holder.delete(&group, (lease.era(), fence), ctx);
+                    }
                     Ok(Creation::Exists(item)) => holder.resolve_own_key(&group, &item, ctx),
                     // If the transaction took effect, the next poll finds the key.
                     Err(_) => {
@@ -303,7 +310,7 @@
     }
 
     fn begin_term(&mut self, lease: Lease, sent: Instant, ctx: &mut Context<Self>) {
-        let term = Term::new(lease, sent);
+        let term = Term::new(lease, sent).with_timing(self.config.timing);
         if self.term.is_some() || !term.is_valid(self.config.clock.now()) {
             return;
         }
@@ -311,30 +318,38 @@
         self.schedule_expiry(ctx);
         if !self.renewing {
             self.renewing = true;
-            Self::schedule_renewal(RENEWAL_INTERVAL, ctx);
+            Self::schedule_renewal(self.config.timing.renewal_interval(), ctx);
         }
     }
 
     pub(super) fn release(&mut self, group: &Group, ctx: &mut Context<Self>) {
-        let fence = self.term.as_mut().and_then(|term| term.remove_group(group));
-        if let Some(fence) = fence {
+        let removed = self.term.as_mut().and_then(|term| {
+            let fence = term.remove_group(group)?;
+            Some((term.lease().era(), fence))
+        });
+        if let Some(numbered) = removed {
             let (gained, lost) = (Vec::new(), vec![group.clone()]);
             self.notify_subscribers(&Changed { gained, lost });
-            self.delete(group, fence, ctx);
+            self.delete(group, numbered, ctx);
         }
     }
 
     /// Deletes the key of a group that is not held, after its last permit has expired. If this
     /// fails, a later poll finds the key again, or the key expires with the lease.
-    fn delete(&mut self, group: &Group, fence: Fence, ctx: &mut Context<Self>) {
+    fn delete(&mut self, group: &Group, numbered: (Era, Fence), ctx: &mut Context<Self>) {
         let highest = self.highest.entry(group.clone()).or_default();
-        *highest = fence.max(*highest);
+        *highest = numbered.max(*highest);
+        let (era, fence) = numbered;
         let store = Rc::clone(&self.config.store);
         let group = group.clone();
         let expiry = self.permit_expiry.get(&group).copied();
         let delay = expiry.map(|expires_at| expires_at - self.config.clock.now());
         let call = async move {
             time::sleep(delay.unwrap_or_default()).await;
+            // In another era, the key of another process may have been created at this revision.
+            if store.era().borrow().is_some_and(|current| current != era) {
+                return Ok(());
+            }
             key::delete(&*store, &group, fence).await
         };
         ctx.spawn(call.into_actor(self).map(|_result, _holder, _ctx| ()));
--- a/src/authority/mod.rs
+++ b/src/authority/mod.rs
@@ -17,6 +17,6 @@
 pub use imp::{Config, Handle, Holder};
 pub use key::{GroupHolder, holders};
 pub use message::{Changed, GetHeldGroups, GetPermit, ReleaseAll, SetGroups, Subscribe};
-pub use term::{Permit, Term};
+pub use term::{Permit, Term, Timing};
 
 pub use crate::error::Result;
--- a/src/authority/term.rs
+++ b/src/authority/term.rs
@@ -8,21 +8,85 @@
     error::{Error, Kind},
     id::{Fence, Group},
     invariant::{self, Invariant},
-    store::Lease,
+    store::{Era, Lease},
 };
 
-/// Time to live of the lease in the store.
-pub(super) const LEASE_TTL: Duration = Duration::from_secs(9);
-/// Time after which a holder stops, counted from when it sent the last renewal that was answered:
-/// two thirds of [`LEASE_TTL`]. The remaining third covers clocks that run at different rates.
-pub(super) const HOLD_TIMEOUT: Duration = Duration::from_secs(6);
-/// Interval between renewals. One renewal may fail before the holder stops.
-pub(super) const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
+/// Default time to live of the lease in the store.
+const LEASE_TTL_DEFAULT: Duration = Duration::from_secs(9);
+/// Upper bound of the delay before a failed renewal is retried.
+const RENEWAL_RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
+/// Delay before a failed renewal is retried, as a fraction of the time to live.
+const RENEWAL_RETRY_DIVISOR: u32 = 12;
+
+/// The times of a holder. They follow from the time to live of its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    lease_ttl: Duration,
+    poll_interval: Duration,
+}
+
+impl Timing {
+    /// Times for a lease with this time to live.
+    #[must_use]
+    pub fn new(lease_ttl: Duration) -> Self {
+        Self {
+            lease_ttl,
+            poll_interval: lease_ttl / 3,
+        }
+    }
+
+    /// Sets the mean interval between reads of the group keys; a third of the time to live by
+    /// default. A longer one costs fewer calls, and a lapsed lease is noticed later.
+    #[must_use]
+    pub const fn with_poll_interval(mut self, interval: Duration) -> Self {
+        self.poll_interval = interval;
+        self
+    }
+
+    /// Time to live of the lease in the store; 9 s by default.
+    #[must_use]
+    pub const fn lease_ttl(self) -> Duration {
+        self.lease_ttl
+    }
+
+    /// Time after which a holder stops, counted from when it sent the last renewal that was answered:
+    /// two thirds of the time to live. The remaining third covers clocks that run at different rates.
+    #[must_use]
+    pub fn hold_timeout(self) -> Duration {
+        self.lease_ttl * 2 / 3
+    }
+
+    /// Interval between renewals. One renewal may fail before the holder stops.
+    #[must_use]
+    pub fn renewal_interval(self) -> Duration {
+        self.lease_ttl / 3
+    }
+
+    /// Delay before a failed renewal is retried.
+    #[must_use]
+    pub fn renewal_retry_delay(self) -> Duration {
+        (self.lease_ttl / RENEWAL_RETRY_DIVISOR).min(RENEWAL_RETRY_DELAY_MAX)
+    }
+
+    /// Mean interval between reads of the group keys. Polling needs one read per interval, and no
+    /// pending watch per process.
+    #[must_use]
+    pub const fn poll_interval(self) -> Duration {
+        self.poll_interval
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self::new(LEASE_TTL_DEFAULT)
+    }
+}
 
 /// A lease of this process and the groups whose keys are attached to it.
 #[derive(Clone, Debug)]
 pub struct Term {
     lease: Lease,
+    timing: Timing,
     renewal_sent: Instant,
     fences: BTreeMap<Group, Fence>,
 }
@@ -33,11 +97,19 @@
     pub fn new(lease: Lease, sent: Instant) -> Self {
         Self {
             lease,
+            timing: Timing::default(),
             renewal_sent: sent,
             fences: BTreeMap::new(),
         }
     }
 
+    /// Sets the times of the holder.
+    #[must_use]
+    pub const fn with_timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
     /// Lease in the store.
     #[must_use]
     pub fn lease(&self) -> Lease {
@@ -53,7 +125,7 @@
     /// Time at which the holder stops, unless the lease is renewed before.
     #[must_use]
     pub fn expires_at(&self) -> Instant {
-        self.renewal_sent + HOLD_TIMEOUT
+        self.renewal_sent + self.timing.hold_timeout()
     }
 
     /// Whether the term has not expired at `now`.
@@ -85,6 +157,8 @@
         Some(Permit {
             group: group.clone(),
             fence: *fence,
+            era: self.lease.era(),
+            timing: self.timing,
             renewal_sent: self.renewal_sent,
         })
     }
@@ -95,6 +169,8 @@
 pub struct Permit {
     group: Group,
     fence: Fence,
+    era: Era,
+    timing: Timing,
     renewal_sent: Instant,
 }
 
@@ -105,10 +181,17 @@
         &self.group
     }
 
+    /// Era of the store in which the lease was granted. Fencing numbers are comparable only within
+    /// an era.
+    #[must_use]
+    pub const fn era(&self) -> Era {
+        self.era
+    }
+
     /// Time at which the permit expires.
     #[must_use]
     pub fn expires_at(&self) -> Instant {
-        self.renewal_sent + HOLD_TIMEOUT
+        self.renewal_sent + self.timing.hold_timeout()
     }
 
     /// Fencing number for an order that is sent at `now`. To be called directly before sending,
@@ -124,7 +207,7 @@
         }
         invariant::check(
             Invariant::Authority,
-            now < self.renewal_sent + LEASE_TTL,
+            now < self.renewal_sent + self.timing.lease_ttl(),
             || format!("order to group {} after its lease", self.group),
         );
         Ok(self.fence)
--- a/src/authority/tests.rs
+++ b/src/authority/tests.rs
@@ -70,6 +70,7 @@
         incarnation: Incarnation::random(&mut StdRng::seed_from_u64(seed)),
         store: Rc::new(store.clone()),
         clock: System::shared(),
+        timing: Timing::default(),
     })
 }
 
@@ -378,3 +379,31 @@
         insta::assert_debug_snapshot!(writes);
     });
 }
+
+/// Guards against a holder that competes no more after a restore of the store, in which the
+/// revisions that its fencing numbers come from are handed out again, and against times that do not
+/// follow from the lease.
+#[test]
+fn authority_returns_after_a_restore() {
+    with_paused_time(async {
+        let store = Memory::new(System::shared());
+        let backup = store.back_up();
+        let timing = Timing::new(Duration::from_secs(3));
+        let holders = [Holder::spawn(Config {
+            process: "entry-1".parse().expect("valid name"),
+            incarnation: Incarnation::random(&mut StdRng::seed_from_u64(1)),
+            store: Rc::new(store.client()),
+            clock: System::shared(),
+            timing,
+        })];
+        holders[0].address.do_send(groups(1));
+        time::sleep(Duration::from_secs(2)).await;
+        let mut seen = vec![held(&holders[0]).await];
+        store.restore(backup);
+        time::sleep(Duration::from_secs(5)).await;
+        seen.push(held(&holders[0]).await);
+        let permit = holders[0].address.send(GetPermit(groups(1).0.remove(0)));
+        let era = permit.await.expect("running").map(|permit| permit.era());
+        insta::assert_debug_snapshot!((seen, era, timing.hold_timeout()));
+    });
+}
--- a/src/entry/imp.rs
+++ b/src/entry/imp.rs
@@ -152,6 +152,7 @@
         incarnation,
         store: Rc::clone(store),
         clock: Arc::clone(clock),
+        timing: authority::Timing::default(),
     });
     let authority = authority.address;
     let hosts = settings
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -43,6 +43,7 @@
         incarnation: Incarnation::random(&mut StdRng::seed_from_u64(1)),
         store: Rc::clone(&shared),
         clock: System::shared(),
+        timing: authority::Timing::default(),
     });
     let console = spawn(Config {
         process,
--- a/src/reconcile/tests/actor.rs
+++ b/src/reconcile/tests/actor.rs
@@ -101,6 +101,7 @@
         incarnation: Incarnation::random(&mut StdRng::seed_from_u64(seed)),
         store: Rc::new(store.clone()),
         clock: System::shared(),
+        timing: authority::Timing::default(),
     });
     let authority = authority.address;
     authority.do_send(authority::SetGroups(vec![group("allergen")]));
