Add duties: calls to the platform's API by one gateway at a time

Where the API checks no such number, a former holder must not act again for a while.

Change: slice duty with the fencing token (era above revision), the schedule of a holder, the actor that checks its term each time before a call makes progress, and the trait of the API, which platform::Cloud implements.

--- a/src/clock/imp.rs
+++ b/src/clock/imp.rs
@@ -42,6 +42,43 @@
     }
 }
 
+/// A clock that counts the time for which the host was suspended, in which the monotonic clock of the
+/// system stops. Its times are comparable only with its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Boot {
+    start: Instant,
+    booted: Duration,
+}
+
+impl Boot {
+    /// Creates the clock as a shared trait object.
+    #[must_use]
+    pub fn shared() -> Shared {
+        Arc::new(Self {
+            start: Instant::now(),
+            booted: since_boot(),
+        })
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Instant {
+        self.start + since_boot().saturating_sub(self.booted)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// Time since the host was booted, including suspension.
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// A clock that advances only by [`Manual::advance`]. Clones share the same time.
 #[derive(Clone, Debug)]
 pub struct Manual {
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -14,4 +14,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use imp::{Clock, Manual, Shared, System};
+pub use imp::{Boot, Clock, Manual, Shared, System};
--- a/src/clock/tests.rs
+++ b/src/clock/tests.rs
@@ -10,3 +10,16 @@
     tokio::time::advance(Duration::from_hours(1)).await;
     assert_eq!(System.now() - start, Duration::from_hours(1));
 }
+
+/// Guards against a clock for terms that stands still or goes back.
+#[test]
+fn boot_clock_advances() {
+    let clock = Boot::shared();
+    let start = clock.now();
+    let mut last = start;
+    while last == start {
+        let now = clock.now();
+        assert!(now >= last);
+        last = now;
+    }
+}
--- a/src/id/imp.rs
+++ b/src/id/imp.rs
@@ -186,6 +186,10 @@
     /// A fencing number. Later holders of the lease have higher numbers.
     Fence, "fencing number"
 );
+number_id!(
+    /// A window of usage reports: its number is the Unix time of its start divided by its length.
+    Window, "usage window"
+);
 number_id!(
     /// A revision of the configuration document. Newer ones are higher; 0 means no document.
     Revision, "revision"
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -19,7 +19,8 @@
 
 pub use imp::{
     Attempt, Call, Caller, Class, Edit, Editor, Endpoint, Error, Fence, Group, Host, Incarnation,
-    Key, Model, Operation, Order, Process, PromptPart, Request, Revision, Route, Service, Zone,
+    Key, Model, Operation, Order, Process, PromptPart, Request, Revision, Route, Service, Window,
+    Zone,
 };
 
 /// Result of parsing an identifier.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod config;
 pub mod directory;
 pub mod dispatch;
+pub mod duty;
 pub mod edit;
 pub mod entry;
 pub mod error;
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Names of the registered gateways.
+    pub fn processes(&self) -> impl Iterator<Item = &Process> {
+        self.addresses.keys()
+    }
+
     /// Number of registered gateways other than `own`.
     #[must_use]
     pub fn count_others(&self, own: &Process) -> usize {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! Field and header names of the platform appear only here. They are decoded once into the types of
 //! the other modules; where the platform's name is unclear, the receiving field is documented.
 
+mod cloud;
 mod codec;
 mod connections;
 mod engine;
@@ -16,6 +17,7 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
+pub use cloud::Cloud;
 pub use codec::Codec;
 pub use engine::EndpointClient;
 pub use ingress::Protocol;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -55,6 +55,13 @@
 /// Location of the KV cache of a request, as `address/handle`.
 pub(super) const KV_SOURCE: &str = "kv-source";
 
+/// Path of usage reports at the platform's API.
+pub(super) const DUTY_USAGE: &str = "/usage";
+/// Host that holds the duties, in calls to the platform's API.
+pub(super) const DUTY_HOLDER: &str = "duty-holder";
+/// Number that increases when the holder of the duties changes.
+pub(super) const FENCING_TOKEN: &str = "fencing-token";
+
 /// Headers that only this system may set; they are dropped from requests of callers.
 pub(super) const SYSTEM_HEADERS: [&str; 10] = [
     EXPECT_INSTANCE,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -21,6 +21,7 @@
 use super::*;
 use crate::{
     directory::{self, Codec as _},
+    duty,
     error::Executed,
     ingress::Protocol as _,
     store::{Item, Path, Position, Reader as _, Store as _, Txn, Write},
@@ -607,3 +608,40 @@
     });
     insta::assert_debug_snapshot!(notices);
 }
+
+/// Guards against a call to the platform's API whose path, body or headers are not those of the
+/// platform, and against a refused token that looks like another failure.
+#[actix_rt::test]
+async fn duty_calls_have_the_platforms_format() {
+    let mut seen = Vec::new();
+    for status in ["200 OK", "409 Conflict", "429 Too Many Requests"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let cloud = Cloud::new(address, "edge-1".parse().expect("a valid name"));
+        let served = task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = Vec::new();
+            while !request.ends_with(b"}") || !request.windows(8).any(|part| part == b"windowId") {
+                assert!(stream.read_buf(&mut request).await.expect("readable") > 0);
+            }
+            let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes()).await.expect("writable");
+            request
+        });
+        let counts = [("hule930", 412), ("fida11", 11)]
+            .map(|(name, count)| (name.parse().expect("a valid name"), count));
+        let call = duty::Call::Usage {
+            window: crate::id::Window::new(353_445_120),
+            counts: Arc::new(counts.into()),
+        };
+        let token = "8192".parse().expect("a token");
+        let answer = duty::Api::send(&cloud, token, &call).await;
+        let request = String::from_utf8(served.await.expect("served")).expect("text");
+        let request = request.replace(&address.to_string(), "ADDRESS");
+        let lines = request.lines().filter(|line| !line.starts_with("date:"));
+        let mut lines: Vec<&str> = lines.collect();
+        lines.sort_unstable();
+        seen.push((answer, lines.join("\n")));
+    }
+    insta::assert_debug_snapshot!(seen);
+}
--- a/src/subset/imp.rs
+++ b/src/subset/imp.rs
@@ -5,7 +5,7 @@
 
 use sha2::{Digest, Sha256};
 
-use crate::id::{Endpoint, Process, Zone};
+use crate::id::{Endpoint, Group, Process, Zone};
 
 /// Maximum number of endpoints of a pool to which an entry keeps links. Smaller pools are linked
 /// in full.
@@ -55,6 +55,21 @@
     chosen
 }
 
+/// Selects at most `max` processes for a duty: those with the highest scores (rendezvous hashing). All
+/// processes that know the same pool select the same ones.
+#[must_use]
+pub fn rendezvous<'a>(
+    duty: &Group,
+    pool: impl Iterator<Item = &'a Process>,
+    max: usize,
+) -> BTreeSet<Process> {
+    let ranked: BTreeSet<_> = pool
+        .map(|process| (Reverse(score(process, duty)), process))
+        .collect();
+    let chosen = ranked.into_iter().take(max);
+    chosen.map(|(_score, process)| process.clone()).collect()
+}
+
 /// Score of a name for an entry. It must be the same in every version of the program, so it does
 /// not use the hasher of the standard library, which may change between versions.
 fn score(entry: &Process, name: &impl std::fmt::Display) -> u64 {
--- a/src/subset/mod.rs
+++ b/src/subset/mod.rs
@@ -21,4 +21,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use imp::{LINKS_MAX, Member, choose};
+pub use imp::{LINKS_MAX, Member, choose, rendezvous};
