Count requests by customer and report them per window

Change: slice usage; digests carry running counts and the time; forward reports the begin of a request once; an optional object duties in the settings switches both on, and the template renders it if the platform has the API. Without it nothing changes. Requests have no customer yet: forward::begin::customer_of is the place to fill in.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -328,6 +328,8 @@
             prompt_tokens_to_prefill: member.backlog.iter().collect(),
         });
         Digest {
+            begun: Vec::new(),
+            time: None,
             usages: usages.collect(),
             failed: std::mem::take(&mut self.unreported_failures)
                 .into_iter()
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -13,6 +13,7 @@
 use super::{
     Attempt, Call, EndpointResponse, EventId, Execution, KvCache, Response, Result, SendError,
     Step, Upstream,
+    begin::Begin,
     record::{RequestLog, log_endpoint_ended},
     stream,
 };
@@ -26,6 +27,7 @@
     route::Route,
     shutdown,
     unit::Tokens,
+    usage::RequestBegun,
 };
 
 /// Connections that fail without being refused after which a request fails.
@@ -74,6 +76,8 @@
     pub shutdown: shutdown::Watch,
     /// Time source of deadlines and latencies.
     pub clock: Shared,
+    /// Counts the requests of customers that begin to run; `None` if this is not asked for.
+    pub begun: Option<Recipient<RequestBegun>>,
 }
 
 /// Forwards a request as its route allows, and returns once the head of the response is known.
@@ -88,7 +92,9 @@
     };
     let timeout = call.timeout.unwrap_or(route.timeout).min(route.timeout);
     let log = RequestLog::new(&call, route.name.clone(), Arc::clone(&ports.clock));
+    let begin = Begin::new(&call, ports.begun.clone());
     let mut exchange = Exchange {
+        begin,
         deadline: call.arrived + timeout,
         call: Rc::new(call),
         route,
@@ -174,6 +180,8 @@
     pub(super) ports: Ports,
     pub(super) log: RequestLog,
     service: Service,
+    /// Reports when the request begins to run.
+    begin: Begin,
     excluded: Vec<Endpoint>,
     /// Where attempts were sent to; two endpoints can be listed with one address for a while.
     addresses: Vec<SocketAddr>,
@@ -324,12 +332,21 @@
         self.log.sent(ticket.choice(), what);
         self.sends += 1;
         let attempt = self.new_attempt(&ticket, step, resume_after);
+        let is_generation = self.call.generation.is_some();
+        if !is_generation {
+            self.begin.sent(self.ports.clock.now());
+        }
         let limit = self.attempt_timeout();
         let outcome = self.send_and_wait(&ticket, attempt, limit).await;
         let id = ticket.choice().instance.id.clone();
         let decision = match outcome {
             Wait::Ended(Ok(response)) => {
                 ticket.record_first_response(response.load, response.status < 300);
+                if response.execution != Execution::MayHaveRun {
+                    self.begin.not_run();
+                } else if !is_generation || response.status < 300 {
+                    self.begin.began(self.ports.clock.now());
+                }
                 match self.classify(&response).await? {
                     None => {
                         let accepted = Accepted { response, ticket };
@@ -342,18 +359,21 @@
                 }
             }
             Wait::Ended(Err(error @ SendError::Withheld)) => {
+                self.begin.not_run();
                 self.log.retried(&error.to_string());
                 self.sends -= 1;
                 return Ok(Sent::Retry);
             }
             Wait::Ended(Err(SendError::Refused(detail))) => {
                 ticket.end(Ending::Down);
+                self.begin.not_run();
                 self.sends -= 1;
                 // Each endpoint is tried once, and a refusal takes one round trip.
                 self.after_unsent(&detail)
             }
             Wait::Ended(Err(SendError::NotSent(detail))) => {
                 ticket.end(Ending::Lost);
+                self.begin.not_run();
                 self.sends -= 1;
                 self.failed_connections += 1;
                 self.after_unsent(&detail)
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! A stream that breaks is resumed at another endpoint after its last complete event if the route
 //! allows that.
 
+mod begin;
 mod event;
 mod exchange;
 mod imp;
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -17,7 +17,7 @@
 use proptest::prelude::*;
 use tokio::time;
 
-use super::*;
+use super::{begin::Begin, *};
 use crate::{
     clock::{Clock, Manual, System},
     directory::{Instance, Stage},
@@ -243,6 +243,7 @@
         upstream: Rc::clone(script) as Rc<dyn Upstream>,
         shutdown: shutdown::Watch::default(),
         clock: System::shared(),
+        begun: None,
     };
     Rig { dispatcher, ports }
 }
@@ -908,3 +909,51 @@
         .map(|kind| outcomes(&cases, &route(kind, 2), &[None, None], Some(100)));
     insta::assert_debug_snapshot!(outcomes);
 }
+
+/// Records the requests that are counted.
+#[derive(Default)]
+struct Counter(Rc<RefCell<Vec<Instant>>>);
+
+impl actix::Actor for Counter {
+    type Context = actix::Context<Self>;
+}
+
+impl actix::Handler<crate::usage::RequestBegun> for Counter {
+    type Result = ();
+
+    fn handle(&mut self, msg: crate::usage::RequestBegun, _: &mut actix::Context<Self>) {
+        self.0.borrow_mut().push(msg.at);
+    }
+}
+
+/// Guards against a request that is counted twice, as of its answer instead of its send, not at all
+/// because its caller left, or although it has not run.
+#[test]
+fn request_is_counted_once_when_it_begins() {
+    with_paused_time(async {
+        let seen = Rc::default();
+        let counter = actix::Actor::start(Counter(Rc::clone(&seen)));
+        let customer = Some("hule930".parse().expect("a valid name"));
+        let begin = || Begin::for_customer(customer.clone(), Some(counter.clone().recipient()));
+        let start = System.now();
+        let at = |millis| start + Duration::from_millis(millis);
+        let mut plain = begin();
+        plain.sent(at(1));
+        plain.began(at(50));
+        plain.began(at(90));
+        drop(plain);
+        let mut generation = begin();
+        generation.began(at(200));
+        generation.began(at(201));
+        let mut abandoned = begin();
+        abandoned.sent(at(300));
+        drop(abandoned);
+        let mut rejected = begin();
+        rejected.sent(at(400));
+        rejected.not_run();
+        drop(rejected);
+        time::sleep(Duration::from_millis(1)).await;
+        let seen: Vec<Duration> = seen.borrow().iter().map(|at| *at - start).collect();
+        insta::assert_debug_snapshot!(seen);
+    });
+}
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -1,27 +1,33 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use actix::Addr;
+use actix::{Addr, Recipient};
 use rand::Rng;
 use tokio::{sync::watch, task::AbortHandle, time};
 
 use super::{ActivePlan, Result};
 use crate::{
+    authority,
     clock::{self, Shared},
     directory::{self, Codec, Directory, Update},
     dispatch::{self, Dispatcher, ListConfirmed, SetInstances},
+    duty::{self, Duties, Release},
     entry::recorder,
-    id::{Incarnation, Revision},
+    error::{Error, Kind},
+    id::{Group, Incarnation, Process, Revision},
     ingress::{self, Protocol},
     link::{self, Identity},
     peers::{self, Presence},
     settings, shutdown,
     store::{Path, Reader, Store},
+    usage::{self, Reporter, RequestBegun},
 };
 
 /// Delay after each batch of changes of the plan or of the list of gateways.
 const BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which endpoints are removed whose grace period has ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Name of the lease of the duties.
+const DUTIES_GROUP: &str = "duties";
 /// Delay of a timer from which on a line is logged.
 const TIMER_DELAY_MIN: Duration = Duration::from_millis(250);
 
@@ -43,6 +49,10 @@
     pub codec: Arc<dyn Codec>,
     /// Decodes requests of callers and opens clients of the endpoints.
     pub protocol: Arc<dyn Protocol>,
+    /// Prefix of what the duties keep in the store.
+    pub duties_prefix: Path,
+    /// Opens a client of the API at an address, for the process that is named.
+    pub open_api: fn(SocketAddr, &Process) -> Box<dyn duty::Api>,
 }
 
 /// A running gateway process.
@@ -55,6 +65,7 @@
     clock: Shared,
     tasks: Vec<AbortHandle>,
     links: Option<PeerLinks>,
+    duties: Option<Addr<Duties>>,
 }
 
 impl Gateway {
@@ -82,6 +93,13 @@
             .links
             .map(|links| (links.presence, links.listener))
             .unzip();
+        let duties = self.duties;
+        // The lease is revoked only once its last permit has expired.
+        let release = async {
+            if let Some(duties) = duties {
+                let _ = duties.send(Release).await;
+            }
+        };
         let withdraw = async {
             if let Some(presence) = presence {
                 presence.deregister().await;
@@ -93,6 +111,7 @@
             self.server.stop(exit_at).await;
         };
         // A slow store must not delay the end.
+        let withdraw = futures_util::future::join(withdraw, release);
         let withdraw = time::timeout_at(exit_at.into(), withdraw);
         let _ = futures_util::future::join(withdraw, serve).await;
         for task in &self.tasks {
@@ -120,6 +139,13 @@
     let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone());
     let dispatcher = dispatch::spawn(config.seed(rand::rng().random()));
 
+    let incarnation = Incarnation::random(&mut rand::rng());
+    let duties = settings
+        .duties
+        .as_ref()
+        .map(|duties| start_duties(duties, &settings.process, incarnation, &adapter, &clock))
+        .transpose()?;
+
     let mut active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
     let plan = active_plan.subscribe();
     let follow_plan = directory::follow(
@@ -163,6 +189,7 @@
         is_silent: dispatcher.clone().recipient(),
         clock: Arc::clone(&clock),
         body_buffers: settings.body_buffers(),
+        begun: duties.as_ref().and_then(DutyActors::begun),
         metrics: metrics.clone(),
     })?;
     // The follower has not run yet, as nothing has been awaited since it was started.
@@ -175,10 +202,12 @@
             let port = link::BoundListener::bind(address).await?;
             let (links, follow) = join_peers(
                 settings,
+                incarnation,
                 port,
                 &adapter.gateways_store,
                 &adapter.gateways_prefix,
                 &dispatcher,
+                duties.as_ref(),
                 &clock,
             );
             (Some(links), Some(follow))
@@ -200,6 +229,84 @@
         clock,
         tasks,
         links,
+        duties: duties.map(|actors| actors.duties),
+    })
+}
+
+/// The actors that make the calls to the platform's API.
+#[derive(Clone, Debug)]
+struct DutyActors {
+    duties: Addr<Duties>,
+    usage: Option<Addr<Reporter>>,
+}
+
+impl DutyActors {
+    /// Counts requests that begin to run.
+    fn begun(&self) -> Option<Recipient<RequestBegun>> {
+        let usage = self.usage.clone();
+        usage.map(Addr::recipient)
+    }
+
+    fn gateways_changed(&self, update: &Update) {
+        self.duties.do_send(peers::GatewaysChanged(update.clone()));
+        if let Some(usage) = &self.usage {
+            usage.do_send(peers::GatewaysChanged(update.clone()));
+        }
+    }
+}
+
+/// Starts to compete for the duties and to count requests.
+fn start_duties(
+    duties: &settings::Duties,
+    process: &Process,
+    incarnation: Incarnation,
+    adapter: &Adapter,
+    clock: &Shared,
+) -> Result<DutyActors> {
+    let store = &adapter.gateways_store;
+    let boot = clock::Boot::shared();
+    let timing = authority::Timing::new(duties.lease).with_poll_interval(duties.lease);
+    let authority = authority::Holder::spawn(authority::Config {
+        process: process.clone(),
+        incarnation,
+        store: Rc::clone(store),
+        clock: Arc::clone(&boot),
+        timing,
+    });
+    let actor = duty::spawn(duty::Config {
+        process: process.clone(),
+        authority: authority.address,
+        group: duties_group()?,
+        api: (adapter.open_api)(duties.address, process),
+        clock: Arc::clone(&boot),
+        lease: duties.lease,
+        tokens_checked: duties.tokens_checked,
+        call_interval: duties.call_interval,
+        era: store.era(),
+    });
+    let usage = duties.usage.map(|spec| {
+        usage::spawn(usage::Config {
+            process: process.clone(),
+            incarnation,
+            spec,
+            get_term: actor.clone().recipient(),
+            perform: actor.clone().recipient(),
+            store: Rc::clone(store),
+            root: adapter.duties_prefix.clone(),
+            monotonic: Arc::clone(clock),
+            clock: boot,
+        })
+    });
+    Ok(DutyActors {
+        duties: actor,
+        usage,
+    })
+}
+
+fn duties_group() -> Result<Group> {
+    let group = DUTIES_GROUP.parse();
+    group.map_err(|error: crate::id::Error| {
+        Error::new(Kind::Internal, "invalid name of a lease").with_source(error)
     })
 }
 
@@ -207,10 +314,12 @@
 /// their entries in the store.
 fn join_peers(
     settings: &settings::Gateway,
+    incarnation: Incarnation,
     port: link::BoundListener,
     store: &Rc<dyn Store>,
     gateways: &Path,
     dispatcher: &Addr<Dispatcher>,
+    duties: Option<&DutyActors>,
     clock: &Shared,
 ) -> (PeerLinks, AbortHandle) {
     let entry = gateways.join(&settings.process);
@@ -221,19 +330,29 @@
     );
     let identity = Identity {
         process: settings.process.clone(),
-        incarnation: Incarnation::random(&mut rand::rng()),
+        incarnation,
         zone: settings.zone.clone(),
         // Gateways read the plan from the store and never exchange it, so no revision is announced.
         revision: watch::Sender::new(Revision::default()).subscribe(),
     };
-    let config = peers::Config::new(identity, Arc::clone(clock), dispatcher.into());
+    let usage = duties.and_then(|actors| actors.usage.clone());
+    let recipients = peers::Recipients::from(dispatcher).with_usage(usage);
+    let config = peers::Config::new(identity, Arc::clone(clock), recipients);
     let (mesh, listener) = peers::spawn(config, port);
     let follow = directory::follow(
         Rc::clone(store) as Rc<dyn Reader>,
         gateways.clone(),
         BATCH_DELAY,
         Arc::clone(clock),
-        Box::new(move |update| mesh.do_send(peers::GatewaysChanged(update))),
+        Box::new({
+            let duties = duties.cloned();
+            move |update| {
+                if let Some(actors) = &duties {
+                    actors.gateways_changed(&update);
+                }
+                mesh.do_send(peers::GatewaysChanged(update));
+            }
+        }),
     );
     (PeerLinks { presence, listener }, follow)
 }
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -25,6 +25,7 @@
     memory::Pool,
     route::Plan,
     shutdown, unit,
+    usage::RequestBegun,
 };
 
 /// Time within which the head of a request must arrive.
@@ -84,6 +85,8 @@
     pub clock: Shared,
     /// Bytes of callers' bodies that are held until their requests have ended.
     pub body_buffers: unit::Bytes,
+    /// Counts the requests of customers that begin to run; `None` if this is not asked for.
+    pub begun: Option<Recipient<RequestBegun>>,
     /// Renders the metrics of this process.
     pub metrics: PrometheusHandle,
 }
@@ -209,6 +212,7 @@
         upstream: config.protocol.upstream(),
         shutdown: config.shutdown.clone(),
         clock: Arc::clone(&config.clock),
+        begun: config.begun.clone(),
     };
     Context {
         config: config.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -109,6 +109,7 @@
 pub mod subset;
 pub mod unit;
 pub mod upstream;
+pub mod usage;
 pub mod wire;
 pub mod work;
 
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -18,6 +18,7 @@
     id::{Endpoint, Process},
     link::{self, Identity, Outbox, Peer, Session},
     unit::as_f64,
+    usage::{Counts, PeerCounts, Reporter, TakeCounts},
     wire::{Digest, Frame, Usage},
 };
 
@@ -39,6 +40,17 @@
     pub disconnected: Recipient<PeerDisconnected>,
     /// Notified when the number of linked or registered peers may have changed.
     pub coverage: Recipient<PeerCoverage>,
+    /// Counts requests by customer; `None` if this is not asked for.
+    pub usage: Option<Addr<Reporter>>,
+}
+
+impl Recipients {
+    /// Sets the actor that counts requests by customer.
+    #[must_use]
+    pub fn with_usage(mut self, usage: Option<Addr<Reporter>>) -> Self {
+        self.usage = usage;
+        self
+    }
 }
 
 impl From<&Addr<Dispatcher>> for Recipients {
@@ -48,6 +60,7 @@
             digest: dispatcher.clone().recipient(),
             disconnected: dispatcher.clone().recipient(),
             coverage: dispatcher.clone().recipient(),
+            usage: None,
         }
     }
 }
@@ -82,6 +95,8 @@
     /// Usage in the last digest, for each endpoint with work in progress.
     last_sent: BTreeMap<Endpoint, Usage>,
     last_sent_at: Option<Instant>,
+    /// Whether all counts were asked for with the digest that is sent next.
+    counts_for_new_links: bool,
 }
 
 #[derive(Debug)]
@@ -90,6 +105,8 @@
     outbox: Outbox,
     /// Whether the first digest, which contains all usages, was sent.
     has_snapshot: bool,
+    /// Whether all counts of requests were sent.
+    has_counts: bool,
 }
 
 /// Starts a mesh and accepts links on `port`. Dropping the listener closes the accepted links.
@@ -104,6 +121,7 @@
         links: BTreeMap::new(),
         last_sent: BTreeMap::new(),
         last_sent_at: None,
+        counts_for_new_links: false,
     }
     .start();
     let sink = Rc::new(FrameSink {
@@ -161,13 +179,18 @@
     }
 
     /// Sends the changes since the last digest, or all usages over a new link.
-    fn send_digest(&mut self, digest: Digest) {
+    fn send_digest(&mut self, digest: Digest, counts: Option<Counts>) {
         let now = self.config.clock.now();
         let Digest {
             usages,
             failed,
             parts,
+            ..
         } = digest;
+        let time = counts.as_ref().map(|counts| counts.time);
+        let (changed_counts, all_counts) = counts
+            .map(|counts| (counts.changes, counts.all))
+            .unwrap_or_default();
         let current: BTreeMap<Endpoint, Usage> = usages
             .into_iter()
             .map(|usage| (usage.endpoint.clone(), usage))
@@ -189,7 +212,11 @@
         let heartbeat_due = self
             .last_sent_at
             .is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= HEARTBEAT_INTERVAL);
-        let due = heartbeat_due || !changes.is_empty() || !failed.is_empty() || !parts.is_empty();
+        let due = heartbeat_due
+            || !changes.is_empty()
+            || !failed.is_empty()
+            || !parts.is_empty()
+            || !changed_counts.is_empty();
         for link in self.links.values_mut() {
             let first = !std::mem::replace(&mut link.has_snapshot, true);
             if !first && !due {
@@ -200,10 +227,20 @@
             } else {
                 changes.clone()
             };
+            // A link that was opened after the counts were asked for gets them with the next digest.
+            let first_counts = !link.has_counts && self.counts_for_new_links;
+            link.has_counts |= first_counts;
+            let begun = if first_counts {
+                all_counts.clone()
+            } else {
+                changed_counts.clone()
+            };
             link.outbox.send(Frame::Digest(Digest {
                 usages,
                 failed: failed.clone(),
                 parts: parts.clone(),
+                begun,
+                time,
             }));
         }
         if due {
@@ -227,10 +264,27 @@
                 .take_digest
                 .send(TakeDigest)
                 .into_actor(mesh);
-            let sent = digest.map(|digest: Result<_, MailboxError>, mesh, _| match digest {
-                Ok(digest) => mesh.send_digest(digest),
-                Err(error) => {
-                    log::debug!(error:% = error; "dispatcher has stopped; no digest is sent");
+            let sent = digest.then(|digest, mesh: &mut Self, _| {
+                mesh.counts_for_new_links = mesh.links.values().any(|link| !link.has_counts);
+                let take = TakeCounts {
+                    all: mesh.counts_for_new_links,
+                };
+                let usage = mesh.config.recipients.usage.clone();
+                let counts = async move {
+                    let counts = match usage {
+                        Some(usage) => usage.send(take).await.ok(),
+                        None => None,
+                    };
+                    (digest, counts)
+                };
+                counts.into_actor(mesh)
+            });
+            let sent = sent.map(|(digest, counts): (Result<_, MailboxError>, _), mesh, _| {
+                match digest {
+                    Ok(digest) => mesh.send_digest(digest, counts),
+                    Err(error) => {
+                        log::debug!(error:% = error; "dispatcher has stopped; no digest is sent");
+                    }
                 }
             });
             ctx.spawn(sent);
@@ -239,7 +293,7 @@
 }
 
 /// Snapshot or changes of the gateways' entries in the store.
-#[derive(Debug, Message)]
+#[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct GatewaysChanged(pub Update);
 
@@ -269,6 +323,7 @@
             process: msg.process,
             outbox: msg.outbox,
             has_snapshot: false,
+            has_counts: false,
         };
         self.links.insert(msg.session, link);
         self.report_links();
@@ -308,7 +363,16 @@
     }
 
     fn on_frame(&self, peer: &Peer, frame: Frame, _outbox: &Outbox) {
-        if let Frame::Digest(digest) = frame {
+        if let Frame::Digest(mut digest) = frame {
+            let begun = std::mem::take(&mut digest.begun);
+            if let (Some(usage), Some(time)) = (&self.recipients.usage, digest.time) {
+                usage.do_send(PeerCounts {
+                    process: peer.hello.process.clone(),
+                    incarnation: peer.hello.incarnation,
+                    begun,
+                    time,
+                });
+            }
             self.recipients.digest.do_send(PeerDigest {
                 session: peer.session,
                 digest,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -66,5 +66,7 @@
         plan_path: names::PLAN_KEY.parse()?,
         codec: Arc::new(Codec),
         protocol: Arc::new(Protocol::new(buffers)),
+        duties_prefix: names::DUTIES_PREFIX.parse()?,
+        open_api: |address, holder| Box::new(Cloud::new(address, holder.clone())),
     })
 }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -9,6 +9,8 @@
 pub(super) const ENDPOINTS_PREFIX: &str = "/servers/";
 /// Prefix of the entries with which gateways register.
 pub(super) const GATEWAYS_PREFIX: &str = "/gateways";
+/// Prefix of what the holder of the duties keeps.
+pub(super) const DUTIES_PREFIX: &str = "/duties";
 /// Key of the operator's configuration.
 pub(super) const PLAN_KEY: &str = "/op/config";
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use ::log::Level;
-use jsonc_parser::ast::Value;
+use jsonc_parser::{ast::Value, common::Ranged};
 
 use super::{
     Result,
@@ -12,6 +12,7 @@
     directory::Budget,
     id::{Process, Zone},
     unit::Bytes,
+    usage,
 };
 
 /// Default of the memory that a gateway may use.
@@ -30,6 +31,8 @@
 const STOP_DELAY_DEFAULT: Duration = Duration::from_millis(2_500);
 /// Default drain notice.
 const DRAIN_NOTICE_DEFAULT: Duration = Duration::from_secs(2);
+/// Kind of duty in the settings that switches usage reports on.
+const USAGE_KIND: &str = "usage";
 /// Default time from the stop signal until the process is killed.
 const GRACE_DEFAULT: Duration = Duration::from_secs(8);
 
@@ -64,10 +67,83 @@
     pub grace: Duration,
     /// Memory that the process may use; 160 MiB by default.
     pub memory: Bytes,
+    /// Calls to the platform's API that one gateway at a time makes; none by default.
+    pub duties: Option<Duties>,
     /// Least severe level that is logged; `info` by default.
     pub log: Level,
 }
 
+/// Settings of the calls to the platform's API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Duties {
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// Time to live of the lease of the gateway that makes the calls.
+    pub lease: Duration,
+    /// Whether the API refuses fencing tokens lower than one that it has seen.
+    pub tokens_checked: bool,
+    /// Shortest interval between calls.
+    pub call_interval: Duration,
+    /// Usage reports; `None` to send none.
+    pub usage: Option<usage::Spec>,
+}
+
+impl Duties {
+    fn read(r: &mut Reader, value: &Value<'_>) -> Option<Self> {
+        let known = [
+            "address",
+            "lease",
+            "tokens_checked",
+            "calls_per_s",
+            "kinds",
+            "usage",
+        ];
+        let fields = r.object(value, &known)?;
+        let address = r.field(&fields, "address", Reader::address);
+        let lease = r.field(&fields, "lease", Reader::text);
+        let tokens_checked = r.field(&fields, "tokens_checked", Reader::boolean);
+        let call_interval = r.field(&fields, "calls_per_s", |r, v| read_call_rate(r, v));
+        // Kinds that this version does not know are not made.
+        let kinds = r.field(&fields, "kinds", |r, v| r.list(v, Reader::text::<String>));
+        let usage = r.optional(&fields, "usage", None, |r, v| read_usage(r, v).map(Some));
+        let reports = kinds?.iter().any(|kind| kind == USAGE_KIND);
+        let ParsedDuration(lease) = lease?;
+        Some(Self {
+            address: address?,
+            lease,
+            tokens_checked: tokens_checked?,
+            call_interval: call_interval?,
+            usage: usage?.filter(|_| reports),
+        })
+    }
+}
+
+/// Reads a number of calls per second as the interval between them.
+fn read_call_rate(r: &mut Reader, value: &Value<'_>) -> Option<Duration> {
+    let rate = match value {
+        Value::NumberLit(number) => number.value.parse::<f64>().ok(),
+        _ => None,
+    };
+    let interval = rate.filter(|rate| *rate > 0.0);
+    let interval = interval.and_then(|rate| Duration::try_from_secs_f64(rate.recip()).ok());
+    if interval.is_none() {
+        r.fault(value.range(), "expected a number above zero");
+    }
+    interval
+}
+
+fn read_usage(r: &mut Reader, value: &Value<'_>) -> Option<usage::Spec> {
+    let fields = r.object(value, &["window", "lateness"])?;
+    let window = r.field(&fields, "window", Reader::text);
+    let lateness = r.field(&fields, "lateness", Reader::text);
+    let (ParsedDuration(window), ParsedDuration(lateness)) = (window?, lateness?);
+    if window.is_zero() {
+        r.fault(fields.range, "the window must be longer than zero");
+        return None;
+    }
+    Some(usage::Spec { window, lateness })
+}
+
 impl Gateway {
     /// Part of the memory for bodies of callers that are held until their requests have ended.
     #[must_use]
@@ -127,6 +203,7 @@
             "stop_delay",
             "grace",
             "memory",
+            "duties",
             "log",
         ];
         let fields = r.object(value, &known)?;
@@ -169,6 +246,9 @@
             Reader::text,
         );
         let memory = r.optional(&fields, "memory", MEMORY_DEFAULT, Reader::text);
+        let duties = r.optional(&fields, "duties", None, |r, value| {
+            Duties::read(r, value).map(Some)
+        });
         let log = r.optional(&fields, "log", Level::Info, log_level);
         Some(Self {
             process: process?,
@@ -183,6 +263,7 @@
             stop_delay: stop_delay?.0,
             grace: grace?.0,
             memory: memory?,
+            duties: duties?,
             log: log?,
         })
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use gateway::Gateway;
+pub use gateway::{Duties, Gateway};
 pub use imp::{Agent, Entry};
 
 /// Result of reading a settings file; the error lists all its faults.
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -6,7 +6,7 @@
     error::{Executed, Kind},
     id::{
         self, Attempt, Caller, Class, Endpoint, Fence, Group, Incarnation, Key, Model, Operation,
-        Process, PromptPart, Request, Revision, Service, Zone,
+        Process, PromptPart, Request, Revision, Service, Window, Zone,
     },
     unit::{Bytes, Share, Tokens},
 };
@@ -369,6 +369,37 @@
     /// What is new of parts of prompts that ran at endpoints when these ended.
     #[serde(default, skip_serializing_if = "PartReport::is_empty")]
     pub parts: PartReport,
+    /// Running counts of requests that have begun, as far as they changed; all of them in the first
+    /// digest of a link.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<Begun>,
+    /// The time of the gateway, if it counts requests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub time: Option<UsageTime>,
+}
+
+/// How many requests of a customer have begun to run at a gateway in a window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Begun {
+    /// The window.
+    pub window: Window,
+    /// The customer.
+    pub customer: Caller,
+    /// Requests so far.
+    pub count: u64,
+}
+
+/// The time of a gateway, and what it knows of usage reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UsageTime {
+    /// Unix time by its own clock, in milliseconds.
+    pub unix_ms: u64,
+    /// The first window to which it may still add requests.
+    pub open: Window,
+    /// The last window whose report was accepted.
+    pub reported: Option<Window>,
 }
 
 /// What a gateway knows of parts of prompts that ran at endpoints when these ended.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -89,6 +89,16 @@
                     age: Duration::from_millis(35),
                 }],
             },
+            begun: vec![Begun {
+                window: crate::id::Window::new(353_445_120),
+                customer: "hule930".parse().expect("valid name"),
+                count: 412,
+            }],
+            time: Some(UsageTime {
+                unix_ms: 1_767_225_600_500,
+                open: crate::id::Window::new(353_445_120),
+                reported: None,
+            }),
         });
         prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
     }
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -88,14 +88,28 @@
         ("{{heartbeatMs}}", "1200"),
         ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
+        ("{{cloud.address|json}}", "\"10.200.1.9:8150\""),
+        ("{{bounds.leaseMs}}", "3000"),
+        ("{{bounds.fencingEnforced|json}}", "false"),
+        ("{{cloud.dutyPerS|json}}", "50"),
+        ("{{cloud.duties|json}}", "[\"usage\",\"autoscale\"]"),
+        ("{{bounds.windowS}}", "5"),
+        ("{{bounds.usageLateS}}", "10"),
+        ("{{#bounds.windowS}}", ""),
+        ("{{/bounds.windowS}}", ""),
     ];
-    let text = values
-        .iter()
-        .fold(template.to_owned(), |text, (placeholder, value)| {
-            text.replace(placeholder, value)
-        });
-    insta::assert_debug_snapshot!(mulberrymill::settings::Gateway::parse(
-        "gateway.jsonc",
-        &text
-    ));
+    let fill = |template: &str| {
+        let text = values
+            .iter()
+            .fold(template.to_owned(), |text, (placeholder, value)| {
+                text.replace(placeholder, value)
+            });
+        mulberrymill::settings::Gateway::parse("gateway.jsonc", &text)
+    };
+    let (before, rest) = template
+        .split_once("{{#cloud.address}}")
+        .expect("a section");
+    let (section, after) = rest.split_once("{{/cloud.address}}").expect("its end");
+    insta::assert_debug_snapshot!(fill(&format!("{before}{after}")));
+    insta::assert_debug_snapshot!("with_cloud", fill(&format!("{before}{section}{after}")));
 }
