--- a/src/clock/imp.rs
+++ b/src/clock/imp.rs
@@ -48,12 +48,50 @@
     }
 
     fn since_boot(&self) -> Duration {
-        let time = clock_gettime(ClockId::Boottime);
-        // The kernel returns no negative times for this clock.
-        Duration::try_from(time).unwrap_or_default()
+        since_boot()
     }
 }
 
+/// A clock that counts the time for which the host was suspended, in which the monotonic clock of the
+/// system stops. Its times are comparable only with its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Boot {
+    start: Instant,
+    booted: Duration,
+}
+
+impl Boot {
+    /// Creates the clock as a shared trait object.
+    #[must_use]
+    pub fn shared() -> Shared {
+        Arc::new(Self {
+            start: Instant::now(),
+            booted: since_boot(),
+        })
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Instant {
+        self.start + since_boot().saturating_sub(self.booted)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+
+    fn since_boot(&self) -> Duration {
+        since_boot()
+    }
+}
+
+/// Time since the host was booted, including suspension.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    // The kernel returns no negative times for this clock.
+    Duration::try_from(time).unwrap_or_default()
+}
+
 /// A clock that advances only by [`Manual::advance`]. Clones share the same time.
 #[derive(Clone, Debug)]
 pub struct Manual {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod customer;
 pub mod directory;
 pub mod dispatch;
+pub mod duty;
 pub mod edit;
 pub mod entry;
 pub mod error;
@@ -109,6 +110,7 @@
 pub mod subset;
 pub mod unit;
 pub mod upstream;
+pub mod usage;
 pub mod wire;
 pub mod work;
 
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -89,18 +89,32 @@
         ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
         ("{{bounds.revokeMs}}", "5000"),
+        ("{{cloud.address|json}}", "\"10.200.1.9:8150\""),
+        ("{{bounds.leaseMs}}", "3000"),
+        ("{{bounds.fencingEnforced|json}}", "false"),
+        ("{{cloud.dutyPerS|json}}", "50"),
+        ("{{cloud.duties|json}}", "[\"usage\",\"autoscale\"]"),
+        ("{{bounds.windowS}}", "5"),
+        ("{{bounds.usageLateS}}", "10"),
     ];
-    let text = values
-        .iter()
-        .fold(template.to_owned(), |text, (placeholder, value)| {
-            text.replace(placeholder, value)
+    let parse = |sections: &[&str]| {
+        let text = values
+            .iter()
+            .fold(template.to_owned(), |text, (placeholder, value)| {
+                text.replace(placeholder, value)
+            });
+        let names = ["bounds.revokeStrict", "bounds.windowS", "cloud.address"];
+        let text = names.iter().fold(text, |text, name| {
+            let (start, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+            let (before, rest) = text.split_once(&start).expect("a section");
+            let (section, after) = rest.split_once(&end).expect("the end of the section");
+            let section = if sections.contains(name) { section } else { "" };
+            format!("{before}{section}{after}")
         });
-    let (start, end) = ("{{#bounds.revokeStrict}}", "{{/bounds.revokeStrict}}");
-    let strict = text.replace(start, "").replace(end, "");
-    let (before, section) = text.split_once(start).expect("a section");
-    let (_, after) = section.split_once(end).expect("the end of the section");
-    let parse = |text: &str| mulberrymill::settings::Gateway::parse("gateway.jsonc", text);
-    insta::assert_debug_snapshot!(parse(&format!("{before}{after}")));
-    let strict = parse(&strict).map(|settings| settings.key_revocation);
+        mulberrymill::settings::Gateway::parse("gateway.jsonc", &text)
+    };
+    insta::assert_debug_snapshot!(parse(&[]));
+    insta::assert_debug_snapshot!("with_cloud", parse(&["cloud.address", "bounds.windowS"]));
+    let strict = parse(&["bounds.revokeStrict"]).map(|settings| settings.key_revocation);
     insta::assert_debug_snapshot!(strict);
 }
