Send all counts over a link only if they were asked for

Cause: a link that was opened while the counts were asked for without the retained ones counted as having received them, so the peer missed the windows before.

Change: the answer says whether it has all counts. The duties are only competed for if a kind of them is switched on.

No test plays the opening of a link at that moment.

--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -143,6 +143,7 @@
     let duties = settings
         .duties
         .as_ref()
+        .filter(|duties| duties.usage.is_some())
         .map(|duties| start_duties(duties, &settings.process, incarnation, &adapter, &clock))
         .transpose()?;
 
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -95,8 +95,6 @@
     /// Usage in the last digest, for each endpoint with work in progress.
     last_sent: BTreeMap<Endpoint, Usage>,
     last_sent_at: Option<Instant>,
-    /// Whether all counts were asked for with the digest that is sent next.
-    counts_for_new_links: bool,
 }
 
 #[derive(Debug)]
@@ -121,7 +119,6 @@
         links: BTreeMap::new(),
         last_sent: BTreeMap::new(),
         last_sent_at: None,
-        counts_for_new_links: false,
     }
     .start();
     let sink = Rc::new(FrameSink {
@@ -228,12 +225,12 @@
                 changes.clone()
             };
             // A link that was opened after the counts were asked for gets them with the next digest.
-            let first_counts = !link.has_counts && self.counts_for_new_links;
-            link.has_counts |= first_counts;
-            let begun = if first_counts {
-                all_counts.clone()
-            } else {
-                changed_counts.clone()
+            let begun = match &all_counts {
+                Some(all_counts) if !link.has_counts => {
+                    link.has_counts = true;
+                    all_counts.clone()
+                }
+                _ => changed_counts.clone(),
             };
             link.outbox.send(Frame::Digest(Digest {
                 usages,
@@ -265,9 +262,8 @@
                 .send(TakeDigest)
                 .into_actor(mesh);
             let sent = digest.then(|digest, mesh: &mut Self, _| {
-                mesh.counts_for_new_links = mesh.links.values().any(|link| !link.has_counts);
                 let take = TakeCounts {
-                    all: mesh.counts_for_new_links,
+                    all: mesh.links.values().any(|link| !link.has_counts),
                 };
                 let usage = mesh.config.recipients.usage.clone();
                 let counts = async move {
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -435,7 +435,7 @@
         let own = self.time.own(self.config.clock.now());
         MessageResult(Counts {
             changes: self.tally.take_changes(),
-            all: if all { self.tally.own() } else { Vec::new() },
+            all: all.then(|| self.tally.own()),
             time: UsageTime {
                 unix_ms: u64::try_from(own.as_millis()).unwrap_or(u64::MAX),
                 open: self.config.spec.open_window(self.now()),
--- a/src/usage/message.rs
+++ b/src/usage/message.rs
@@ -30,8 +30,8 @@
 pub struct Counts {
     /// Counts that have changed.
     pub changes: Vec<Begun>,
-    /// All retained counts; empty unless they were asked for.
-    pub all: Vec<Begun>,
+    /// All retained counts, if they were asked for.
+    pub all: Option<Vec<Begun>>,
     /// The time of the process.
     pub time: UsageTime,
 }
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -198,7 +198,7 @@
         other.reporter.do_send(PeerCounts {
             process: process(own),
             incarnation: Incarnation::from_bytes([own.as_bytes()[1]; 8]),
-            begun: counts.all,
+            begun: counts.all.expect("asked for"),
             time: counts.time,
         });
     }
