Add the overload setting with delay and rejection by cost

When a service has too little capacity, the excess load queues at the engines, and which requests become late is a matter of chance.

The new slice triage decides at the border of dispatch, as a trait object: `reject` is today's behaviour and the default; `by-cost` ranks requests in time before late ones, by slack and work, rejects late ones with the least value for their work while a queue is standing, keeps floors for kinds, sizes and customers, and limits customers to a fair share of the work.

Tested: triage, dispatch, forward, peers and settings tests of the library (66 passed); the triage tests play loads to a model of one engine under both policies.

--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -3,11 +3,10 @@
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
-    Choose, Finish, IsSilent, ListConfirmed, LoadBalancer, MayRetry, Need, NoticeReceived,
-    PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket,
-    ticket::Reports,
+    Choose, Finish, IsSilent, ListConfirmed, LoadBalancer, MayRetry, NoticeReceived, PeerCoverage,
+    PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket, ticket::Reports,
 };
-use crate::{clock::Shared, error::Result, id::Zone};
+use crate::{clock::Shared, error::Result, id::Zone, triage};
 
 /// Interval at which the end of pauses is logged and counted.
 const NOTICES_INTERVAL: Duration = Duration::from_millis(250);
@@ -18,6 +17,7 @@
     clock: Shared,
     zone: Zone,
     seed: u64,
+    overload: triage::Mode,
 }
 
 impl Config {
@@ -29,6 +29,7 @@
             clock,
             zone,
             seed: 0,
+            overload: triage::Mode::Reject,
         }
     }
 
@@ -39,6 +40,13 @@
         self.seed = seed;
         self
     }
+
+    /// Sets what happens when a service has too little capacity; [`triage::Mode::Reject`] until then.
+    #[must_use]
+    pub const fn overload(mut self, overload: triage::Mode) -> Self {
+        self.overload = overload;
+        self
+    }
 }
 
 /// The actor that selects endpoints.
@@ -53,7 +61,8 @@
 #[must_use]
 pub fn spawn(config: Config) -> Addr<Dispatcher> {
     Dispatcher {
-        balancer: LoadBalancer::new(config.zone, config.seed),
+        balancer: LoadBalancer::new(config.zone, config.seed)
+            .with_policy(triage::new(config.overload)),
         clock: config.clock,
     }
     .start()
@@ -74,19 +83,18 @@
 
     fn handle(&mut self, Choose(demand): Choose, ctx: &mut Context<Self>) -> Self::Result {
         let now = self.clock.now();
-        if demand.excluded.is_empty() && demand.need == Need::Start {
+        if demand.is_first() {
             self.balancer.record_request(&demand, now);
         }
         let choice = self.balancer.choose(&demand, now)?;
         let address = ctx.address();
-        let parts = Arc::clone(&demand.shared_parts);
         let reports = Reports {
             progress: address.clone().recipient(),
             finish: address.clone().recipient(),
             notice: address.recipient(),
             clock: Arc::clone(&self.clock),
         };
-        Ok(Ticket::new(choice, parts, reports))
+        Ok(Ticket::new(choice, Arc::new(demand), reports))
     }
 }
 
--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -107,6 +107,8 @@
     pub(super) fetches: bool,
     /// Expected time until the endpoint answers; zero for a plain service.
     pub(super) forecast: Duration,
+    /// Part of the forecast in which the endpoint prefills for other requests.
+    pub(super) queueing: Duration,
 }
 
 /// An endpoint that may be selected, and what the peers do there.
@@ -192,6 +194,7 @@
                 tokens_ahead: Tokens::ZERO,
                 fetches: false,
                 forecast: Duration::ZERO,
+                queueing: Duration::ZERO,
             };
         }
         let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
@@ -238,6 +241,7 @@
             tokens_ahead: Tokens::new(round(queued)) + prefill,
             fetches,
             forecast: Duration::from_secs_f64(forecast),
+            queueing: Duration::from_secs_f64(wait),
         }
     }
 }
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -12,7 +12,6 @@
     failure::{FailureReports, Reporter},
     member::{Member, Report},
     peer_load::PeerLoads,
-    urgency::Urgency,
 };
 use crate::{
     directory::{Instance, Stage},
@@ -24,6 +23,7 @@
     notice::{Board, Standing},
     quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
+    triage::{self, Outlook, Policy, Reason, Rejection, Verdict},
     unit::{Tokens, as_f64},
     wire::{Digest, Usage},
 };
@@ -35,9 +35,6 @@
 /// Work that peers may have placed at an engine since their last digest: about a third of the
 /// interval between digests.
 const UNSEEN_WORK: Duration = Duration::from_millis(30);
-/// Longest period after which a refused caller is asked to come back, as a fraction of the time to
-/// its deadline, so that enough time is left to serve it then.
-const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
 
 /// Time over which the requests that wait for the end of a pause are spread.
 const RETURN_SPREAD: Duration = Duration::from_millis(300);
@@ -54,7 +51,7 @@
     budgets: BTreeMap<Service, WindowBudget>,
     peer_loads: PeerLoads,
     model: Model,
-    urgency: Urgency,
+    policy: Box<dyn Policy>,
     failure_reports: FailureReports,
     quarantine: Quarantine,
     notices: Board,
@@ -75,7 +72,7 @@
             budgets: BTreeMap::new(),
             peer_loads: PeerLoads::default(),
             model: Model::new(),
-            urgency: Urgency::default(),
+            policy: triage::new(triage::Mode::default()),
             failure_reports: FailureReports::default(),
             quarantine: Quarantine::new(),
             notices: Board::default(),
@@ -83,6 +80,14 @@
         }
     }
 
+    /// Sets the policy that delays and rejects requests. Without it, requests are rejected if no answer
+    /// is expected before their deadline.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Box<dyn Policy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Notes that the store has confirmed the list of endpoints.
     pub const fn confirm_list(&mut self, now: Instant) {
         self.list_confirmed_at = Some(now);
@@ -117,24 +122,20 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible, and [`Kind::Overloaded`] if a first
-    /// attempt is not expected to be answered before its deadline at any of them.
+    /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible, and [`Kind::Overloaded`] if the policy
+    /// rejects the request, in any case a first attempt that is not expected to be answered before its
+    /// deadline at any of them.
     /// [`Kind::Quarantined`] if the prompt has a part that has ended engines.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
         if let Some(hold) = self.quarantine.check(&demand.shared_parts, now) {
             return Err(quarantined(hold));
         }
-        // Backlogs, of this process and of its peers, are by the rank at the engines.
-        let demand = &Demand {
-            rank: self.urgency.rank(demand, now),
-            ..demand.clone()
-        };
+        let (rank, selection) = self.select_by_policy(demand, now)?;
         let Selection {
             endpoint,
             home,
             placement,
-        } = self.select(demand, now)?;
-        check_forecast(demand, placement.forecast)?;
+        } = selection;
         let prefill = placement.prefill;
         let fetch_from = home
             .and_then(|home| self.members.get(&home))
@@ -147,17 +148,17 @@
             format!("{endpoint} was selected while it is {standing}")
         });
         member.in_flight += 1;
-        member.backlog.add(demand.rank, prefill);
+        member.backlog.add(rank, prefill);
         Ok(Choice {
             instance: Arc::clone(&member.instance),
-            rank: demand.rank,
+            rank,
             prefill_tokens: prefill,
             tokens_ahead: placement.tokens_ahead,
             fetch_from,
             forecast: placement.forecast,
             selected_at: now,
             own_requests: member.in_flight,
-            peer_requests: peer_load(&self.peer_loads, member, demand.rank, now).requests,
+            peer_requests: peer_load(&self.peer_loads, member, rank, now).requests,
             report_age: member
                 .report
                 .map(|report| now.saturating_duration_since(report.received_at)),
@@ -222,7 +223,7 @@
     pub fn record_request(&mut self, demand: &Demand, now: Instant) {
         let budget = self.budgets.entry(demand.service.clone()).or_default();
         budget.record(now);
-        self.urgency.record(demand, now);
+        self.policy.record(&demand.triage(), now);
     }
 
     /// Handles the start of an answer: removes the prompt from the backlog of the endpoint and
@@ -231,6 +232,8 @@
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
             member.backlog.subtract(progress.rank, progress.prompt);
             member.last_answer = Some(now);
+            let service = &member.instance.service;
+            self.policy.record_prefill(service, progress.prompt, now);
             if let Some((tokens, selected_at)) = progress.prefill {
                 let elapsed = now.saturating_duration_since(selected_at);
                 let seen = Observation { tokens, elapsed };
@@ -265,6 +268,12 @@
         member.in_flight = member.in_flight.saturating_sub(1);
         member.backlog.subtract(finish.rank, finish.prompt);
         let service = member.instance.service.clone();
+        let has_waited = finish.prompt > Tokens::ZERO && finish.ending == Ending::Abandoned;
+        if finish.demand.is_first() && (has_waited || finish.ending == Ending::Served) {
+            let served = !has_waited;
+            let request = finish.demand.triage();
+            self.policy.record_ending(&request, served, now);
+        }
         if let Some(mut pace) = finish.pace {
             if finish.ending != Ending::Served {
                 pace.break_off(now);
@@ -276,7 +285,8 @@
                 member.record_success();
                 // A prefill is no answer.
                 if member.instance.stage != Some(Stage::Prefill) {
-                    self.quarantine.record_served(&finish.shared_parts, now);
+                    self.quarantine
+                        .record_served(&finish.demand.shared_parts, now);
                 }
                 self.ejector.record_success(endpoint, now);
                 self.failure_reports.record_success(endpoint);
@@ -300,7 +310,7 @@
                 }
                 if finish.ending == Ending::Crashed {
                     self.quarantine
-                        .record_crash(endpoint, &finish.shared_parts, now);
+                        .record_crash(endpoint, &finish.demand.shared_parts, now);
                 }
                 if reports_failure {
                     self.unreported_failures.insert(endpoint.clone());
@@ -388,6 +398,33 @@
         budget.may_retry(now)
     }
 
+    /// Selects an endpoint at the rank at the engines that the policy sets, and returns both.
+    fn select_by_policy(&mut self, demand: &Demand, now: Instant) -> Result<(u8, Selection)> {
+        let request = demand.triage();
+        let mut rank = self.policy.rank(&request, now);
+        loop {
+            // Backlogs, of this process and of its peers, are by the rank at the engines.
+            let ranked = Demand {
+                rank,
+                ..demand.clone()
+            };
+            let selection = self.select(&ranked, now)?;
+            let outlook = Outlook {
+                rank,
+                forecast: selection.placement.forecast,
+                queueing: selection.placement.queueing,
+            };
+            match self.policy.decide(&request, outlook, now) {
+                // Less urgent ranks are finite, so this ends.
+                Verdict::GiveWay(less_urgent) if less_urgent > rank => rank = less_urgent,
+                Verdict::Run | Verdict::GiveWay(_) => return Ok((rank, selection)),
+                Verdict::Reject(rejection) => {
+                    return Err(rejected(demand, rejection, outlook.forecast));
+                }
+            }
+        }
+    }
+
     /// Returns the endpoint with the lowest cost among those that can answer in time.
     fn select(&mut self, demand: &Demand, now: Instant) -> Result<Selection> {
         let eligible = self
@@ -509,25 +546,36 @@
     }
 }
 
-/// Refuses a request that even the best endpoint is not expected to answer in time, so that its
-/// caller learns at once that it has to come back later. Without this, requests wait in the engines
-/// in order of arrival until they are too late, and under overload none is served in time.
-fn check_forecast(demand: &Demand, forecast: Duration) -> Result<()> {
-    let excess = forecast.saturating_sub(demand.remaining);
-    // A request that has been sent before may be half done, so it is tried to the end.
-    let first = demand.need == Need::Start && demand.excluded.is_empty();
-    if !first || excess.is_zero() {
-        return Ok(());
+/// Logs and counts the rejection of a request.
+fn rejected(demand: &Demand, rejection: Rejection, forecast: Duration) -> Error {
+    let Rejection {
+        reason,
+        retry_after,
+    } = rejection;
+    let service = demand.service.to_string();
+    if reason == Reason::Deadline {
+        metrics::counter!("forecast_refusals_total", "service" => service.clone()).increment(1);
     }
-    let longest = demand.remaining.mul_f64(RETRY_AFTER_FRACTION_MAX);
-    metrics::counter!("forecast_refusals_total", "service" => demand.service.to_string())
-        .increment(1);
+    metrics::counter!("triage_rejections_total", "service" => service,
+        "reason" => reason.to_string(), "rank" => demand.rank.to_string())
+    .increment(1);
+    log::debug!(service:% = demand.service, route:? = demand.route.as_ref().map(ToString::to_string),
+        customer:? = demand.customer.as_ref().map(ToString::to_string), rank = demand.rank,
+        reason:% = reason, forecast_ms = forecast.as_millis(),
+        target_ms = demand.latency_target.as_millis(),
+        remaining_ms = demand.remaining.as_millis(),
+        retry_after_ms = retry_after.as_millis();
+        "rejected a request for lack of capacity");
+    let time = match reason {
+        Reason::Deadline => format!("the deadline is in {} ms", demand.remaining.as_millis()),
+        Reason::Displaced => "it would delay more valuable requests".to_owned(),
+        Reason::Share => "its customer has used more than its share".to_owned(),
+    };
     let detail = format!(
-        "not run: an answer is expected after {} ms, the deadline is in {} ms",
-        forecast.as_millis(),
-        demand.remaining.as_millis()
+        "not run: an answer is expected after {} ms, {time}",
+        forecast.as_millis()
     );
-    Err(Error::new(Kind::Overloaded, detail).with_retry_after(excess.min(longest)))
+    Error::new(Kind::Overloaded, detail).with_retry_after(retry_after)
 }
 
 fn quarantined(hold: Hold) -> Error {
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -15,6 +15,7 @@
     id::{self, Endpoint, PromptPart, Service, Zone},
     link::Session,
     notice::Notice,
+    triage,
     unit::Tokens,
     wire::Digest,
 };
@@ -39,10 +40,20 @@
     pub service: Service,
     /// Phases to run. The default is [`Need::Start`].
     pub need: Need,
+    /// Route of the request, which is its kind; `None` if it is not known.
+    pub route: Option<id::Route>,
+    /// Customer, if customers are configured.
+    pub customer: Option<id::Caller>,
     /// Priority rank, 0 is the most urgent. Engines admit more urgent requests first.
     pub rank: u8,
+    /// Latency up to which the request counts as in time.
+    pub latency_target: Duration,
+    /// Time since the request arrived.
+    pub waited: Duration,
     /// Prompt length in tokens, 0 for a plain service.
     pub prompt: Tokens,
+    /// Limit of the output tokens, 0 for a plain service.
+    pub max_output: Tokens,
     /// Tokens of the prompt prefix that other requests share.
     pub shared_prefix: Tokens,
     /// Parts of the prompt that other requests may share.
@@ -58,6 +69,31 @@
     pub preferred_zone: Option<Zone>,
 }
 
+impl Demand {
+    /// Whether this is the first attempt of a request. Later ones may continue work that is half done.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        self.need == Need::Start && self.excluded.is_empty()
+    }
+
+    /// The properties that decide about its delay or rejection.
+    pub(super) fn triage(&self) -> triage::Request<'_> {
+        triage::Request {
+            service: &self.service,
+            route: self.route.as_ref(),
+            customer: self.customer.as_ref(),
+            rank: self.rank,
+            latency_target: self.latency_target,
+            waited: self.waited,
+            remaining: self.remaining,
+            prompt: self.prompt,
+            own_prompt: self.prompt.saturating_sub(self.shared_prefix),
+            max_output: self.max_output,
+            is_first: self.is_first(),
+        }
+    }
+}
+
 /// Selects an endpoint and counts the request as in flight there. Fails with
 /// [`Kind::NoEndpoint`](crate::error::Kind::NoEndpoint) if no endpoint is eligible, with
 /// [`Kind::Overloaded`](crate::error::Kind::Overloaded) if none is expected to answer in time, and
@@ -164,8 +200,8 @@
     pub ending: Ending,
     /// Pauses of the stream, if the request was answered with one.
     pub pace: Option<Pace>,
-    /// Shared parts of the prompt.
-    pub shared_parts: Arc<[PromptPart]>,
+    /// The request.
+    pub demand: Arc<Demand>,
 }
 
 /// Reports what an endpoint said of itself in the head of an answer. Sent by the
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -17,7 +17,6 @@
 #[cfg(test)]
 mod tests;
 mod ticket;
-mod urgency;
 
 pub use actor::{Config, Dispatcher, spawn};
 pub use backlog::Backlog;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -14,6 +14,7 @@
     link::Session,
     notice::Notice,
     testing::with_paused_time,
+    triage,
     unit::Tokens,
     wire::{Digest, Usage},
 };
@@ -40,6 +41,11 @@
         service: service.parse().expect("a valid name"),
         need,
         rank: 1,
+        route: None,
+        customer: None,
+        latency_target: Duration::from_secs(1),
+        waited: Duration::ZERO,
+        max_output: Tokens::ZERO,
         prompt: Tokens::new(prompt),
         shared_prefix: Tokens::new(prompt / 2),
         shared_parts: Arc::default(),
@@ -57,7 +63,7 @@
         prompt: Tokens::new(prompt),
         ending,
         pace: None,
-        shared_parts: Arc::default(),
+        demand: Arc::new(demand("lm", Need::Start, prompt, None)),
     }
 }
 
@@ -671,7 +677,7 @@
             prompt: Tokens::ZERO,
             ending: Ending::Abandoned,
             pace: None,
-            shared_parts: Arc::default(),
+            demand: Arc::new(demand.clone()),
         };
         balancer.finish(&finish, now);
     }
@@ -901,3 +907,23 @@
     }
     assert_eq!(down, 5);
 }
+
+/// Guards against a policy whose decisions have no effect on the rank of requests at the engines.
+#[test]
+fn requests_that_can_only_be_late_give_way() {
+    let (balancer, now) = balancer(engines());
+    let mut balancer = balancer.with_policy(triage::new(triage::Mode::ByCost));
+    let demand = demand("lm", Need::Start, 12_000, None);
+    balancer.record_request(&demand, now);
+    let mut outcomes = Vec::new();
+    for _ in 0..40 {
+        let outcome = match balancer.choose(&demand, now) {
+            Ok(choice) => format!("rank {}", choice.rank),
+            Err(error) => error.to_string(),
+        };
+        if outcomes.last() != Some(&outcome) {
+            outcomes.push(outcome);
+        }
+    }
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -5,8 +5,8 @@
 
 use actix::Recipient;
 
-use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Progress};
-use crate::{clock::Shared, forecast::Pace, id::PromptPart, unit::Tokens};
+use super::{Choice, Demand, Ending, Finish, Load, NoticeReceived, Permit, Progress};
+use crate::{clock::Shared, forecast::Pace, unit::Tokens};
 
 /// Where a [`Ticket`] and its [`Permit`]s report to.
 #[derive(Clone, Debug)]
@@ -30,18 +30,18 @@
     reports: Reports,
     ending: Ending,
     pace: Option<Pace>,
-    shared_parts: Arc<[PromptPart]>,
+    demand: Arc<Demand>,
 }
 
 impl Ticket {
-    pub(super) fn new(choice: Choice, shared_parts: Arc<[PromptPart]>, reports: Reports) -> Self {
+    pub(super) fn new(choice: Choice, demand: Arc<Demand>, reports: Reports) -> Self {
         Self {
             pending_prefill: choice.prefill_tokens,
             choice,
             reports,
             ending: Ending::Abandoned,
             pace: None,
-            shared_parts,
+            demand,
         }
     }
 
@@ -102,7 +102,7 @@
             prompt: self.pending_prefill,
             ending: self.ending,
             pace: self.pace,
-            shared_parts: Arc::clone(&self.shared_parts),
+            demand: Arc::clone(&self.demand),
         });
     }
 }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -654,8 +654,17 @@
         let demand = Demand {
             service: self.service.clone(),
             need,
+            route: Some(self.route.name.clone()),
+            customer: None,
             rank: self.route.rank,
+            latency_target: self.route.latency_target,
+            waited: self
+                .ports
+                .clock
+                .now()
+                .saturating_duration_since(self.call.arrived),
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
+            max_output: generation.map_or(Tokens::ZERO, |generation| generation.max_output),
             shared_prefix: generation.map_or(Tokens::ZERO, |generation| generation.shared),
             shared_parts: Arc::clone(&self.call.shared_parts),
             affinity: generation.and_then(|generation| generation.affinity),
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -117,7 +117,8 @@
 pub async fn open(settings: &settings::Gateway, adapter: Adapter) -> Result<Gateway> {
     let clock = clock::System::shared();
     let metrics = recorder::install()?;
-    let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone());
+    let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone())
+        .overload(settings.overload);
     let dispatcher = dispatch::spawn(config.seed(rand::rng().random()));
 
     let mut active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -106,6 +106,7 @@
 pub mod spread;
 pub mod store;
 pub mod subset;
+pub mod triage;
 pub mod unit;
 pub mod upstream;
 pub mod wire;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -11,6 +11,7 @@
     config::{ParsedDuration, Reader},
     directory::Budget,
     id::{Process, Zone},
+    triage,
     unit::Bytes,
 };
 
@@ -64,6 +65,8 @@
     pub grace: Duration,
     /// Memory that the process may use; 160 MiB by default.
     pub memory: Bytes,
+    /// What happens when a service has too little capacity; `reject` by default.
+    pub overload: triage::Mode,
     /// Least severe level that is logged; `info` by default.
     pub log: Level,
 }
@@ -127,6 +130,7 @@
             "stop_delay",
             "grace",
             "memory",
+            "overload",
             "log",
         ];
         let fields = r.object(value, &known)?;
@@ -169,6 +173,9 @@
             Reader::text,
         );
         let memory = r.optional(&fields, "memory", MEMORY_DEFAULT, Reader::text);
+        let overload = r.optional(&fields, "overload", triage::Mode::default(), |r, value| {
+            r.choice(value, &triage::Mode::NAMES)
+        });
         let log = r.optional(&fields, "log", Level::Info, log_level);
         Some(Self {
             process: process?,
@@ -183,6 +190,7 @@
             stop_delay: stop_delay?.0,
             grace: grace?.0,
             memory: memory?,
+            overload: overload?,
             log: log?,
         })
     }
--- a/src/dispatch/urgency.rs
+++ b/src/triage/urgency.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use super::Demand;
+use super::Request;
 use crate::{
     forecast::Average,
     id::Service,
@@ -34,13 +34,13 @@
 
 impl Urgency {
     /// Records the prompt length of a new request.
-    pub(super) fn record(&mut self, demand: &Demand, now: Instant) {
-        if demand.prompt > Tokens::ZERO {
-            self.largest_rank = self.largest_rank.max(demand.rank);
-            let class = (demand.service.clone(), demand.rank);
+    pub(super) fn record(&mut self, request: &Request<'_>, now: Instant) {
+        if request.prompt > Tokens::ZERO {
+            self.largest_rank = self.largest_rank.max(request.rank);
+            let class = (request.service.clone(), request.rank);
             let prompts = self.prompts.entry(class);
             prompts.or_insert_with(|| Average::new(HALF_LIFE, now)).add(
-                as_f64(demand.prompt.get()),
+                as_f64(request.prompt.get()),
                 1.0,
                 now,
             );
@@ -48,16 +48,16 @@
     }
 
     /// The rank of a request at the engines; 0 is the most urgent.
-    pub(super) fn rank(&self, demand: &Demand, now: Instant) -> u8 {
-        if self.largest_rank.max(demand.rank) > SPLIT_RANK_MAX {
-            return demand.rank;
+    pub(super) fn rank(&self, request: &Request<'_>, now: Instant) -> u8 {
+        if self.largest_rank.max(request.rank) > SPLIT_RANK_MAX {
+            return request.rank;
         }
-        let prompt = as_f64(demand.prompt.get());
-        let class = (demand.service.clone(), demand.rank);
+        let prompt = as_f64(request.prompt.get());
+        let class = (request.service.clone(), request.rank);
         let is_large = self
             .prompts
             .get(&class)
             .is_some_and(|prompts| prompt > prompts.ratio(prompt, 1.0, now) * LARGE_FACTOR);
-        demand.rank * 2 + u8::from(!is_large)
+        request.rank * 2 + u8::from(!is_large)
     }
 }
