Limit the correction of forecasts for overtaking requests to a factor of ten

A gateway of a large fleet places few requests per second, so the share of the capacity that goes to more urgent requests is a noisy estimate, and a factor of twenty could reject requests that would be answered in time.

--- a/src/triage/by_cost.rs
+++ b/src/triage/by_cost.rs
@@ -25,9 +25,9 @@
 const SIZE_FLOOR: f64 = 0.7;
 /// Share by which a less urgent kind may be admitted more often. It has to be 0.05.
 const INVERSION_MAX: f64 = 0.02;
-/// Largest share of the capacity that is assumed to go to more urgent requests: some of them will be
-/// rejected.
-const MORE_URGENT_MAX: f64 = 0.95;
+/// Largest share of the capacity that is assumed to go to more urgent requests. In the model of the
+/// tests, 0.95 gave about the same results, and 0.8 left large requests below their floor.
+const MORE_URGENT_MAX: f64 = 0.9;
 /// Range of the mean work of a request divided by its own work, by which the work that its customer may
 /// be ahead is multiplied: a customer above its share loses its larger requests first.
 const SIZE_FACTORS: (f64, f64) = (0.5, 3.0);
--- a/src/triage/tests.rs
+++ b/src/triage/tests.rs
@@ -290,7 +290,8 @@
     text
 }
 
-/// Checks the floors of kinds, large requests and customers.
+/// Checks the floors of kinds, large requests and customers, and that no kind is served more often than
+/// a more urgent one.
 fn assert_floors(flows: &[Flow]) {
     let counts = play(Mode::ByCost, flows);
     let all = counts["all"].served();
@@ -308,6 +309,17 @@
             );
         }
     }
+    let is_kind = |group: &str| group.starts_with("rank") && !group.ends_with("large");
+    let kinds: Vec<_> = counts.iter().filter(|(group, _)| is_kind(group)).collect();
+    for (more, less) in kinds.iter().zip(kinds.iter().skip(1)) {
+        let is_less_urgent = more.0[..6] != less.0[..6];
+        assert!(
+            !is_less_urgent || less.1.served() <= more.1.served() + 0.05,
+            "{} is served more often than {}",
+            less.0,
+            more.0
+        );
+    }
 }
 
 /// Guards against a policy that changes anything while there is room.
