--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -112,6 +112,8 @@
     pub(super) bare_forecast: Duration,
     /// Whether the prefills there delay streams that run beside them.
     pub(super) delays_streams: bool,
+    /// Part of the forecast in which the endpoint prefills for other requests.
+    pub(super) queueing: Duration,
 }
 
 /// An endpoint that may be selected, and what the peers do there.
@@ -206,6 +208,7 @@
                 forecast: Duration::ZERO,
                 bare_forecast: Duration::ZERO,
                 delays_streams: false,
+                queueing: Duration::ZERO,
             };
         }
         let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
@@ -260,6 +263,7 @@
             fetches,
             forecast,
             bare_forecast,
+            queueing: Duration::from_secs_f64(wait),
             delays_streams: instance.stage == Some(Stage::Decode)
                 && self
                     .lateness
--- a/src/dispatch/lateness.rs
+++ b/src/dispatch/lateness.rs
@@ -19,8 +19,7 @@
 /// What a placement costs in requests and streams that become late by it.
 ///
 /// A long prompt that waits at a prefill engine can still be in time, while at a decode engine it makes all
-/// streams late that run there: prefills take turns with decode steps. Applies to requests with a latency
-/// target.
+/// streams late that run there: prefills take turns with decode steps. Applies to requests of customers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Lateness {
     target: Duration,
@@ -31,11 +30,12 @@
 }
 
 impl Lateness {
-    /// `None` if the request has no target, and placements are compared by time alone.
+    /// `None` for a request without a customer: its rank tells its kind from others, and placements are
+    /// compared by time alone. Customers have ranks of their own, so the targets have to tell kinds apart.
     pub(super) fn new(model: &Model, demand: &Demand, now: Instant) -> Option<Self> {
         let harmless = model.pause_target(&demand.service);
-        demand.target.map(|target| Self {
-            target,
+        demand.customer.as_ref().map(|_| Self {
+            target: demand.latency_target.saturating_sub(demand.waited),
             harmless_prefill: harmless.map(|pause| pause.mul_f64(PREFILL_PAUSE_FRACTION)),
             late_share: model.late_share(&demand.service, now),
         })
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -5,11 +5,10 @@
 
 use actix::Recipient;
 
-use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Progress};
+use super::{Choice, Demand, Ending, Finish, Load, NoticeReceived, Permit, Progress};
 use crate::{
     clock::Shared,
     forecast::{Expectation, Pace},
-    id::PromptPart,
     unit::Tokens,
 };
 
@@ -35,18 +34,18 @@
     reports: Reports,
     ending: Ending,
     pace: Option<Pace>,
-    shared_parts: Arc<[PromptPart]>,
+    demand: Arc<Demand>,
 }
 
 impl Ticket {
-    pub(super) fn new(choice: Choice, shared_parts: Arc<[PromptPart]>, reports: Reports) -> Self {
+    pub(super) fn new(choice: Choice, demand: Arc<Demand>, reports: Reports) -> Self {
         Self {
             pending_prefill: choice.prefill_tokens,
             choice,
             reports,
             ending: Ending::Abandoned,
             pace: None,
-            shared_parts,
+            demand,
         }
     }
 
@@ -115,7 +114,7 @@
             prompt: self.pending_prefill,
             ending: self.ending,
             pace: self.pace,
-            shared_parts: Arc::clone(&self.shared_parts),
+            demand: Arc::clone(&self.demand),
         });
     }
 }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -674,13 +674,25 @@
         let demand = Demand {
             service: self.service.clone(),
             need,
+            route: Some(self.route.name.clone()),
+            customer: self
+                .call
+                .customer
+                .as_ref()
+                .map(|customer| customer.name.clone()),
             rank: self.route.rank_for(self.call.customer.as_deref()),
+            latency_target: self.route.latency_target,
+            waited: self
+                .ports
+                .clock
+                .now()
+                .saturating_duration_since(self.call.arrived),
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
+            max_output: generation.map_or(Tokens::ZERO, |generation| generation.max_output),
             shared_prefix: generation.map_or(Tokens::ZERO, |generation| generation.shared),
             shared_parts: Arc::clone(&self.call.shared_parts),
             affinity: generation.and_then(|generation| generation.affinity),
             remaining: self.remaining(),
-            target: self.target(),
             excluded: self.excluded.clone(),
             preferred_zone,
         };
@@ -709,14 +721,6 @@
             })
     }
 
-    /// Time in which an answer is still in time. Customers have ranks of their own, so the rank of a request
-    /// does not tell an urgent kind from others, and its target has to.
-    fn target(&self) -> Option<Duration> {
-        self.call.customer.as_ref()?;
-        let late_at = self.call.arrived + self.route.latency_target;
-        Some(late_at.saturating_duration_since(self.ports.clock.now()))
-    }
-
     fn new_attempt(
         &mut self,
         ticket: &Ticket,
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -138,7 +138,8 @@
 pub async fn open(settings: &settings::Gateway, adapter: Adapter) -> Result<Gateway> {
     let clock = clock::System::shared();
     let metrics = recorder::install()?;
-    let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone());
+    let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone())
+        .overload(settings.overload);
     let dispatcher = dispatch::spawn(config.seed(rand::rng().random()));
 
     let incarnation = Incarnation::random(&mut rand::rng());
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -11,6 +11,7 @@
     config::{ParsedDuration, Reader},
     directory::Budget,
     id::{Process, Zone},
+    triage,
     unit::Bytes,
     usage,
 };
@@ -72,6 +73,8 @@
     pub memory: Bytes,
     /// Calls to the platform's API that one gateway at a time makes; none by default.
     pub duties: Option<Duties>,
+    /// What happens when a service has too little capacity; `reject` by default.
+    pub overload: triage::Mode,
     /// Least severe level that is logged; `info` by default.
     pub log: Level,
 }
@@ -212,6 +215,7 @@
             "key_revocation",
             "memory",
             "duties",
+            "overload",
             "log",
         ];
         let fields = r.object(value, &known)?;
@@ -260,6 +264,9 @@
         let duties = r.optional(&fields, "duties", None, |r, value| {
             Duties::read(r, value).map(Some)
         });
+        let overload = r.optional(&fields, "overload", triage::Mode::default(), |r, value| {
+            r.choice(value, &triage::Mode::NAMES)
+        });
         let log = r.optional(&fields, "log", Level::Info, log_level);
         Some(Self {
             process: process?,
@@ -276,6 +283,7 @@
             key_revocation: key_revocation?,
             memory: memory?,
             duties: duties?,
+            overload: overload?,
             log: log?,
         })
     }
