Exchange confirmations and plans between gateways

Cause: a gateway that is turned away from the store stopped accepting keys, although its peers know whether its plan is still the newest, and have the newer one.

Change: with `key_revocation`, digests carry the sender's time, the last time received over the link, and the confirmed version with its age. `peers::PlanExchange` dates a confirmation by the returned time minus the age; only an equal version confirms. If peers have a higher version for a second, the plan is requested from one of them with the frames `Fetch` and `Document`, and applied like one from the store. Digests are sent twice a second at least then, as a confirmation gets older by up to two of these intervals. The new field is optional, so gateways of both versions can be linked.

Not tested: a gateway process that alone is cut off from the store.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -333,6 +333,7 @@
                 .into_iter()
                 .collect(),
             parts: self.quarantine.take_report(now),
+            plan: None,
         }
     }
 
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use tokio::{sync::watch, task::AbortHandle, time};
 
-use super::{ActivePlan, Result};
+use super::{ActivePlan, Result, plan};
 use crate::{
     clock::{self, Shared},
     customer::Freshness,
@@ -14,7 +14,7 @@
     id::{Incarnation, Revision},
     ingress::{self, Protocol},
     link::{self, Identity},
-    peers::{self, Presence},
+    peers::{self, Presence, SharedPlan},
     settings, shutdown,
     store::{Path, Reader, Store},
 };
@@ -121,19 +121,23 @@
     let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone());
     let dispatcher = dispatch::spawn(config.seed(rand::rng().random()));
 
-    let mut active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
-    let plan = active_plan.subscribe();
+    let active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
+    let active = active_plan.subscribe();
     let freshness = Freshness::new(
         active_plan.subscribe_confirmed(),
         settings.key_revocation,
         Arc::clone(&clock),
     );
+    let active_plan = Rc::new(RefCell::new(active_plan));
+    let shared_plan = settings
+        .key_revocation
+        .map(|_| Rc::new(plan::Shared(Rc::clone(&active_plan))) as Rc<dyn SharedPlan>);
     let follow_plan = directory::follow(
         Rc::clone(&adapter.store),
         adapter.plan_path,
         BATCH_DELAY,
         Arc::clone(&clock),
-        Box::new(move |update, sent| active_plan.apply(update, sent)),
+        Box::new(move |update, sent| active_plan.borrow_mut().apply(update, sent)),
     );
 
     let budget = settings.drain_budget();
@@ -161,7 +165,7 @@
         listen: settings.listen,
         readiness: settings.readiness,
         protocol: adapter.protocol,
-        plan,
+        plan: active,
         freshness,
         endpoints,
         shutdown: shutdown_watch,
@@ -187,6 +191,7 @@
                 &adapter.gateways_prefix,
                 &dispatcher,
                 &clock,
+                shared_plan,
             );
             (Some(links), Some(follow))
         }
@@ -219,6 +224,7 @@
     gateways: &Path,
     dispatcher: &Addr<Dispatcher>,
     clock: &Shared,
+    plan: Option<Rc<dyn SharedPlan>>,
 ) -> (PeerLinks, AbortHandle) {
     let entry = gateways.join(&settings.process);
     let presence = Presence::register(
@@ -230,10 +236,13 @@
         process: settings.process.clone(),
         incarnation: Incarnation::random(&mut rand::rng()),
         zone: settings.zone.clone(),
-        // Gateways read the plan from the store and never exchange it, so no revision is announced.
+        // Gateways state the version of their plan in digests, so no revision is announced.
         revision: watch::Sender::new(Revision::default()).subscribe(),
     };
-    let config = peers::Config::new(identity, Arc::clone(clock), dispatcher.into());
+    let mut config = peers::Config::new(identity, Arc::clone(clock), dispatcher.into());
+    if let Some(plan) = plan {
+        config = config.with_plan(plan);
+    }
     let (mesh, listener) = peers::spawn(config, port);
     let follow = directory::follow(
         Rc::clone(store) as Rc<dyn Reader>,
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use tokio::sync::watch;
 
@@ -6,6 +6,7 @@
     directory::{Codec, Update},
     id::Revision,
     invariant::{self, Invariant},
+    peers::SharedPlan,
     route::{Plan, Version},
     store::{Change, Path},
 };
@@ -19,6 +20,10 @@
     plan: watch::Sender<Option<Arc<Plan>>>,
     /// Version of the plan in the store by its last answer, if that plan could be decoded.
     listed: Option<Version>,
+    /// The active plan as received.
+    value: Vec<u8>,
+    /// Version that the last confirmation concerned.
+    confirmed_version: Option<Version>,
     /// Time since boot as of which the active plan was the newest, or a newer one than the newest.
     confirmed: watch::Sender<Option<Duration>>,
 }
@@ -32,6 +37,8 @@
             path,
             plan: watch::Sender::new(None),
             listed: None,
+            value: Vec::new(),
+            confirmed_version: None,
             confirmed: watch::Sender::new(None),
         }
     }
@@ -87,22 +94,25 @@
 
     /// Records that the newest plan had this version at a time since boot. A version before the active one
     /// confirms nothing: it is that of an older copy of the store.
-    fn confirm(&self, newest: Option<Version>, as_of: Duration) {
+    fn confirm(&mut self, newest: Option<Version>, as_of: Duration) {
         let active = self.plan.borrow().as_ref().map(|plan| plan.version());
         if newest.is_none() || newest < active {
             return;
         }
-        self.confirmed.send_if_modified(|confirmed| {
+        let is_later = self.confirmed.send_if_modified(|confirmed| {
             let is_later = confirmed.is_none_or(|confirmed| confirmed < as_of);
             if is_later {
                 *confirmed = Some(as_of);
             }
             is_later
         });
+        if is_later {
+            self.confirmed_version = newest;
+        }
     }
 
     /// Returns the version, if the value is a plan.
-    fn replace_if_newer(&self, value: &[u8], revision: Revision) -> Option<Version> {
+    fn replace_if_newer(&mut self, value: &[u8], revision: Revision) -> Option<Version> {
         let plan = match self.codec.plan(value) {
             Ok(plan) => plan,
             Err(error) => {
@@ -118,6 +128,7 @@
         }
         log::info!(version:% = version, before:? = current.map(|v| v.to_string()),
             revision:% = revision, routes = plan.len(); "plan activated");
+        self.value = value.to_vec();
         let old = self.plan.send_replace(Some(Arc::new(plan)));
         invariant::check(
             Invariant::NoRevert,
@@ -127,3 +138,38 @@
         Some(version)
     }
 }
+
+/// The active plan, shared by the follower of the store and the links to peers, which run in one thread.
+#[derive(Clone, Debug)]
+pub(super) struct Shared(pub(super) Rc<RefCell<ActivePlan>>);
+
+impl SharedPlan for Shared {
+    fn version(&self) -> Option<Version> {
+        let active = self.0.borrow();
+        let plan = active.plan.borrow();
+        plan.as_ref().map(|plan| plan.version())
+    }
+
+    fn confirmed(&self) -> Option<(Version, Duration)> {
+        let active = self.0.borrow();
+        let as_of = *active.confirmed.borrow();
+        Some((active.confirmed_version?, as_of?))
+    }
+
+    fn text(&self) -> Option<(Version, String)> {
+        let version = self.version()?;
+        let text = String::from_utf8(self.0.borrow().value.clone()).ok()?;
+        Some((version, text))
+    }
+
+    fn confirm(&self, version: Version, as_of: Duration) {
+        self.0.borrow_mut().confirm(Some(version), as_of);
+    }
+
+    fn adopt(&self, text: &str) {
+        // The revision of the store is not known.
+        self.0
+            .borrow_mut()
+            .replace_if_newer(text.as_bytes(), Revision::default());
+    }
+}
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -10,15 +10,19 @@
     WrapFuture,
 };
 
-use super::Roster;
+use super::{
+    Roster,
+    plan::{PlanExchange, SharedPlan, Step},
+};
 use crate::{
     clock::Shared,
     directory::Update,
     dispatch::{Dispatcher, PeerCoverage, PeerDigest, PeerDisconnected, TakeDigest},
-    id::{Endpoint, Process},
+    id::{Endpoint, Process, Revision},
     link::{self, Identity, Outbox, Peer, Session},
+    route::Version,
     unit::as_f64,
-    wire::{Digest, Frame, Usage},
+    wire::{Digest, Document, FRAME_MAX, Fetch, Frame, PlanState, Usage},
 };
 
 /// Interval at which changes are sent. A prompt of a thousand tokens takes an engine about 12 ms,
@@ -27,6 +31,13 @@
 /// Time without changes after which an empty digest is sent. Links that are silent for three
 /// seconds are closed.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// The same for gateways that exchange confirmations of the plan: one that arrives is older by up to twice
+/// this interval, and is of use for a few seconds.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
+/// Name of the plan among the sections of a document.
+const PLAN_SECTION: &str = "plan";
+/// Largest plan that fits into a frame, with its version and name.
+const PLAN_MAX: u64 = FRAME_MAX.get() - 1_024;
 
 /// Actors that a mesh exchanges messages with.
 #[derive(Clone, Debug)]
@@ -58,6 +69,7 @@
     identity: Identity,
     clock: Shared,
     recipients: Recipients,
+    plan: Option<Rc<dyn SharedPlan>>,
 }
 
 impl Config {
@@ -68,8 +80,16 @@
             identity,
             clock,
             recipients,
+            plan: None,
         }
     }
+
+    /// Exchanges the plan and its confirmations with peers.
+    #[must_use]
+    pub fn with_plan(mut self, plan: Rc<dyn SharedPlan>) -> Self {
+        self.plan = Some(plan);
+        self
+    }
 }
 
 /// Actor that owns the links to other gateways.
@@ -82,6 +102,7 @@
     /// Usage in the last digest, for each endpoint with work in progress.
     last_sent: BTreeMap<Endpoint, Usage>,
     last_sent_at: Option<Instant>,
+    plans: PlanExchange,
 }
 
 #[derive(Debug)]
@@ -104,6 +125,7 @@
         links: BTreeMap::new(),
         last_sent: BTreeMap::new(),
         last_sent_at: None,
+        plans: PlanExchange::default(),
     }
     .start();
     let sink = Rc::new(FrameSink {
@@ -167,6 +189,7 @@
             usages,
             failed,
             parts,
+            ..
         } = digest;
         let current: BTreeMap<Endpoint, Usage> = usages
             .into_iter()
@@ -186,11 +209,17 @@
             requests: 0,
             prompt_tokens_to_prefill: Vec::new(),
         }));
+        let heartbeat_interval = match self.config.plan {
+            Some(_) => CONFIRMATION_INTERVAL,
+            None => HEARTBEAT_INTERVAL,
+        };
         let heartbeat_due = self
             .last_sent_at
-            .is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= HEARTBEAT_INTERVAL);
+            .is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= heartbeat_interval);
         let due = heartbeat_due || !changes.is_empty() || !failed.is_empty() || !parts.is_empty();
-        for link in self.links.values_mut() {
+        let confirmed = self.config.plan.as_ref().map(|plan| plan.confirmed());
+        let since_boot = self.config.clock.since_boot();
+        for (session, link) in &mut self.links {
             let first = !std::mem::replace(&mut link.has_snapshot, true);
             if !first && !due {
                 continue;
@@ -204,6 +233,7 @@
                 usages,
                 failed: failed.clone(),
                 parts: parts.clone(),
+                plan: confirmed.map(|confirmed| self.plans.state(*session, confirmed, since_boot)),
             }));
         }
         if due {
@@ -211,6 +241,54 @@
         }
         self.last_sent = current;
     }
+
+    /// Uses what a peer knows of the plan.
+    fn receive_plan_state(&mut self, session: Session, state: PlanState) {
+        let Some(plan) = &self.config.plan else {
+            return;
+        };
+        let now = self.config.clock.since_boot();
+        match self.plans.receive(session, state, plan.version(), now) {
+            Step::Ignore => {}
+            Step::Confirm(version, as_of) => plan.confirm(version, as_of),
+            Step::Fetch => {
+                let have = plan.version().map_or(0, Version::get);
+                if let Some(link) = self.links.get(&session) {
+                    log::info!(peer:% = link.process, have = have; "requesting a newer plan from a peer");
+                    let have = Revision::new(have);
+                    link.outbox.send(Frame::Fetch(Fetch { have }));
+                }
+            }
+        }
+    }
+
+    /// Sends the plan to a peer with an older one.
+    fn send_plan(&self, session: Session, have: Revision) {
+        let plan = self.config.plan.as_ref().and_then(|plan| plan.text());
+        let (Some((version, text)), Some(link)) = (plan, self.links.get(&session)) else {
+            return;
+        };
+        if version.get() <= have.get() {
+            return;
+        }
+        if text.len() as u64 > PLAN_MAX {
+            log::warn!(peer:% = link.process, bytes = text.len(); "plan is too large for a peer");
+            return;
+        }
+        link.outbox.send(Frame::Document(Document {
+            revision: Revision::new(version.get()),
+            sections: BTreeMap::from([(PLAN_SECTION.to_owned(), text)]),
+        }));
+    }
+
+    fn receive_plan(&self, session: Session, document: &Document) {
+        let text = document.sections.get(PLAN_SECTION);
+        if let (Some(plan), Some(text)) = (&self.config.plan, text) {
+            metrics::counter!("plans_from_peers_total").increment(1);
+            log::info!(session:% = session, version:% = document.revision; "plan received from a peer");
+            plan.adopt(text);
+        }
+    }
 }
 
 impl Actor for Mesh {
@@ -283,6 +361,7 @@
     type Result = ();
 
     fn handle(&mut self, Closed(session): Closed, ctx: &mut Context<Self>) {
+        self.plans.close(session);
         if let Some(link) = self.links.remove(&session) {
             log::info!(peer:% = link.process, session:% = session;
                 "gateway link closed; work reported by the gateway is discarded");
@@ -291,6 +370,30 @@
     }
 }
 
+/// A frame that concerns the plan.
+#[derive(Debug)]
+enum PlanFrame {
+    State(PlanState),
+    Fetch(Fetch),
+    Document(Document),
+}
+
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct PlanReceived(Session, PlanFrame);
+
+impl Handler<PlanReceived> for Mesh {
+    type Result = ();
+
+    fn handle(&mut self, PlanReceived(session, frame): PlanReceived, _: &mut Context<Self>) {
+        match frame {
+            PlanFrame::State(state) => self.receive_plan_state(session, state),
+            PlanFrame::Fetch(fetch) => self.send_plan(session, fetch.have),
+            PlanFrame::Document(document) => self.receive_plan(session, &document),
+        }
+    }
+}
+
 /// Passes events and frames of the links to the mesh and the dispatcher.
 #[derive(Debug)]
 struct FrameSink {
@@ -308,13 +411,24 @@
     }
 
     fn on_frame(&self, peer: &Peer, frame: Frame, _outbox: &Outbox) {
-        if let Frame::Digest(digest) = frame {
-            self.recipients.digest.do_send(PeerDigest {
-                session: peer.session,
-                digest,
-            });
-        } else {
-            log::warn!(peer:% = peer.hello.process; "ignoring unexpected frame from gateway");
+        let session = peer.session;
+        let plan = match frame {
+            Frame::Digest(mut digest) => {
+                let state = digest.plan.take().map(PlanFrame::State);
+                self.recipients
+                    .digest
+                    .do_send(PeerDigest { session, digest });
+                state
+            }
+            Frame::Fetch(fetch) => Some(PlanFrame::Fetch(fetch)),
+            Frame::Document(document) => Some(PlanFrame::Document(document)),
+            _ => {
+                log::warn!(peer:% = peer.hello.process; "ignoring unexpected frame from gateway");
+                None
+            }
+        };
+        if let Some(frame) = plan {
+            self.mesh.do_send(PlanReceived(session, frame));
         }
     }
 
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,15 +6,18 @@
 //! Ten times a second it sends them what has changed. When a link ends, the work that was reported
 //! over it no longer counts.
 //!
+//! [`PlanExchange`] decides what a gateway that does not reach the store learns of the plan from its peers.
 //! [`Roster`] decides which gateways are linked; [`Mesh`] is the actor that owns the links.
 
 mod mesh;
+mod plan;
 mod presence;
 mod roster;
 #[cfg(test)]
 mod tests;
 
 pub use mesh::{Config, GatewaysChanged, Mesh, Recipients, spawn};
+pub use plan::{PlanExchange, SharedPlan, Step};
 pub use presence::Presence;
 pub use roster::{NEIGHBORS_PER_SIDE, Roster};
 
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -1,14 +1,15 @@
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use tokio::{sync::watch, time};
 
 use super::*;
 use crate::{
-    clock::System,
+    clock::{Clock as _, System},
     directory::{Instance, Stage, Update},
     dispatch::{self, Choose, Demand, Dispatcher, Ending, Need, SetInstances, Ticket},
     id::{Incarnation, Process, Revision},
-    link::{BoundListener, Identity},
+    link::{BoundListener, Identity, Session},
+    route::Version,
     store::{Change, Event, Item, Memory, Path, Reader as _},
     testing::with_paused_time,
     unit::Tokens,
@@ -178,6 +179,10 @@
 }
 
 async fn gateway(name: &str) -> Gateway {
+    gateway_with_plan(name, None).await
+}
+
+async fn gateway_with_plan(name: &str, plan: Option<Rc<dyn SharedPlan>>) -> Gateway {
     let clock = System::shared();
     let zone: crate::id::Zone = "a".parse().expect("a valid name");
     let dispatcher = dispatch::spawn(dispatch::Config::new(Arc::clone(&clock), zone.clone()));
@@ -200,10 +205,11 @@
     };
     let loopback = "127.0.0.1:0".parse().expect("an address");
     let port = BoundListener::bind(loopback).await.expect("a free port");
-    let (mesh, listener) = spawn(
-        Config::new(identity, clock, Recipients::from(&dispatcher)),
-        port,
-    );
+    let mut config = Config::new(identity, clock, Recipients::from(&dispatcher));
+    if let Some(plan) = plan {
+        config = config.with_plan(plan);
+    }
+    let (mesh, listener) = spawn(config, port);
     Gateway {
         name: process(name),
         dispatcher,
@@ -296,3 +302,108 @@
         first.wait_for_others(2.0).await;
     });
 }
+
+fn session(number: u64) -> Session {
+    number.to_string().parse().expect("a valid session")
+}
+
+/// Guards against a confirmation that is dated too late, or taken for another version; and against a plan
+/// that is requested from every peer at once, or never.
+#[test]
+fn confirmations_of_peers_count_from_the_echoed_time() {
+    let seconds = Duration::from_secs;
+    let link = session(1);
+    // The clock of the peer is ahead by 1,000 s.
+    let (mut own, mut peer) = (PlanExchange::default(), PlanExchange::default());
+    let mut steps = Vec::new();
+    let confirmed = |version: u64, as_of: u64| Some((Version::new(version), seconds(as_of)));
+    let cases = [
+        (
+            "before the first echo",
+            10,
+            1_010,
+            confirmed(4, 1_009),
+            10,
+            4,
+        ),
+        ("on its way for 5 s", 20, 1_020, confirmed(4, 1_018), 25, 4),
+        ("peer was suspended", 30, 1_090, confirmed(4, 1_080), 91, 4),
+        ("older version", 100, 1_100, confirmed(3, 1_099), 100, 4),
+        ("not confirmed", 110, 1_110, None, 110, 4),
+        ("newer version", 120, 1_120, confirmed(5, 1_119), 120, 4),
+        ("again at once", 120, 1_120, confirmed(5, 1_119), 120, 4),
+        ("again", 121, 1_121, confirmed(5, 1_120), 121, 4),
+        ("requested", 121, 1_121, confirmed(5, 1_120), 121, 4),
+        ("received", 122, 1_122, confirmed(5, 1_121), 122, 5),
+        ("a later one", 123, 1_123, confirmed(6, 1_122), 123, 5),
+    ];
+    for (number, (name, sent, peer_now, confirmed, now, active)) in cases.into_iter().enumerate() {
+        let request = own.state(link, None, seconds(sent));
+        if number > 0 {
+            peer.receive(link, request, None, seconds(peer_now));
+        }
+        let answer = peer.state(link, confirmed, seconds(peer_now));
+        let step = own.receive(link, answer, Some(Version::new(active)), seconds(now));
+        steps.push(format!("{name}: {step:?}"));
+    }
+    insta::assert_debug_snapshot!(steps);
+}
+
+/// A plan that consists of its version, and is confirmed by its holder.
+#[derive(Debug)]
+struct TextPlan {
+    version: Cell<u64>,
+    confirmed: Cell<Option<Duration>>,
+}
+
+impl SharedPlan for TextPlan {
+    fn version(&self) -> Option<Version> {
+        Some(Version::new(self.version.get()))
+    }
+
+    fn confirmed(&self) -> Option<(Version, Duration)> {
+        Some((self.version()?, self.confirmed.get()?))
+    }
+
+    fn text(&self) -> Option<(Version, String)> {
+        Some((self.version()?, self.version.get().to_string()))
+    }
+
+    fn confirm(&self, version: Version, as_of: Duration) {
+        assert_eq!(Some(version), self.version());
+        self.confirmed.set(Some(as_of));
+    }
+
+    fn adopt(&self, text: &str) {
+        self.version.set(text.parse().expect("a version"));
+    }
+}
+
+/// Guards against a gateway that does not reach the store, and keeps an older plan or an older confirmation
+/// although its peer has newer ones.
+#[test]
+fn plan_and_confirmation_pass_over_a_link() {
+    actix::System::new().block_on(async {
+        let plan = |version, confirmed| {
+            Rc::new(TextPlan {
+                version: Cell::new(version),
+                confirmed: Cell::new(confirmed),
+            })
+        };
+        let (behind, ahead) = (plan(4, None), plan(7, Some(System.since_boot())));
+        let first = gateway_with_plan("a", Some(Rc::clone(&behind) as Rc<dyn SharedPlan>)).await;
+        let second = gateway_with_plan("b", Some(Rc::clone(&ahead) as Rc<dyn SharedPlan>)).await;
+        let other = item("b", &second.listener.address().to_string());
+        let entries = Update::Snapshot(vec![item("a", "127.0.0.1:1"), other]);
+        first.mesh.do_send(GatewaysChanged(entries));
+        for _ in 0..POLLS_MAX {
+            if behind.confirmed.get().is_some() {
+                assert_eq!(behind.version.get(), 7);
+                assert!(behind.confirmed.get() <= ahead.confirmed.get());
+                return;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("no confirmation arrived");
+    });
+}
--- a/src/route/imp.rs
+++ b/src/route/imp.rs
@@ -1,6 +1,7 @@
 use std::{collections::HashMap, fmt, str::FromStr, sync::Arc, time::Duration};
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     customer::{self, Customer},
@@ -19,6 +20,8 @@
 
 /// Version of a plan. Later versions are larger, but not necessarily consecutive.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Version(u64);
 
 impl Version {
@@ -27,6 +30,12 @@
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
+
+    /// Returns the number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for Version {
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -8,6 +8,7 @@
         self, Attempt, Caller, Class, Endpoint, Fence, Group, Incarnation, Key, Model, Operation,
         Process, PromptPart, Request, Revision, Service, Zone,
     },
+    route::Version,
     unit::{Bytes, Share, Tokens},
 };
 
@@ -369,6 +370,35 @@
     /// What is new of parts of prompts that ran at endpoints when these ended.
     #[serde(default, skip_serializing_if = "PartReport::is_empty")]
     pub parts: PartReport,
+    /// What the sender knows of the plan, if it exchanges plans with its peers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub plan: Option<PlanState>,
+}
+
+/// What a gateway knows of the plan when it sends a digest. Times are encoded in whole milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PlanState {
+    /// Time since boot at the sender.
+    #[serde(with = "millis")]
+    pub sent: Duration,
+    /// The last `sent` that the sender received over this link; zero before the first.
+    #[serde(default, with = "millis", skip_serializing_if = "Duration::is_zero")]
+    pub echo: Duration,
+    /// The last confirmation at the sender.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirmed: Option<PlanConfirmation>,
+}
+
+/// The plan that a gateway has confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PlanConfirmation {
+    /// Version of the plan.
+    pub version: Version,
+    /// Time since this version was the newest, rounded up.
+    #[serde(with = "millis")]
+    pub age: Duration,
 }
 
 /// What a gateway knows of parts of prompts that ran at endpoints when these ended.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::{
     id::Attempt,
+    route::Version,
     unit::{Bytes, Tokens},
 };
 
@@ -89,6 +90,14 @@
                     age: Duration::from_millis(35),
                 }],
             },
+            plan: Some(PlanState {
+                sent: Duration::from_secs(90),
+                echo: Duration::from_millis(70),
+                confirmed: Some(PlanConfirmation {
+                    version: Version::new(7),
+                    age: Duration::from_millis(1_250),
+                }),
+            }),
         });
         prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
     }
