--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -355,6 +355,7 @@
                 .into_iter()
                 .collect(),
             parts: self.quarantine.take_report(now),
+            plan: None,
         }
     }
 
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use tokio::{sync::watch, task::AbortHandle, time};
 
-use super::{ActivePlan, Result};
+use super::{ActivePlan, Result, plan};
 use crate::{
     authority,
     clock::{self, Shared},
@@ -17,7 +17,7 @@
     id::{Group, Incarnation, Process, Revision},
     ingress::{self, Protocol},
     link::{self, Identity},
-    peers::{self, Presence},
+    peers::{self, Presence, SharedPlan},
     route::Plan,
     settings, shutdown,
     store::{Path, Reader, Store},
@@ -150,19 +150,23 @@
         .map(|duties| start_duties(duties, &settings.process, incarnation, &adapter, &clock))
         .transpose()?;
 
-    let mut active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
-    let plan = active_plan.subscribe();
+    let active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
+    let active = active_plan.subscribe();
     let freshness = Freshness::new(
         active_plan.subscribe_confirmed(),
         settings.key_revocation,
         Arc::clone(&clock),
     );
+    let active_plan = Rc::new(RefCell::new(active_plan));
+    let shared_plan = settings
+        .key_revocation
+        .map(|_| Rc::new(plan::Shared(Rc::clone(&active_plan))) as Rc<dyn SharedPlan>);
     let follow_plan = directory::follow(
         Rc::clone(&adapter.store),
         adapter.plan_path,
         BATCH_DELAY,
         Arc::clone(&clock),
-        Box::new(move |update, sent| active_plan.apply(update, sent)),
+        Box::new(move |update, sent| active_plan.borrow_mut().apply(update, sent)),
     );
 
     let budget = settings.drain_budget();
@@ -190,7 +194,7 @@
         listen: settings.listen,
         readiness: settings.readiness,
         protocol: adapter.protocol,
-        plan: plan.clone(),
+        plan: active.clone(),
         freshness,
         endpoints,
         shutdown: shutdown_watch,
@@ -217,9 +221,10 @@
                 &adapter.gateways_store,
                 &adapter.gateways_prefix,
                 &dispatcher,
-                plan.clone(),
+                active,
                 duties.as_ref(),
                 &clock,
+                shared_plan,
             );
             (Some(links), Some(follow))
         }
@@ -330,9 +335,10 @@
     store: &Rc<dyn Store>,
     gateways: &Path,
     dispatcher: &Addr<Dispatcher>,
-    plan: watch::Receiver<Option<Arc<Plan>>>,
+    active: watch::Receiver<Option<Arc<Plan>>>,
     duties: Option<&DutyActors>,
     clock: &Shared,
+    plan: Option<Rc<dyn SharedPlan>>,
 ) -> (PeerLinks, AbortHandle) {
     let entry = gateways.join(&settings.process);
     let presence = Presence::register(
@@ -344,12 +350,15 @@
         process: settings.process.clone(),
         incarnation,
         zone: settings.zone.clone(),
-        // Gateways read the plan from the store and never exchange it, so no revision is announced.
+        // Gateways state the version of their plan in digests, so no revision is announced.
         revision: watch::Sender::new(Revision::default()).subscribe(),
     };
     let usage = duties.and_then(|actors| actors.usage.clone());
     let recipients = peers::Recipients::from(dispatcher).with_usage(usage);
-    let config = peers::Config::new(identity, Arc::clone(clock), recipients, plan);
+    let mut config = peers::Config::new(identity, Arc::clone(clock), recipients, active);
+    if let Some(plan) = plan {
+        config = config.with_plan(plan);
+    }
     let (mesh, listener) = peers::spawn(config, port);
     let follow = directory::follow(
         Rc::clone(store) as Rc<dyn Reader>,
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::{
     id::Attempt,
+    route::Version,
     unit::{Bytes, Tokens},
 };
 
@@ -99,6 +100,14 @@
                 open: crate::id::Window::new(353_445_120),
                 reported: None,
             }),
+            plan: Some(PlanState {
+                sent: Duration::from_secs(90),
+                echo: Duration::from_millis(70),
+                confirmed: Some(PlanConfirmation {
+                    version: Version::new(7),
+                    age: Duration::from_millis(1_250),
+                }),
+            }),
         });
         prop_assert_eq!(decode(&encode(&frame).expect("small frame")).expect("valid"), frame);
     }
