Bound what a connection of a caller holds, and refuse large bodies at once

A connection held up to 16 parsed requests of 128 KiB each, and the kernel let its buffers grow to several MiB, so that a few callers that read no answers or sent too much used up the memory of a gateway. Connections that stalled in a head took up all file descriptors of the smallest hosts.

The kernel's buffers, the bytes beyond the request in progress and the bytes read at a time are bounded for each connection, and their sum by a pool. A body is refused by its announced length. Gateways take 2,400 connections, and close incomplete heads after 3 s once no further connection can be accepted. Answers without a length to HTTP/1.0 callers have no chunks and are reset if they are cut.

Tested, debug profile: the unit tests of both packages and the tests of the gateway pass.

--- a/mulberrymill-bench/tests/gateway/framing.rs
+++ b/mulberrymill-bench/tests/gateway/framing.rs
@@ -146,3 +146,38 @@
     }
     insta::assert_debug_snapshot!(received);
 }
+
+/// Guards against an answer that is cut and looks complete to a caller of HTTP/1.0, which finds the end of an
+/// answer without a length only by the end of the connection.
+#[actix_web::test]
+async fn cut_answer_does_not_look_complete_to_a_caller_of_http_1_0() {
+    const WHOLE: &str = "transfer-encoding: chunked\r\n\r\n5\r\nlabel\r\n0\r\n\r\n";
+    const CUT: &str = "transfer-encoding: chunked\r\n\r\n5\r\nlabel\r\n5\r\nla";
+    let mut ends = Vec::new();
+    for (name, rest) in [("whole", WHOLE), ("cut", CUT)] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let harness = open_harness(listener.local_addr().expect("a bound address")).await;
+        task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            read_head(&mut stream).await.expect("a head");
+            let answer = format!("HTTP/1.1 200 OK\r\nrequest-id: 1\r\nserver-stamp: s\r\n{rest}");
+            let sent = stream.write_all(answer.as_bytes()).await;
+            sent.expect("a gateway that reads");
+        });
+        let mut caller = TcpStream::connect(harness.gateway.address())
+            .await
+            .expect("a connection");
+        let request = "POST /once/1 HTTP/1.0\r\nhost: kitchen.example\r\nrequest-id: 1\r\n\
+                       deadline-ms: 5000\r\ncontent-length: 0\r\n\r\n";
+        let sent = caller.write_all(request.as_bytes()).await;
+        sent.expect("a gateway that reads");
+        let mut received = Vec::new();
+        let end = caller.read_to_end(&mut received).await;
+        let text = String::from_utf8_lossy(&received);
+        let status = text.lines().next().unwrap_or_default().to_owned();
+        let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+        let end = end.map_or_else(|error| error.kind().to_string(), |_| "closed".to_owned());
+        ends.push(format!("{name}: {status}, {body:?}, {end}"));
+    }
+    insta::assert_debug_snapshot!(ends);
+}
--- a/mulberrymill-bench/tests/limits.rs
+++ b/mulberrymill-bench/tests/limits.rs
@@ -156,12 +156,13 @@
 
     /// Waits until nothing changes any more. Returns the largest memory and the most descriptors seen.
     async fn observe(&self) -> (usize, usize) {
-        let (mut memory, mut descriptors) = (0, 0);
+        let (mut memory, mut descriptors, mut queued_max) = (0, 0, 0);
         let (mut before, mut steady) = ((0, 0), 0);
         for _ in 0..POLLS_MAX {
             let queued = self.queued();
             let now = (queued, self.peak_resident());
             memory = memory.max(queued + self.peak_resident());
+            queued_max = queued_max.max(queued);
             descriptors = descriptors.max(self.descriptors());
             steady = if now == before { steady + 1 } else { 0 };
             if steady >= STEADY_POLLS {
@@ -170,6 +171,7 @@
             before = now;
             time::sleep(POLL_INTERVAL).await;
         }
+        println!("sockets held up to {} KiB", queued_max >> 10);
         (memory, descriptors)
     }
 
--- a/src/front/imp.rs
+++ b/src/front/imp.rs
@@ -22,6 +22,7 @@
     link, listener,
     relay::Relay,
     spread::View,
+    unit,
 };
 
 /// Timeout for receiving the head of a request.
@@ -30,6 +31,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Timeout of a graceful shutdown, after which responses in progress are aborted.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_hours(1);
+/// Bytes that the connections of each thread may hold of unread answers and of requests that were sent ahead.
+const CONNECTION_BUFFERS: unit::Bytes = unit::Bytes::new(64 << 20);
 /// Open connections per worker thread.
 const MAX_CONNECTIONS_PER_WORKER: usize = 10_000;
 
@@ -124,6 +127,7 @@
         workers: config.workers,
         connections_max: MAX_CONNECTIONS_PER_WORKER,
         head_timeout: HEAD_TIMEOUT,
+        buffers: CONNECTION_BUFFERS,
         limits: Arc::new(IDLE_TIMEOUT),
         stop_timeout: SHUTDOWN_TIMEOUT,
         clock: Arc::clone(&config.clock),
--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -35,6 +35,30 @@
         .map_err(|_elapsed| Error::new(Kind::RequestTimeout, "the body came too slowly"))?
 }
 
+/// Refuses a body by its announced length, before any of it is read. Its bytes are not held yet: a caller
+/// that announces a body and sends none would otherwise use up what others may hold.
+///
+/// # Errors
+///
+/// `Kind::TooLarge` if it is over the limit, `Kind::Overloaded` if it could not be held now.
+pub(crate) fn check_announced(
+    announced: Option<u64>,
+    limit: unit::Bytes,
+    held: &Reservation,
+) -> Result<()> {
+    let Some(announced) = announced else {
+        return Ok(());
+    };
+    if announced > limit.get() {
+        return Err(too_large(limit));
+    }
+    held.check(announced)
+}
+
+fn too_large(limit: unit::Bytes) -> Error {
+    Error::new(Kind::TooLarge, format!("the body is larger than {limit}"))
+}
+
 async fn collect(
     mut payload: Payload,
     limit: unit::Bytes,
@@ -46,10 +70,7 @@
             Error::new(Kind::BadRequest, "the body is not complete").with_source(error.to_string())
         })?;
         if (body.len() + part.len()) as u64 > limit.get() {
-            return Err(Error::new(
-                Kind::TooLarge,
-                format!("the body is larger than {limit}"),
-            ));
+            return Err(too_large(limit));
         }
         body.extend_from_slice(&part);
         held.resize(body.capacity())?;
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -163,6 +163,7 @@
         is_silent: dispatcher.clone().recipient(),
         clock: Arc::clone(&clock),
         body_buffers: settings.body_buffers(),
+        connection_buffers: settings.connection_buffers(),
         metrics: metrics.clone(),
     })?;
     // The follower has not run yet, as nothing has been awaited since it was started.
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -34,8 +34,9 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
 /// Limit of the wait for connections of callers in a stop, which [`Server::stop`] ends before.
 const STOP_TIMEOUT: Duration = Duration::from_mins(1);
-/// Limit of concurrent connections of callers.
-const CONNECTIONS_MAX: usize = 3_000;
+/// Limit of concurrent connections of callers. The smallest hosts have 3,075 file descriptors; the rest is for
+/// connections to endpoints, other gateways and the store, and for files.
+const CONNECTIONS_MAX: usize = 2_400;
 /// Threads that serve callers; a host of the platform has only a part of one core.
 const WORKERS: usize = 1;
 
@@ -84,6 +85,8 @@
     pub clock: Shared,
     /// Bytes of callers' bodies that are held until their requests have ended.
     pub body_buffers: unit::Bytes,
+    /// Bytes that connections of callers may hold of unread answers and of requests that were sent ahead.
+    pub connection_buffers: unit::Bytes,
     /// Renders the metrics of this process.
     pub metrics: PrometheusHandle,
 }
@@ -176,6 +179,7 @@
         workers: WORKERS,
         connections_max: CONNECTIONS_MAX,
         head_timeout: HEAD_TIMEOUT,
+        buffers: config.connection_buffers,
         limits: Arc::new(PlanLimits(config.plan.clone())),
         stop_timeout: STOP_TIMEOUT,
         clock: Arc::clone(&config.clock),
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -91,6 +91,7 @@
     let route = route.ok_or_else(|| Error::new(Kind::NotFound, "there is no such route"))?;
     let limits = plan.limits();
     check_head(request.headers(), limits.head)?;
+    receive::check_announced(announced_length(request.headers()), limits.body, held)?;
     let arrived = context.ports.clock.now();
     let shutdown = context.config.shutdown.clone();
     let body = tokio::select! {
@@ -122,6 +123,11 @@
     Error::new(Kind::Leaving, detail).with_retry_after(LEAVING_RETRY_AFTER)
 }
 
+/// The length of the body, unless it is sent in chunks.
+fn announced_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn check_head(headers: &HeaderMap, limit: unit::Bytes) -> Result<()> {
     let size: usize = headers
         .iter()
@@ -139,8 +145,7 @@
 fn to_http_response(response: Response, held: Reservation) -> HttpResponse {
     let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
-    let declared = response.headers.get(CONTENT_LENGTH);
-    let declared = declared.and_then(|value| value.to_str().ok()?.parse().ok());
+    let declared = announced_length(&response.headers);
     for (name, value) in response.headers {
         builder.append_header((name, value));
     }
--- a/src/listener/connection.rs
+++ b/src/listener/connection.rs
@@ -1,6 +1,7 @@
 use std::{
     io::{self, ErrorKind},
     mem::MaybeUninit,
+    net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
@@ -16,6 +17,7 @@
 use super::{
     idle::{Eviction, Reason},
     monitor::{Activity, Monitor},
+    unread::Unread,
 };
 use crate::clock::Shared;
 
@@ -33,19 +35,26 @@
     left_at: Option<Instant>,
     activity: Activity,
     evictions: mpsc::Receiver<Eviction>,
+    unread: Unread,
     /// Whether it ends by an order to close it.
     evicted: bool,
 }
 
 impl Connection {
-    pub(super) fn new(stream: TcpStream, clock: Shared, monitor: &Monitor) -> Self {
-        let (activity, evictions) = monitor.add();
+    pub(super) fn new(
+        stream: TcpStream,
+        clock: Shared,
+        monitor: &Monitor,
+        sender: SocketAddr,
+    ) -> Self {
+        let (activity, evictions) = monitor.add(sender);
         Self {
             stream,
             clock,
             left_at: None,
             activity,
             evictions,
+            unread: Unread::new(monitor.reserve(sender)),
             evicted: false,
         }
     }
@@ -82,6 +91,24 @@
         Poll::Pending
     }
 
+    /// Waits for a caller that does not read, and discards its answer once that is given up.
+    fn poll_unread(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let error = ready!(self.unread.poll(cx));
+        metrics::counter!("caller_connections_closed_total", "reason" => "unread").increment(1);
+        let caller = self.stream.peer_addr().ok();
+        log::info!(caller:? = caller.map(|address| address.to_string()), error:% = error;
+            "unread answer is given up");
+        self.activity.discard();
+        Poll::Ready(error)
+    }
+
+    /// Makes the close of the connection discard what the caller has not received.
+    fn discard_unsent(&self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!(error:% = error; "connection was lost before it was reset");
+        }
+    }
+
     fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit(); 1];
         SockRef::from(&self.stream).peek(&mut byte).is_ok()
@@ -97,12 +124,15 @@
         if self.evicted {
             return Poll::Ready(Ok(()));
         }
+        if !self.activity.may_read(cx) {
+            return self.poll_evicted(cx).map(Ok);
+        }
         let before = buf.filled().len();
         if Pin::new(&mut self.stream).poll_read(cx, buf)?.is_pending() {
             return self.poll_evicted(cx).map(Ok);
         }
         if buf.filled().len() > before {
-            self.activity.on_read();
+            self.activity.on_read(buf.filled().len() - before);
         } else if buf.remaining() > 0 {
             let now = self.clock.now();
             self.left_at.get_or_insert(now);
@@ -122,7 +152,10 @@
             let detail = "the caller does not read its answer";
             return Poll::Ready(Err(io::Error::new(ErrorKind::TimedOut, detail)));
         }
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(cx, buf) else {
+            return self.poll_unread(cx).map(Err);
+        };
+        self.unread.progress();
         self.activity.on_write();
         Poll::Ready(written)
     }
@@ -133,12 +166,19 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.activity.is_discarded() {
+            // A regular end would make an answer without a length look complete.
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.activity.is_discarded() {
+            self.discard_unsent();
+        }
         self.activity.end();
         let Some(left_at) = self.left_at else {
             return;
--- a/src/listener/idle.rs
+++ b/src/listener/idle.rs
@@ -18,6 +18,13 @@
 /// way.
 const REPLACED_IDLE_MIN: Duration = Duration::from_millis(100);
 
+/// Time after which a connection whose head is not complete is closed while no further connections can be
+/// accepted. Callers send a head within 3 s.
+const REPLACED_RECEIVING_MIN: Duration = Duration::from_secs(3);
+
+/// Connections below the limit from which on none may be accepted any more.
+const FULL_MARGIN: usize = 1;
+
 /// Number of a connection within one thread.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(super) struct Id(u64);
@@ -92,6 +99,20 @@
     since: Instant,
     /// When it is closed; `None` while it serves a request or is being closed.
     due: Option<Instant>,
+    /// Whether it was decided to close it, unless it has changed since.
+    closing: bool,
+}
+
+impl State {
+    /// From when on it may be closed for another one, unless it is being closed.
+    fn replaceable_from(&self) -> Option<Instant> {
+        self.due?;
+        match self.phase {
+            Phase::Idle => Some(self.since + REPLACED_IDLE_MIN),
+            Phase::Receiving => Some(self.since + REPLACED_RECEIVING_MIN),
+            Phase::Serving => None,
+        }
+    }
 }
 
 /// The open connections of one thread, and when each is closed.
@@ -100,6 +121,13 @@
     states: HashMap<Id, State>,
     /// The connections that are closed at some time, in this order.
     due: BTreeSet<(Instant, Id)>,
+    /// The connections that are closed for others once none can be accepted, by the time from which on they
+    /// may be.
+    replaceable: BTreeSet<(Instant, Id)>,
+    /// Number of connections that are being closed.
+    closing: usize,
+    /// Number of connections from which on none may be accepted any more.
+    full_from: usize,
     /// Number of connections above which idle ones are closed.
     idle_above: usize,
     head_timeout: Duration,
@@ -111,6 +139,9 @@
         Self {
             states: HashMap::new(),
             due: BTreeSet::new(),
+            replaceable: BTreeSet::new(),
+            closing: 0,
+            full_from: connections_max.saturating_sub(FULL_MARGIN).max(1),
             idle_above: connections_max - connections_max.div_ceil(RESERVE_DIVISOR),
             head_timeout,
         }
@@ -127,6 +158,7 @@
             phase: Phase::Idle,
             since: now,
             due: None,
+            closing: false,
         };
         self.states.insert(id, state);
         self.change(id, Phase::Idle, now, idle_timeout);
@@ -155,29 +187,54 @@
                 phase,
                 since: now,
                 due,
+                closing: false,
             },
         );
-        if let Some(former) = former.due {
-            self.due.remove(&(former, id));
+        self.closing -= usize::from(former.closing);
+        if let Some(due) = former.due {
+            self.due.remove(&(due, id));
+        }
+        if let Some(from) = former.replaceable_from() {
+            self.replaceable.remove(&(from, id));
         }
         self.due.extend(due.map(|due| (due, id)));
+        let from = self.states[&id].replaceable_from();
+        self.replaceable.extend(from.map(|from| (from, id)));
     }
 
     /// Removes a connection that has ended.
     pub(super) fn remove(&mut self, id: Id) {
-        if let Some(due) = self.states.remove(&id).and_then(|state| state.due) {
+        let Some(state) = self.states.remove(&id) else {
+            return;
+        };
+        self.closing -= usize::from(state.closing);
+        if let Some(due) = state.due {
             self.due.remove(&(due, id));
         }
+        if let Some(from) = state.replaceable_from() {
+            self.replaceable.remove(&(from, id));
+        }
     }
 
     /// When [`take_due`](Self::take_due) has to be called next.
     pub(super) fn next_due(&self) -> Option<Instant> {
-        self.due.first().map(|&(due, _)| due)
+        let due = self.due.first().map(|&(due, _)| due);
+        let replaced = self.next_replaceable().map(|(from, _)| from);
+        due.into_iter().chain(replaced).min()
+    }
+
+    /// The next connection to close for others, and when, while none can be accepted.
+    fn next_replaceable(&self) -> Option<(Instant, Id)> {
+        let is_full = self.states.len() - self.closing >= self.full_from;
+        self.replaceable.first().copied().filter(|_| is_full)
     }
 
     /// Returns a connection to close now, if there is one. A limit that was raised since a connection
     /// became idle applies to it; one that was lowered does not, since its caller may still use it.
     pub(super) fn take_due(&mut self, now: Instant, idle_timeout: Duration) -> Option<Eviction> {
+        if let Some((_, id)) = self.next_replaceable().filter(|(from, _)| *from <= now) {
+            return Some(self.close(id, Reason::Full));
+        }
         loop {
             let &(due, id) = self.due.first().filter(|(due, _)| *due <= now)?;
             let state = self.states.get_mut(&id)?;
@@ -199,9 +256,14 @@
     /// Decides to close a connection, once.
     fn close(&mut self, id: Id, reason: Reason) -> Eviction {
         let state = self.states.get_mut(&id).expect("an open connection");
+        if let Some(from) = state.replaceable_from() {
+            self.replaceable.remove(&(from, id));
+        }
         if let Some(due) = state.due.take() {
             self.due.remove(&(due, id));
         }
+        state.closing = true;
+        self.closing += 1;
         Eviction {
             id,
             reason,
--- a/src/listener/imp.rs
+++ b/src/listener/imp.rs
@@ -1,6 +1,9 @@
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use actix_http::{HttpService, KeepAlive, Protocol, Request, Response, body::MessageBody};
+use actix_http::{
+    ConnectionType, HttpService, KeepAlive, Protocol, Request, Response, Version,
+    body::{BodySize, MessageBody},
+};
 use actix_service::{
     IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt, apply_fn_factory, fn_service,
     map_config,
@@ -13,10 +16,13 @@
     Result,
     connection::Connection,
     monitor::{self, Activity, Body},
+    payload, unread,
 };
 use crate::{
     clock::Shared,
     error::{Error, Kind},
+    memory::Pool,
+    unit,
 };
 
 /// Time for which a connection is read on after an answer that came before the end of the request,
@@ -51,6 +57,9 @@
     pub connections_max: usize,
     /// Time within which the head of a request must arrive.
     pub head_timeout: Duration,
+    /// Bytes that the connections of each thread may hold of unread answers and of requests that were sent
+    /// ahead. They are a few KiB for each connection in any case.
+    pub buffers: unit::Bytes,
     /// Limits that apply at each moment.
     pub limits: Arc<dyn Limits>,
     /// Limit of the wait for responses in progress during a graceful stop; fractions of a second are
@@ -91,6 +100,7 @@
     let Config {
         connections_max,
         head_timeout,
+        buffers,
         limits,
         clock,
         ..
@@ -103,14 +113,31 @@
             head_timeout,
             Arc::clone(&limits),
             Arc::clone(&clock),
+            Pool::new("connections", buffers),
         );
         let app = map_config(new_app(), |()| AppConfig::default());
         let app = apply_fn_factory(app, |request: Request, app: &S::Service| {
-            let serving = request.conn_data::<Activity>().map(Activity::begin);
+            let activity = request.conn_data::<Activity>().cloned();
+            // Only the end of the connection can tell such a caller that an answer is cut.
+            let resets = request.version() < Version::HTTP_11;
+            let (request, serving) = match activity {
+                Some(activity) => {
+                    let serving = activity.begin(payload::head_size(&request));
+                    (payload::watch(request, activity), Some(serving))
+                }
+                None => (request, None),
+            };
             let response = app.call(request);
             async move {
-                let response: Response<B> = response.await?.into();
-                Ok(response.map_body(|_head, body| Body::new(body, serving)))
+                let mut response: Response<B> = response.await?.into();
+                if resets && response.body().size() == BodySize::Stream {
+                    // HTTP/1.0 has no chunks: an answer without a length ends with the connection.
+                    response.head_mut().no_chunking(true);
+                    response
+                        .head_mut()
+                        .set_connection_type(ConnectionType::Close);
+                }
+                Ok(response.map_body(|_head, body| Body::new(body, serving, resets)))
             }
         });
         let http = HttpService::build()
@@ -138,8 +165,9 @@
                     log::debug!(error:% = error; "connection was lost before it was served");
                 }
                 let caller = stream.peer_addr().ok();
+                let sender = caller.unwrap_or(address);
                 Ok((
-                    Connection::new(stream, clock, &monitor),
+                    Connection::new(stream, clock, &monitor, sender),
                     Protocol::Http1,
                     caller,
                 ))
@@ -156,6 +184,9 @@
 fn bind_socket(address: SocketAddr) -> io::Result<std::net::TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
+    // Accepted connections have the sizes of their listener.
+    socket.set_recv_buffer_size(unread::RECEIVE_BUFFER_SIZE)?;
+    socket.set_send_buffer_size(unread::SEND_BUFFER_SIZE)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -8,8 +8,10 @@
 mod idle;
 mod imp;
 mod monitor;
+mod payload;
 #[cfg(test)]
 mod tests;
+mod unread;
 
 pub use imp::{Config, Limits, bind};
 
--- a/src/listener/monitor.rs
+++ b/src/listener/monitor.rs
@@ -1,11 +1,12 @@
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     fmt,
+    net::SocketAddr,
     pin::Pin,
     rc::Rc,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, Waker},
     time::{Duration, Instant},
 };
 
@@ -17,8 +18,12 @@
 use super::{
     Limits,
     idle::{Eviction, Id, Phase, Table},
+    unread::Ahead,
+};
+use crate::{
+    clock::Shared,
+    memory::{Pool, Reservation},
 };
-use crate::clock::Shared;
 
 /// Interval at which a connection without a request reports that its caller still reads.
 const WRITE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,6 +45,8 @@
     events: mpsc::UnboundedSender<(Id, Event)>,
     last: Rc<Cell<Id>>,
     clock: Shared,
+    /// Counts the bytes that connections hold.
+    pool: Pool,
 }
 
 /// Starts the task on this thread.
@@ -48,6 +55,7 @@
     head_timeout: Duration,
     limits: Arc<dyn Limits>,
     clock: Shared,
+    pool: Pool,
 ) -> Monitor {
     let (events, receiver) = mpsc::unbounded_channel();
     let table = Table::new(connections_max, head_timeout);
@@ -56,6 +64,7 @@
         events,
         last: Rc::default(),
         clock,
+        pool,
     }
 }
 
@@ -109,8 +118,13 @@
 }
 
 impl Monitor {
+    /// An empty reservation for bytes of the connection of a caller.
+    pub(super) fn reserve(&self, caller: SocketAddr) -> Reservation {
+        self.pool.reserve(caller)
+    }
+
     /// Adds a connection. Returns what it reports to, and the orders to close it.
-    pub(super) fn add(&self) -> (Activity, mpsc::Receiver<Eviction>) {
+    pub(super) fn add(&self, caller: SocketAddr) -> (Activity, mpsc::Receiver<Eviction>) {
         let id = self.last.get().next();
         self.last.set(id);
         let (sender, evictions) = mpsc::channel(EVICTIONS_MAX);
@@ -119,6 +133,10 @@
             id,
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
+            ahead: RefCell::new(Ahead::new(self.reserve(caller))),
+            awaits_payload: Cell::new(false),
+            reader: Cell::new(None),
+            discarded: Cell::new(false),
             events: self.events.clone(),
             clock: Arc::clone(&self.clock),
         }));
@@ -131,6 +149,14 @@
     id: Id,
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// What was received beyond the request in progress.
+    ahead: RefCell<Ahead>,
+    /// Whether the request in progress waits for a part of its body.
+    awaits_payload: Cell<bool>,
+    /// Woken once the connection may be read again.
+    reader: Cell<Option<Waker>>,
+    /// Whether what the caller has not received is discarded at the end of the connection.
+    discarded: Cell<bool>,
     events: mpsc::UnboundedSender<(Id, Event)>,
     clock: Shared,
 }
@@ -142,6 +168,12 @@
         }
     }
 
+    fn wake_reader(&self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
     fn change(&self, phase: Phase) {
         let now = self.clock.now();
         self.phase.set(phase);
@@ -164,11 +196,56 @@
 }
 
 impl Activity {
+    /// Whether more may be read. If not, the task is woken once it may.
+    pub(super) fn may_read(&self, cx: &Context<'_>) -> bool {
+        let mut ahead = self.0.ahead.borrow_mut();
+        let phase = self.0.phase.get();
+        if phase == Phase::Idle {
+            ahead.clear();
+            return true;
+        }
+        if phase == Phase::Serving && !self.0.awaits_payload.get() {
+            let may_read = ahead.may_read();
+            if !may_read {
+                self.0.reader.set(Some(cx.waker().clone()));
+            }
+            return may_read;
+        }
+        let pauses = ahead.pauses();
+        if pauses {
+            cx.waker().wake_by_ref();
+        }
+        !pauses
+    }
+
     /// Records that bytes have arrived.
-    pub(super) fn on_read(&self) {
+    pub(super) fn on_read(&self, size: usize) {
         if self.0.phase.get() == Phase::Idle {
             self.0.change(Phase::Receiving);
         }
+        self.0.ahead.borrow_mut().add(size);
+    }
+
+    /// Records whether the request in progress waits for a part of its body.
+    pub(super) fn await_payload(&self, awaits: bool) {
+        self.0.awaits_payload.set(awaits);
+        if awaits {
+            self.0.wake_reader();
+        }
+    }
+
+    /// Records that a part of the body of the request in progress was taken.
+    pub(super) fn on_payload(&self, size: usize) {
+        self.0.ahead.borrow_mut().take(size);
+    }
+
+    /// Makes the end of the connection discard what the caller has not received.
+    pub(super) fn discard(&self) {
+        self.0.discarded.set(true);
+    }
+
+    pub(super) fn is_discarded(&self) -> bool {
+        self.0.discarded.get()
     }
 
     /// Records that the caller reads the rest of an answer whose request has ended.
@@ -179,9 +256,11 @@
         }
     }
 
-    /// Records that the head of a request is complete. The request ends when the result is dropped.
-    pub(super) fn begin(&self) -> Serving {
+    /// Records that the head of a request, of about this size, is complete. The request ends when the result
+    /// is dropped.
+    pub(super) fn begin(&self, head_size: usize) -> Serving {
         self.0.change(Phase::Serving);
+        self.0.ahead.borrow_mut().take(head_size);
         Serving(self.clone())
     }
 
@@ -203,6 +282,7 @@
 impl Drop for Serving {
     fn drop(&mut self) {
         self.0.0.change(Phase::Idle);
+        self.0.0.wake_reader();
     }
 }
 
@@ -210,14 +290,20 @@
     /// The body of an answer, whose request is in progress until it is dropped.
     pub(super) struct Body<B> {
         #[pin]
-        body: B,
+        inner: B,
         serving: Option<Serving>,
+        // Whether the connection is reset if the body fails.
+        resets: bool,
     }
 }
 
 impl<B> Body<B> {
-    pub(super) const fn new(body: B, serving: Option<Serving>) -> Self {
-        Self { body, serving }
+    pub(super) const fn new(body: B, serving: Option<Serving>, resets: bool) -> Self {
+        Self {
+            inner: body,
+            serving,
+            resets,
+        }
     }
 }
 
@@ -225,13 +311,20 @@
     type Error = B::Error;
 
     fn size(&self) -> BodySize {
-        self.body.size()
+        self.inner.size()
     }
 
     fn poll_next(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        self.project().body.poll_next(cx)
+        let this = self.project();
+        let part = this.inner.poll_next(cx);
+        if let (Poll::Ready(Some(Err(_))), true, Some(serving)) =
+            (&part, *this.resets, this.serving)
+        {
+            serving.0.discard();
+        }
+        part
     }
 }
--- a/src/listener/tests.rs
+++ b/src/listener/tests.rs
@@ -17,7 +17,7 @@
     Config, bind,
     idle::{Id, Phase, Table},
 };
-use crate::clock;
+use crate::{clock, unit};
 
 /// Idle timeout of the listener in these tests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -60,6 +60,7 @@
             workers: 1,
             connections_max,
             head_timeout: HEAD_TIMEOUT,
+            buffers: unit::Bytes::new(1 << 20),
             limits: Arc::new(idle_timeout),
             stop_timeout: Duration::from_secs(1),
             clock: clock::System::shared(),
@@ -240,3 +241,27 @@
     look(100, 3);
     insta::assert_debug_snapshot!(steps);
 }
+
+/// Guards against connections that stall in a head or send nothing, and take all places until the end of their
+/// own time limits (RECOVER). No more of them are closed than are needed.
+#[test]
+fn stalled_connections_are_closed_once_no_other_is_accepted() {
+    let start = Instant::now();
+    let limit = Duration::from_secs(10);
+    let mut table = Table::new(4, limit);
+    let ids = ["1", "2", "3"].map(|text| text.parse().expect("a number"));
+    for id in ids {
+        assert_eq!(table.open(id, start, limit), None);
+    }
+    let [first, second, third] = ids;
+    table.change(first, Phase::Receiving, start, limit);
+    table.change(second, Phase::Receiving, start, limit);
+    table.change(third, Phase::Serving, start, limit);
+    let steps = [2_999, 3_000, 3_001].map(|milliseconds| {
+        let now = start + Duration::from_millis(milliseconds);
+        let evicted = table.take_due(now, limit);
+        let evicted = evicted.map(|eviction| format!("{} {:?}", eviction.id, eviction.reason));
+        format!("at {milliseconds} ms: {evicted:?}")
+    });
+    insta::assert_debug_snapshot!(steps);
+}
--- a/src/memory/imp.rs
+++ b/src/memory/imp.rs
@@ -75,8 +75,8 @@
         Bytes::new(self.state.borrow().held)
     }
 
-    fn grow(&self, sender: SocketAddr, by: u64) -> Result<()> {
-        let mut state = self.state.borrow_mut();
+    fn check(&self, sender: SocketAddr, by: u64) -> Result<()> {
+        let state = self.state.borrow();
         let of_sender = state.senders.get(&sender).copied().unwrap_or_default();
         let free = state.limit.saturating_sub(state.held);
         let exceeds_share = state.shares && of_sender.saturating_add(by) > free.saturating_sub(by);
@@ -89,6 +89,12 @@
             );
             return Err(Error::new(Kind::Overloaded, detail));
         }
+        Ok(())
+    }
+
+    fn grow(&self, sender: SocketAddr, by: u64) -> Result<()> {
+        self.check(sender, by)?;
+        let mut state = self.state.borrow_mut();
         *state.senders.entry(sender).or_default() += by;
         let held = state.held + by;
         state.set_held(held);
@@ -145,6 +151,24 @@
         }
     }
 
+    /// Number of bytes that are held.
+    #[must_use]
+    pub fn size(&self) -> Bytes {
+        Bytes::new(self.size)
+    }
+
+    /// Fails if this many bytes could not be held now. Holds nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Overloaded`] if they are more than the sender may hold.
+    pub fn check(&self, size: u64) -> Result<()> {
+        match &self.pool {
+            Some(pool) => pool.check(self.sender, size.saturating_sub(self.size)),
+            None => Ok(()),
+        }
+    }
+
     /// Changes the number of bytes that are held.
     ///
     /// # Errors
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -21,6 +21,8 @@
 const BUFFERS_DIVISOR: u64 = 4;
 /// The memory divided by the part for bodies of callers.
 const BODY_BUFFERS_DIVISOR: u64 = 3;
+/// The memory divided by the part for unread answers and for requests that callers send ahead.
+const CONNECTION_BUFFERS_DIVISOR: u64 = 8;
 /// Default time in which a gateway follows the store again.
 const STORE_RECOVERY_DEFAULT: Duration = Duration::from_secs(3);
 /// Default interval at which endpoints write to the store.
@@ -75,6 +77,12 @@
         Bytes::new(self.memory.get() / BODY_BUFFERS_DIVISOR)
     }
 
+    /// Part of the memory for answers that callers do not read and for requests that they send ahead.
+    #[must_use]
+    pub const fn connection_buffers(&self) -> Bytes {
+        Bytes::new(self.memory.get() / CONNECTION_BUFFERS_DIVISOR)
+    }
+
     /// Part of the memory for bytes of answers that are held until they can be passed on.
     #[must_use]
     pub const fn buffers(&self) -> Bytes {
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -46,6 +46,9 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Body parts buffered for a slow reader before reads from the endpoint stop.
 const BODY_CHANNEL_CAPACITY: usize = 8;
+/// Size of the kernel's receive buffer of a connection. It would otherwise grow to several MiB while a caller
+/// does not read the answer.
+const RECEIVE_BUFFER_SIZE: usize = 128 << 10;
 /// Initial capacity of the read and write buffers, in bytes.
 const READ_BUFFER_SIZE: usize = 8 << 10;
 /// Longest response head, in bytes.
@@ -118,6 +121,7 @@
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_SIZE)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
