--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -204,6 +204,7 @@
         clock: Arc::clone(&clock),
         body_buffers: settings.body_buffers(),
         begun: duties.as_ref().and_then(DutyActors::begun),
+        connection_buffers: settings.connection_buffers(),
         metrics: metrics.clone(),
     })?;
     // The follower has not run yet, as nothing has been awaited since it was started.
