Handle overload by cost where requests have customers

Cause: with customers, requests of all kinds share a rank.

Change: the mode auto, the default, which is by-cost once there is a request of a customer. A gateway whose plan is not confirmed asks callers to come back after 10 ms instead of 250, since another gateway may have a confirmed plan.

--- a/src/customer/freshness.rs
+++ b/src/customer/freshness.rs
@@ -18,7 +18,7 @@
 /// different speed.
 const ACCEPTED_FRACTION: f64 = 0.8;
 /// Retry-after period while the plan is not confirmed; another process may have a confirmed one.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+const RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// Decides whether the plan was confirmed recently enough to accept the keys in it.
 #[derive(Clone, Debug)]
--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -29,7 +29,7 @@
             clock,
             zone,
             seed: 0,
-            overload: triage::Mode::Reject,
+            overload: triage::Mode::Auto,
         }
     }
 
@@ -41,7 +41,7 @@
         self
     }
 
-    /// Sets what happens when a service has too little capacity; [`triage::Mode::Reject`] until then.
+    /// Sets what happens when a service has too little capacity; [`triage::Mode::Auto`] until then.
     #[must_use]
     pub const fn overload(mut self, overload: triage::Mode) -> Self {
         self.overload = overload;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -75,7 +75,7 @@
     pub memory: Bytes,
     /// Calls to the platform's API that one gateway at a time makes; none by default.
     pub duties: Option<Duties>,
-    /// What happens when a service has too little capacity; `reject` by default.
+    /// What happens when a service has too little capacity; `auto` by default.
     pub overload: triage::Mode,
     /// Least severe level that is logged; `info` by default.
     pub log: Level,
--- a/src/triage/imp.rs
+++ b/src/triage/imp.rs
@@ -4,7 +4,7 @@
     time::{Duration, Instant},
 };
 
-use super::{ByCost, Reject};
+use super::{Auto, ByCost, Reject};
 use crate::{
     id::{Caller, Route, Service},
     unit::{Tokens, as_f64},
@@ -17,8 +17,10 @@
 /// What happens when a service has too little capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum Mode {
-    /// Rejects requests that are not expected to be answered before their deadline.
+    /// `Reject`, and `ByCost` once requests have customers.
     #[default]
+    Auto,
+    /// Rejects requests that are not expected to be answered before their deadline.
     Reject,
     /// Delays or rejects the requests that cost clients least.
     ByCost,
@@ -26,13 +28,17 @@
 
 impl Mode {
     /// All modes and their names in the settings.
-    pub const NAMES: [(&'static str, Self); 2] =
-        [("reject", Self::Reject), ("by-cost", Self::ByCost)];
+    pub const NAMES: [(&'static str, Self); 3] = [
+        ("auto", Self::Auto),
+        ("reject", Self::Reject),
+        ("by-cost", Self::ByCost),
+    ];
 }
 
 impl fmt::Display for Mode {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Auto => "auto",
             Self::Reject => "reject",
             Self::ByCost => "by-cost",
         })
@@ -46,7 +52,7 @@
         let known = Self::NAMES.iter().find(|(name, _)| *name == text);
         known
             .map(|(_, mode)| *mode)
-            .ok_or_else(|| format!("unknown overload mode {text:?}; use reject or by-cost"))
+            .ok_or_else(|| format!("unknown overload mode {text:?}; use auto, reject or by-cost"))
     }
 }
 
@@ -54,6 +60,7 @@
 #[must_use]
 pub fn new(mode: Mode) -> Box<dyn Policy> {
     match mode {
+        Mode::Auto => Box::new(Auto::default()),
         Mode::Reject => Box::new(Reject::default()),
         Mode::ByCost => Box::new(ByCost::default()),
     }
--- a/src/triage/mod.rs
+++ b/src/triage/mod.rs
@@ -4,6 +4,7 @@
 //! at the engines, then, with the forecast at the best endpoint, whether it runs, gives way to more
 //! valuable work, or is rejected. It has no clock and no input or output. [`Mode`] selects the policy.
 
+mod auto;
 mod by_cost;
 mod decay;
 mod imp;
@@ -14,6 +15,7 @@
 mod tests;
 mod urgency;
 
+pub use auto::Auto;
 pub use by_cost::ByCost;
 pub use imp::{Mode, Outlook, Policy, Reason, Rejection, Request, Verdict, new};
 pub use reject::Reject;
