--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -201,9 +201,15 @@
     let (links, follow_gateways) = match settings.peers {
         Some(address) => {
             let port = link::BoundListener::bind(address).await?;
-            let (links, follow) = join_peers(
-                settings,
+            let identity = Identity {
+                process: settings.process.clone(),
                 incarnation,
+                zone: settings.zone.clone(),
+                // Gateways read the plan from the store and never exchange it, so no revision is announced.
+                revision: watch::Sender::new(Revision::default()).subscribe(),
+            };
+            let (links, follow) = join_peers(
+                identity,
                 port,
                 &adapter.gateways_store,
                 &adapter.gateways_prefix,
@@ -314,8 +320,7 @@
 /// Registers this gateway and starts to link it with others. Also returns the task that watches
 /// their entries in the store.
 fn join_peers(
-    settings: &settings::Gateway,
-    incarnation: Incarnation,
+    identity: Identity,
     port: link::BoundListener,
     store: &Rc<dyn Store>,
     gateways: &Path,
@@ -323,19 +328,12 @@
     duties: Option<&DutyActors>,
     clock: &Shared,
 ) -> (PeerLinks, AbortHandle) {
-    let entry = gateways.join(&settings.process);
+    let entry = gateways.join(&identity.process);
     let presence = Presence::register(
         Rc::clone(store),
         entry,
         port.address().to_string().into_bytes(),
     );
-    let identity = Identity {
-        process: settings.process.clone(),
-        incarnation,
-        zone: settings.zone.clone(),
-        // Gateways read the plan from the store and never exchange it, so no revision is announced.
-        revision: watch::Sender::new(Revision::default()).subscribe(),
-    };
     let usage = duties.and_then(|actors| actors.usage.clone());
     let recipients = peers::Recipients::from(dispatcher).with_usage(usage);
     let config = peers::Config::new(identity, Arc::clone(clock), recipients);
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -102,7 +102,7 @@
         let address = r.field(&fields, "address", Reader::address);
         let lease = r.field(&fields, "lease", Reader::text);
         let tokens_checked = r.field(&fields, "tokens_checked", Reader::boolean);
-        let call_interval = r.field(&fields, "calls_per_s", |r, v| read_call_rate(r, v));
+        let call_interval = r.field(&fields, "calls_per_s", read_call_rate);
         // Kinds that this version does not know are not made.
         let kinds = r.field(&fields, "kinds", |r, v| r.list(v, Reader::text::<String>));
         let usage = r.optional(&fields, "usage", None, |r, v| read_usage(r, v).map(Some));
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -151,9 +151,10 @@
         self.busy = true;
         self.write_counts(now, ctx);
         let term = self.config.get_term.send(GetTerm).into_actor(self);
-        ctx.spawn(term.map(|term, usage, ctx| match term {
-            Ok(Some(term)) => usage.report_next(term.token, ctx),
-            Ok(None) | Err(_) => {
+        ctx.spawn(term.map(|term, usage, ctx| {
+            if let Ok(Some(term)) = term {
+                usage.report_next(term.token, ctx);
+            } else {
                 usage.stored = None;
                 usage.busy = false;
             }
--- a/src/usage/imp.rs
+++ b/src/usage/imp.rs
@@ -88,7 +88,7 @@
     /// Own counts that have changed since the last call.
     pub fn take_changes(&mut self) -> Vec<Begun> {
         let changed = std::mem::take(&mut self.changed);
-        let changes = changed.into_iter().filter_map(|(window, customer)| {
+        let running = changed.into_iter().filter_map(|(window, customer)| {
             let count = *self.own.get(&window)?.get(&customer)?;
             Some(Begun {
                 window,
@@ -96,7 +96,7 @@
                 count,
             })
         });
-        changes.collect()
+        running.collect()
     }
 
     /// All own counts.
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -84,7 +84,7 @@
         time.observe(&process(peer), Duration::from_millis(millis), clock.now());
         seen.push(time.estimate(clock.now()));
     }
-    clock.advance(Duration::from_secs(60));
+    clock.advance(Duration::from_mins(1));
     seen.push(time.estimate(clock.now()));
     insta::assert_debug_snapshot!(seen);
 }
