Scale times at an endpoint by the slowdown that it reports

An endpoint may add a fourth figure to its load report, which says how long work takes there now. It was ignored, so requests kept going to slow hosts.

Load reports carry the slowdown; costs and forecasts at the endpoint are multiplied by it, by less as the report gets old and not at all after a second. Learned prefill rates are taken at the usual speed, so that the slowdown does not count twice. Reports with other numbers of figures, or with figures that cannot be parsed, are counted in load_reports_ignored_total and ignored.

--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -97,7 +97,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Placement {
     /// Cost of the request at this endpoint, for its caller and for the other requests there, in
-    /// seconds. For a plain service it is the number of requests per slot.
+    /// seconds. For a plain service it is the number of requests per slot, times the
+    /// slowdown of the endpoint.
     pub(super) cost: f64,
     /// Prompt tokens of the request to prefill.
     pub(super) prefill: Tokens,
@@ -184,17 +185,18 @@
         let instance = &member.instance;
         let is_remote = instance.zone != *self.preferred_zone;
         let requests = candidate.requests();
+        let slowdown = member.slowdown_factor(self.now);
         if demand.prompt == Tokens::ZERO {
             let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
             return Placement {
-                cost: (requests + 1.0 + zone) / f64::from(instance.slots.max(1)),
+                cost: slowdown * (requests + 1.0 + zone) / f64::from(instance.slots.max(1)),
                 prefill: Tokens::ZERO,
                 tokens_ahead: Tokens::ZERO,
                 fetches: false,
                 forecast: Duration::ZERO,
             };
         }
-        let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
+        let seconds = slowdown / self.model.engine_rate(instance, self.now).get();
         let is_home = self.home == Some(&instance.id);
         let shared = as_f64(demand.shared_prefix.get());
         let fetch_seconds = KV_FETCH_SETUP.as_secs_f64() + shared / KV_FETCH_RATE;
@@ -232,7 +234,7 @@
             cost: forecast
                 + delayed_streams
                 + eviction
-                + requests * REQUEST_OVERHEAD.as_secs_f64()
+                + requests * slowdown * REQUEST_OVERHEAD.as_secs_f64()
                 + zone.as_secs_f64(),
             prefill,
             tokens_ahead: Tokens::new(round(queued)) + prefill,
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -7,7 +7,8 @@
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
-    Choice, Demand, Ending, Finish, Need, NoticeReceived, PeerCoverage, PeerDigest, Progress,
+    Choice, Demand, Ending, Finish, Load, Need, NoticeReceived, PeerCoverage, PeerDigest,
+    Prediction, Progress,
     cost::{Candidate, Conditions, Placement, peer_load},
     failure::{FailureReports, Reporter},
     member::{Member, Report},
@@ -24,7 +25,7 @@
     notice::{Board, Standing},
     quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
-    unit::{Tokens, as_f64},
+    unit::{Slowdown, Tokens, as_f64},
     wire::{Digest, Usage},
 };
 
@@ -155,6 +156,7 @@
             tokens_ahead: placement.tokens_ahead,
             fetch_from,
             forecast: placement.forecast,
+            slowdown: member.reported_slowdown(now),
             selected_at: now,
             own_requests: member.in_flight,
             peer_requests: peer_load(&self.peer_loads, member, demand.rank, now).requests,
@@ -231,9 +233,8 @@
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
             member.backlog.subtract(progress.rank, progress.prompt);
             member.last_answer = Some(now);
-            if let Some((tokens, selected_at)) = progress.prefill {
-                let elapsed = now.saturating_duration_since(selected_at);
-                let seen = Observation { tokens, elapsed };
+            if let Some(prediction) = progress.prediction {
+                let seen = observe(&prediction, progress.load, now);
                 self.model.record_prefill(&member.instance, seen, now);
             }
             if let Some(load) = progress.load {
@@ -530,6 +531,22 @@
     Err(Error::new(Kind::Overloaded, detail).with_retry_after(excess.min(longest)))
 }
 
+/// The time until an answer as it would have been at the usual speed of the endpoint. The slowdown is
+/// applied to the learned speed while it is reported, and must not be learned as well.
+fn observe(prediction: &Prediction, load: Option<Load>, now: Instant) -> Observation {
+    let elapsed = now.saturating_duration_since(prediction.selected_at);
+    let reports = [prediction.slowdown, load.and_then(|load| load.slowdown)];
+    let known = reports.into_iter().flatten().map(Slowdown::factor);
+    let (sum, count) = known.fold((0.0, 0.0), |(sum, count), factor| {
+        (sum + factor, count + 1.0)
+    });
+    let slowdown = if count > 0.0 { sum / count } else { 1.0 };
+    Observation {
+        tokens: prediction.tokens_ahead,
+        elapsed: elapsed.div_f64(slowdown),
+    }
+}
+
 fn quarantined(hold: Hold) -> Error {
     metrics::counter!("quarantine_refusals_total").increment(1);
     let detail = format!(
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -9,10 +9,13 @@
 use crate::{
     directory::{Instance, Listing},
     notice::{Closure, Standing},
+    unit::Slowdown,
 };
 
 /// Age from which a load report is ignored, about the duration of a request.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(2);
+/// Age from which a reported slowdown is ignored: it changes many times a second.
+const SLOWDOWN_MAX_AGE: Duration = Duration::from_secs(1);
 /// First backoff of an endpoint that has rejected a request. Each further rejection doubles it.
 const BACKOFF_INITIAL: Duration = Duration::from_millis(250);
 /// First backoff of an endpoint that does not run.
@@ -133,6 +136,28 @@
             .map_or(0, |report| report.load.waiting)
     }
 
+    /// Factor by which work takes longer than usual at the endpoint. The last report counts less as it
+    /// gets old; without a recent one, the factor is 1.
+    pub(super) fn slowdown_factor(&self, now: Instant) -> f64 {
+        let slowdown = self.reported_slowdown(now).unwrap_or_default();
+        slowdown.factor().powf(self.report_freshness(now))
+    }
+
+    /// Slowdown in the last report, unless that is too old.
+    pub(super) fn reported_slowdown(&self, now: Instant) -> Option<Slowdown> {
+        let report = self.report.filter(|_| self.report_freshness(now) > 0.0);
+        report.and_then(|report| report.load.slowdown)
+    }
+
+    /// How much of the last report still holds of what changes many times a second, from 0 to 1.
+    fn report_freshness(&self, now: Instant) -> f64 {
+        self.report.map_or(0.0, |report| {
+            let age = now.saturating_duration_since(report.received_at);
+            let left = SLOWDOWN_MAX_AGE.saturating_sub(age);
+            left.div_duration_f64(SLOWDOWN_MAX_AGE)
+        })
+    }
+
     fn fresh_report(&self, now: Instant) -> Option<Report> {
         self.report
             .filter(|report| now.saturating_duration_since(report.received_at) < REPORT_MAX_AGE)
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -15,7 +15,7 @@
     id::{self, Endpoint, PromptPart, Service, Zone},
     link::Session,
     notice::Notice,
-    unit::Tokens,
+    unit::{Slowdown, Tokens},
     wire::Digest,
 };
 
@@ -84,6 +84,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Expected time until the endpoint answers; zero for a plain service.
     pub forecast: Duration,
+    /// Slowdown that the endpoint has reported within the last second.
+    pub slowdown: Option<Slowdown>,
     /// When the endpoint was selected.
     pub selected_at: Instant,
     /// Requests of this process in flight there, including this one.
@@ -108,6 +110,19 @@
     pub waiting: u32,
     /// Requests that the endpoint can run concurrently.
     pub slots: u32,
+    /// How long work takes at the endpoint now; `None` if it does not report this.
+    pub slowdown: Option<Slowdown>,
+}
+
+/// What was known when an endpoint was selected, to compare with the time that it took to answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// When the endpoint was selected.
+    pub selected_at: Instant,
+    /// Prompt tokens to prefill before the answer.
+    pub tokens_ahead: Tokens,
+    /// Slowdown that the endpoint had reported within the last second.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Reports that an endpoint has begun to answer. Sent by the [`Ticket`].
@@ -122,9 +137,9 @@
     pub prompt: Tokens,
     /// Load that the endpoint sent with the answer, if any.
     pub load: Option<Load>,
-    /// Prompt tokens that were ahead of a successful answer, and when the endpoint was selected;
-    /// `None` for an answer that says nothing about the speed of the endpoint.
-    pub prefill: Option<(Tokens, Instant)>,
+    /// What was known at the selection, for a successful answer; `None` for an answer that says nothing
+    /// about the speed of the endpoint.
+    pub prediction: Option<Prediction>,
 }
 
 /// How a request ended at an endpoint.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -25,7 +25,8 @@
 pub use imp::LoadBalancer;
 pub use message::{
     Choice, Choose, Demand, Ending, Finish, IsSilent, ListConfirmed, Load, MayRetry, Need,
-    NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest,
+    NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Prediction, Progress, SetInstances,
+    TakeDigest,
 };
 pub use permit::Permit;
 pub use ticket::Ticket;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -14,7 +14,7 @@
     link::Session,
     notice::Notice,
     testing::with_paused_time,
-    unit::Tokens,
+    unit::{Slowdown, Tokens},
     wire::{Digest, Usage},
 };
 
@@ -332,7 +332,7 @@
         rank: 0,
         prompt: Tokens::ZERO,
         load: None,
-        prefill: None,
+        prediction: None,
     };
     balancer.progress(&answer, later);
     assert!(!balancer.is_silent(&endpoint, now));
@@ -402,8 +402,9 @@
             running: 4,
             waiting: 4,
             slots: 4,
+            slowdown: None,
         }),
-        prefill: None,
+        prediction: None,
     };
     balancer.progress(&busy, now);
     let demand = demand("print", Need::Start, 0, None);
@@ -413,6 +414,65 @@
     insta::assert_debug_snapshot!((fresh, outdated));
 }
 
+/// An answer of an endpoint that works at this slowdown.
+fn paced_answer(endpoint: &str, percent: u32, prediction: Option<Prediction>) -> Progress {
+    Progress {
+        endpoint: endpoint.parse().expect("a valid name"),
+        rank: 0,
+        prompt: Tokens::ZERO,
+        load: Some(Load {
+            running: 0,
+            waiting: 0,
+            slots: 4,
+            slowdown: Some(Slowdown::from_percent(percent)),
+        }),
+        prediction,
+    }
+}
+
+/// Guards against a slowdown that does not count, or that counts for longer than it lasts.
+#[test]
+fn forecasts_follow_a_reported_slowdown_for_a_second() {
+    let (mut balancer, now) = balancer(vec![instance("e1", "lm", None)]);
+    balancer.progress(&paced_answer("e1", 400, None), now);
+    let demand = demand("lm", Need::Start, 6_000, None);
+    let forecasts = [0, 250, 500, 1_000, 5_000].map(|age| {
+        let at = now + Duration::from_millis(age);
+        let choice = balancer.choose(&demand, at).expect("e1");
+        balancer.finish(&finish(&choice, 6_000, Ending::Abandoned), at);
+        format!("after {age} ms: {:?}", choice.forecast)
+    });
+    insta::assert_debug_snapshot!(forecasts);
+}
+
+/// Guards against a slowdown that counts twice: as reported, and in the learned speed.
+#[test]
+fn reported_slowdown_is_not_learned() {
+    let forecasts = [None, Some(100), Some(400)].map(|percent| {
+        let (mut balancer, start) = balancer(vec![instance("e1", "lm", None)]);
+        let slowed = Duration::from_millis(100) * percent.unwrap_or(400) / 100;
+        let mut at = start;
+        for _ in 0..200 {
+            let prediction = Prediction {
+                selected_at: at,
+                tokens_ahead: Tokens::new(6_000),
+                slowdown: percent.map(Slowdown::from_percent),
+            };
+            at += slowed;
+            let mut answer = paced_answer("e1", percent.unwrap_or(100), Some(prediction));
+            if percent.is_none() {
+                answer.load = None;
+            }
+            balancer.progress(&answer, at);
+        }
+        let demand = demand("lm", Need::Start, 6_000, None);
+        let choice = balancer.choose(&demand, at + Duration::from_secs(1));
+        let forecast = choice.expect("e1").forecast;
+        format!("{percent:?}: {} ms", forecast.as_millis())
+    });
+    insta::assert_debug_snapshot!(forecasts);
+}
+
 /// Guards against a load report whose numbers overflow, which makes its endpoint look idle.
 #[test]
 fn large_load_reports_do_not_overflow() {
@@ -425,8 +485,9 @@
             running: u32::MAX,
             waiting: 1,
             slots: 4,
+            slowdown: None,
         }),
-        prefill: None,
+        prediction: None,
     };
     balancer.progress(&absurd, now);
     let demand = demand("print", Need::Start, 0, None);
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -5,7 +5,7 @@
 
 use actix::Recipient;
 
-use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Progress};
+use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Prediction, Progress};
 use crate::{clock::Shared, forecast::Pace, id::PromptPart, unit::Tokens};
 
 /// Where a [`Ticket`] and its [`Permit`]s report to.
@@ -71,7 +71,11 @@
             rank: self.choice.rank,
             prompt,
             load,
-            prefill: succeeded.then_some((self.choice.tokens_ahead, self.choice.selected_at)),
+            prediction: succeeded.then_some(Prediction {
+                selected_at: self.choice.selected_at,
+                tokens_ahead: self.choice.tokens_ahead,
+                slowdown: self.choice.slowdown,
+            }),
         });
     }
 
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -566,7 +566,7 @@
                     rank: 0,
                     prompt: Tokens::ZERO,
                     load: None,
-                    prefill: None,
+                    prediction: None,
                 };
                 let dispatcher = ports.dispatcher.clone();
                 actix_rt::spawn(async move {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -18,7 +18,7 @@
     },
     memory::Pool,
     notice::{Notice, Pause, Standing},
-    unit,
+    unit::{self, Slowdown},
     upstream::{self, Body, Client, Framing, Kind},
 };
 
@@ -32,6 +32,8 @@
 const LISTEN_TEST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Characters of a request id in an error; ids of callers are shorter.
 const ID_LOGGED_MAX: usize = 64;
+/// Characters of a load report in the log that cannot be parsed.
+const LOAD_LOGGED_MAX: usize = 64;
 /// Least urgent priority in the protocol.
 const RANK_MAX: u8 = 9;
 
@@ -354,22 +356,49 @@
         framing,
         execution,
         notice: decode_notice(head),
-        load: header_text(headers, names::INSTANCE_LOAD).and_then(parse_load),
+        load: header_text(headers, names::INSTANCE_LOAD).and_then(decode_load),
         cache: None,
         body,
     }
 }
 
-/// Parses the numbers of running requests, waiting requests and slots.
+/// Parses a load report; one that cannot be parsed is counted and ignored.
+pub(super) fn decode_load(text: &str) -> Option<Load> {
+    let load = parse_load(text);
+    if load.is_none() {
+        metrics::counter!("load_reports_ignored_total").increment(1);
+        let report: String = text.chars().take(LOAD_LOGGED_MAX).collect();
+        log::debug!(report:% = report; "load report of an endpoint cannot be parsed");
+    }
+    load
+}
+
+/// Parses the numbers of running requests, waiting requests and slots, and the slowdown in percent if
+/// there is one.
 fn parse_load(text: &str) -> Option<Load> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    let figures: Vec<&str> = text.split(',').map(str::trim).collect();
+    let (&[running, waiting, slots], rest) = figures.split_first_chunk()?;
+    let slowdown = match rest {
+        [] => None,
+        [percent] => Some(parse_slowdown(percent)?),
+        _ => return None,
+    };
     Some(Load {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
+        running: running.parse().ok()?,
+        waiting: waiting.parse().ok()?,
+        slots: slots.parse().ok()?,
+        slowdown,
     })
 }
 
+/// Parses a slowdown in percent, fractions allowed. Work that takes no time is not possible.
+fn parse_slowdown(text: &str) -> Option<Slowdown> {
+    let percent: f64 = text.parse().ok()?;
+    let percent = Some(percent).filter(|percent| percent.is_finite() && *percent > 0.0)?;
+    let percent = u32::try_from(unit::round(percent)).unwrap_or(u32::MAX);
+    Some(Slowdown::from_percent(percent))
+}
+
 fn to_send_error(error: &upstream::Error) -> SendError {
     match error.kind() {
         Kind::NotSent => SendError::NotSent(error.to_string()),
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -40,7 +40,8 @@
 pub(super) const EXPECT_INSTANCE: &str = "expect-instance";
 /// Set by an endpoint that has not run the request.
 pub(super) const NOT_EXECUTED: &str = "not-executed";
-/// Running requests, waiting requests and slots of the endpoint, separated by commas.
+/// Running requests, waiting requests and slots of the endpoint, separated by commas. A fourth number says
+/// how long work takes there now, in percent of the usual time.
 pub(super) const INSTANCE_LOAD: &str = "instance-load";
 /// `1` in every answer of an endpoint that is leaving.
 pub(super) const SERVER_LEAVING: &str = "server-leaving";
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -607,3 +607,30 @@
     });
     insta::assert_debug_snapshot!(notices);
 }
+
+/// Guards against a load report that is misread, and against one whose slowdown makes an endpoint look
+/// infinitely fast or slow.
+#[test]
+fn load_reports_have_three_or_four_figures() {
+    let texts = [
+        "3,1,6",
+        " 3, 1, 6 ",
+        "3,1,6,130",
+        "3,1,6,97.6",
+        "3,1,6,1",
+        "3,1,6,4000000000000",
+        "3,1,6,0",
+        "3,1,6,-20",
+        "3,1,6,NaN",
+        "3,1,6,inf",
+        "3,1,6,",
+        "3,1,6,fast",
+        "3,1,6,130,1",
+        "3,1",
+        "",
+        "3,-1,6",
+        "3,1.5,6,130",
+    ];
+    let loads = texts.map(|text| format!("{text:?}: {:?}", engine::decode_load(text)));
+    insta::assert_debug_snapshot!(loads);
+}
--- a/src/unit/imp.rs
+++ b/src/unit/imp.rs
@@ -229,6 +229,71 @@
 
 serde_as_text!(Share);
 
+/// How long work takes compared with its usual duration, written as a percentage such as `130%`; 100% by
+/// default.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Slowdown {
+    percent: u32,
+}
+
+/// Least slowdown in percent. A smaller one would promise work that takes no time.
+const SLOWDOWN_MIN: u32 = 10;
+/// Greatest slowdown in percent, so that times stay finite. Endpoints at such a slowdown miss every
+/// deadline.
+const SLOWDOWN_MAX: u32 = 10_000;
+
+impl Slowdown {
+    /// Work takes as long as usual.
+    pub const NONE: Self = Self { percent: 100 };
+
+    /// Creates a slowdown, clamped to 10% to 10,000%.
+    #[must_use]
+    pub const fn from_percent(percent: u32) -> Self {
+        let percent = if percent < SLOWDOWN_MIN {
+            SLOWDOWN_MIN
+        } else if percent > SLOWDOWN_MAX {
+            SLOWDOWN_MAX
+        } else {
+            percent
+        };
+        Self { percent }
+    }
+
+    /// Returns the factor by which work takes longer than usual; below 1 if it takes less time.
+    #[must_use]
+    pub fn factor(self) -> f64 {
+        f64::from(self.percent) / 100.0
+    }
+}
+
+impl Default for Slowdown {
+    fn default() -> Self {
+        Self::NONE
+    }
+}
+
+impl fmt::Display for Slowdown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.percent)
+    }
+}
+
+impl FromStr for Slowdown {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let percent = text
+            .strip_suffix('%')
+            .and_then(|number| number.parse().ok());
+        match percent {
+            Some(percent) if percent > 0 => Ok(Self::from_percent(percent)),
+            _ => Err(Error {
+                expected: "a slowdown such as \"130%\"",
+            }),
+        }
+    }
+}
+
 /// Value of one answer that meets its target, relative to other classes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -16,7 +16,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use imp::{Bytes, Error, Rate, Share, Tokens, Worth, period};
+pub use imp::{Bytes, Error, Rate, Share, Slowdown, Tokens, Worth, period};
 pub(crate) use imp::{as_f64, round};
 
 /// Result of parsing a quantity.
--- a/src/unit/tests.rs
+++ b/src/unit/tests.rs
@@ -49,6 +49,7 @@
         let _tokens = text.parse::<Tokens>();
         let _rate = text.parse::<Rate>();
         let _share = text.parse::<Share>();
+        let _slowdown = text.parse::<Slowdown>();
         let _period = period::parse(&text);
     }
 
@@ -59,3 +60,11 @@
         prop_assert_eq!(bytes.to_string().parse(), Ok(bytes));
     }
 }
+
+/// Guards against a slowdown of zero, which makes work take no time.
+#[test]
+fn slowdowns_are_bounded() {
+    let texts = ["130%", "1%", "0%", "99999%", "4294967296%", "-5%", "130"];
+    let table = texts.map(|text| format!("{text:?} | {}", text_or_error(text.parse::<Slowdown>())));
+    insta::assert_debug_snapshot!(table);
+}
