Place no request at an engine whose memory it would exceed

An engine ends if the requests that it holds exceed its memory, which fails all of them. Gateways did not know that memory, nor what they had placed.

The configuration's services[].engine.kvTokens reaches the dispatcher with each plan. It sums own prompt and output limit of the requests that it has placed at each engine, and each distinct shared prefix once, also over peers, which report theirs in the digest. An engine without room is chosen only if no candidate has room; one that is nearly full yields to others that can answer in time. Without kvTokens nothing is limited and digests stay as they are.

Tested: unit tests of dispatch, platform, route, wire, peers, gateway and forward; clippy.

--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -4,8 +4,8 @@
 
 use super::{
     Choose, Finish, IsSilent, ListConfirmed, LoadBalancer, MayRetry, Need, NoticeReceived,
-    PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, TakeDigest, Ticket,
-    ticket::Reports,
+    PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, SetMemory, TakeDigest,
+    Ticket, ticket::Reports,
 };
 use crate::{clock::Shared, error::Result, id::Zone};
 
@@ -146,6 +146,14 @@
     }
 }
 
+impl Handler<SetMemory> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, SetMemory(capacities): SetMemory, _: &mut Context<Self>) {
+        self.balancer.set_memory(capacities);
+    }
+}
+
 impl Handler<TakeDigest> for Dispatcher {
     type Result = MessageResult<TakeDigest>;
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -7,10 +7,11 @@
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
-    Choice, Demand, Ending, Finish, Load, Need, NoticeReceived, PeerCoverage, PeerDigest,
-    Prediction, Progress,
+    Choice, Demand, Ending, Finish, Footprint, Load, Need, NoticeReceived, PeerCoverage,
+    PeerDigest, Prediction, Progress,
     cost::{Candidate, Conditions, Placement, peer_load},
     failure::{FailureReports, Reporter},
+    kv_memory::Room,
     member::{Member, Report},
     peer_load::PeerLoads,
     urgency::Urgency,
@@ -26,7 +27,7 @@
     quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
     unit::{Slowdown, Tokens, as_f64},
-    wire::{Digest, Usage},
+    wire::{Digest, Occupancy, Usage},
 };
 
 /// Consecutive failures of an endpoint after which it is reported to peers. An endpoint that is
@@ -54,6 +55,8 @@
     ejector: Ejector,
     budgets: BTreeMap<Service, WindowBudget>,
     peer_loads: PeerLoads,
+    /// Memory of the engines of each service.
+    capacities: BTreeMap<Service, Tokens>,
     model: Model,
     urgency: Urgency,
     failure_reports: FailureReports,
@@ -75,6 +78,7 @@
             ejector: Ejector::new(),
             budgets: BTreeMap::new(),
             peer_loads: PeerLoads::default(),
+            capacities: BTreeMap::new(),
             model: Model::new(),
             urgency: Urgency::default(),
             failure_reports: FailureReports::default(),
@@ -89,6 +93,11 @@
         self.list_confirmed_at = Some(now);
     }
 
+    /// Replaces the memory of the engines of each service, in tokens.
+    pub fn set_memory(&mut self, capacities: BTreeMap<Service, Tokens>) {
+        self.capacities = capacities;
+    }
+
     /// Replaces the list of endpoints. Endpoints that remain at the same address keep their state.
     pub fn set_instances(&mut self, instances: Vec<Arc<Instance>>, now: Instant) {
         let mut old = std::mem::take(&mut self.members);
@@ -149,10 +158,13 @@
         });
         member.in_flight += 1;
         member.backlog.add(demand.rank, prefill);
+        let footprint = Footprint::of(demand);
+        member.memory.add(footprint);
         Ok(Choice {
             instance: Arc::clone(&member.instance),
             rank: demand.rank,
             prefill_tokens: prefill,
+            footprint,
             tokens_ahead: placement.tokens_ahead,
             fetch_from,
             forecast: placement.forecast,
@@ -265,6 +277,7 @@
         };
         member.in_flight = member.in_flight.saturating_sub(1);
         member.backlog.subtract(finish.rank, finish.prompt);
+        member.memory.subtract(finish.footprint);
         let service = member.instance.service.clone();
         if let Some(mut pace) = finish.pace {
             if finish.ending != Ending::Served {
@@ -328,8 +341,20 @@
             requests: member.in_flight,
             prompt_tokens_to_prefill: member.backlog.iter().collect(),
         });
+        let tokens = self.members.values().filter(|member| {
+            self.capacities.contains_key(&member.instance.service) && !member.memory.is_empty()
+        });
+        let tokens = tokens.map(|member| {
+            let (own, prefixes) = member.memory.report();
+            Occupancy {
+                endpoint: member.instance.id.clone(),
+                own,
+                prefixes,
+            }
+        });
         Digest {
             usages: usages.collect(),
+            tokens: tokens.collect(),
             failed: std::mem::take(&mut self.unreported_failures)
                 .into_iter()
                 .collect(),
@@ -347,6 +372,8 @@
         }
         self.quarantine.apply_report(msg.digest.parts, now);
         self.peer_loads.update(msg.session, msg.digest.usages);
+        self.peer_loads
+            .update_memory(msg.session, msg.digest.tokens);
     }
 
     /// Records a failure of an endpoint, and backs off if enough processes have reported it.
@@ -373,6 +400,17 @@
             "backing off from endpoint after correlated failures");
     }
 
+    /// The room that an engine has for a request; ample where the configuration states no memory.
+    fn room(&self, member: &Member, request: Footprint) -> Room {
+        let instance = &member.instance;
+        let Some(capacity) = self.capacities.get(&instance.service) else {
+            return Room::Ample;
+        };
+        let peers = self.peer_loads.memory(&instance.id);
+        let factor = self.peer_loads.coverage_factor();
+        member.memory.room(peers, factor, request, *capacity)
+    }
+
     /// Removes the load of a peer whose link has closed.
     pub fn remove_peer(&mut self, session: Session) {
         self.peer_loads.remove(session);
@@ -436,9 +474,15 @@
             .collect();
         let preferred_zone = demand.preferred_zone.as_ref().unwrap_or(&self.zone);
         let conditions = Conditions::new(&self.model, &candidates, demand, preferred_zone, now);
+        let footprint = Footprint::of(demand);
+        let rooms: Vec<Room> = candidates[..open]
+            .iter()
+            .map(|candidate| self.room(candidate.member, footprint))
+            .collect();
         let best = candidates[..open]
             .iter()
-            .map(|candidate| {
+            .zip(rooms)
+            .map(|(candidate, room)| {
                 // Jitter keeps processes that see the same load from all selecting the same
                 // endpoint before the next digest.
                 let jitter = self.rng.random_range(1.0..1.05);
@@ -450,15 +494,20 @@
                 let placement = conditions.place(candidate, demand);
                 let endpoint = &candidate.member.instance.id;
                 let misses = placement.forecast > demand.remaining;
-                (
-                    misses,
-                    placement.cost * jitter + unseen,
-                    endpoint,
-                    placement,
-                )
+                // An engine ends if its memory is exceeded, which fails all requests there.
+                let order = (room == Room::None, misses, room == Room::Tight);
+                (order, placement.cost * jitter + unseen, endpoint, placement)
             })
             // An engine that can answer in time precedes a cheaper one that cannot.
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        if let Some(((true, _, _), _, endpoint, _)) = &best {
+            metrics::counter!("engine_memory_exceeded_total",
+                "service" => demand.service.to_string())
+            .increment(1);
+            log::debug!(endpoint:% = endpoint, service:% = demand.service,
+                own_tokens = footprint.own.get();
+                "no engine is known to have room in its memory for the request");
+        }
         let selected = best.map(|(_, _, endpoint, placement)| Selection {
             endpoint: endpoint.clone(),
             home: conditions.home().filter(|_| placement.fetches).cloned(),
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use super::{Backlog, Evidence, Load};
+use super::{Backlog, Evidence, Load, kv_memory::KvMemory};
 use crate::{
     directory::{Instance, Listing},
     notice::{Closure, Standing},
@@ -31,6 +31,8 @@
     pub(super) in_flight: u32,
     /// Their prompt tokens that wait for prefill.
     pub(super) backlog: Backlog,
+    /// Memory that they use.
+    pub(super) memory: KvMemory,
     pub(super) report: Option<Report>,
     /// Rejections, and refused connections, since the last request that was served.
     pub(super) rejections: u32,
@@ -60,6 +62,7 @@
             instance,
             in_flight: 0,
             backlog: Backlog::default(),
+            memory: KvMemory::default(),
             report: None,
             rejections: 0,
             failures: 0,
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -7,7 +8,7 @@
 use actix::Message;
 use tokio::sync::watch;
 
-use super::{Evidence, Ticket};
+use super::{Evidence, Footprint, Ticket};
 use crate::{
     directory::Instance,
     error::Result,
@@ -43,6 +44,8 @@
     pub rank: u8,
     /// Prompt length in tokens, 0 for a plain service.
     pub prompt: Tokens,
+    /// Limit of the output in tokens, 0 for a plain service.
+    pub output: Tokens,
     /// Tokens of the prompt prefix that other requests share.
     pub shared_prefix: Tokens,
     /// Parts of the prompt that other requests may share.
@@ -76,6 +79,8 @@
     pub rank: u8,
     /// Prompt tokens that the endpoint has to prefill for the request.
     pub prefill_tokens: Tokens,
+    /// Memory of the endpoint that the request uses until it ends.
+    pub footprint: Footprint,
     /// Prompt tokens that the endpoint is expected to prefill before it answers, including those of
     /// the request itself.
     pub tokens_ahead: Tokens,
@@ -175,6 +180,8 @@
     pub rank: u8,
     /// Prompt tokens of the request that are still counted in the backlog of the endpoint.
     pub prompt: Tokens,
+    /// Memory of the endpoint that the request has used.
+    pub footprint: Footprint,
     /// Outcome, which updates the health of the endpoint.
     pub ending: Ending,
     /// Pauses of the stream, if the request was answered with one.
@@ -251,3 +258,9 @@
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct SetInstances(pub Vec<Arc<Instance>>);
+
+/// Replaces the memory of the engines of each service, in tokens. Engines of other services are not
+/// limited.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetMemory(pub BTreeMap<Service, Tokens>);
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod failure;
 mod imp;
+mod kv_memory;
 mod member;
 mod message;
 mod peer_load;
@@ -23,10 +24,11 @@
 pub use backlog::Backlog;
 pub use evidence::Evidence;
 pub use imp::LoadBalancer;
+pub use kv_memory::Footprint;
 pub use message::{
     Choice, Choose, Demand, Ending, Finish, IsSilent, ListConfirmed, Load, MayRetry, Need,
     NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Prediction, Progress, SetInstances,
-    TakeDigest,
+    SetMemory, TakeDigest,
 };
 pub use permit::Permit;
 pub use ticket::Ticket;
--- a/src/dispatch/peer_load.rs
+++ b/src/dispatch/peer_load.rs
@@ -1,13 +1,20 @@
 use std::collections::BTreeMap;
 
-use super::{Backlog, PeerCoverage};
-use crate::{id::Endpoint, link::Session, unit::as_f64, wire::Usage};
+use super::{Backlog, PeerCoverage, kv_memory::KvMemory};
+use crate::{
+    id::Endpoint,
+    link::Session,
+    unit::{Tokens, as_f64},
+    wire::{Occupancy, Usage},
+};
 
 /// The load that peer processes report for each endpoint.
 #[derive(Debug, Default)]
 pub(super) struct PeerLoads {
     peers: BTreeMap<Session, BTreeMap<Endpoint, Usage>>,
     totals: BTreeMap<Endpoint, Total>,
+    occupancies: BTreeMap<Session, BTreeMap<Endpoint, Occupancy>>,
+    memory: BTreeMap<Endpoint, KvMemory>,
     coverage: Option<PeerCoverage>,
 }
 
@@ -48,8 +55,37 @@
         }
     }
 
+    /// Applies the memory in use that a peer reports. Engines that are not listed keep theirs.
+    pub(super) fn update_memory(&mut self, session: Session, occupancies: Vec<Occupancy>) {
+        for occupancy in occupancies {
+            let peer = self.occupancies.entry(session).or_default();
+            if let Some(previous) = peer.remove(&occupancy.endpoint) {
+                subtract_memory(&mut self.memory, &previous);
+            }
+            if occupancy.own > Tokens::ZERO || !occupancy.prefixes.is_empty() {
+                let endpoint = occupancy.endpoint.clone();
+                let total = self.memory.entry(endpoint.clone()).or_default();
+                total.add_peer(&occupancy);
+                peer.insert(endpoint, occupancy);
+            }
+        }
+    }
+
+    /// Memory of an engine that the requests of linked peers use.
+    pub(super) fn memory(&self, endpoint: &Endpoint) -> Option<&KvMemory> {
+        self.memory.get(endpoint)
+    }
+
     /// Removes all usage reported over a link.
     pub(super) fn remove(&mut self, session: Session) {
+        for occupancy in self
+            .occupancies
+            .remove(&session)
+            .unwrap_or_default()
+            .values()
+        {
+            subtract_memory(&mut self.memory, occupancy);
+        }
         for (endpoint, usage) in self.peers.remove(&session).unwrap_or_default() {
             if let Some(total) = self.totals.get_mut(&endpoint) {
                 total.subtract(&usage);
@@ -74,21 +110,35 @@
             return Some(PeerLoad::default());
         };
         let (urgent, less_urgent) = total.backlog.split(rank);
-        let factor = self.coverage.map_or(1.0, |coverage| {
+        let factor = self.coverage_factor();
+        Some(PeerLoad {
+            requests: as_f64(total.requests) * factor,
+            urgent_tokens: as_f64(urgent) * factor,
+            less_urgent_tokens: as_f64(less_urgent) * factor,
+        })
+    }
+
+    /// Known peers for each linked one, by which the load of the linked ones is extrapolated.
+    pub(super) fn coverage_factor(&self) -> f64 {
+        self.coverage.map_or(1.0, |coverage| {
             let (known, linked) = (
                 as_f64(coverage.known as u64),
                 as_f64(coverage.linked as u64),
             );
             (known / linked.max(1.0)).max(1.0)
-        });
-        Some(PeerLoad {
-            requests: as_f64(total.requests) * factor,
-            urgent_tokens: as_f64(urgent) * factor,
-            less_urgent_tokens: as_f64(less_urgent) * factor,
         })
     }
 }
 
+fn subtract_memory(memory: &mut BTreeMap<Endpoint, KvMemory>, previous: &Occupancy) {
+    if let Some(total) = memory.get_mut(&previous.endpoint) {
+        total.subtract_peer(previous);
+        if total.is_empty() {
+            memory.remove(&previous.endpoint);
+        }
+    }
+}
+
 impl Total {
     fn add(&mut self, usage: &Usage) {
         self.requests += u64::from(usage.requests);
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -15,7 +15,7 @@
     notice::Notice,
     testing::with_paused_time,
     unit::{Slowdown, Tokens},
-    wire::{Digest, Usage},
+    wire::{Digest, Occupancy, Usage},
 };
 
 fn zone(name: &str) -> Zone {
@@ -41,6 +41,7 @@
         need,
         rank: 1,
         prompt: Tokens::new(prompt),
+        output: Tokens::ZERO,
         shared_prefix: Tokens::new(prompt / 2),
         shared_parts: Arc::default(),
         affinity,
@@ -55,6 +56,7 @@
         endpoint: choice.instance.id.clone(),
         rank: choice.rank,
         prompt: Tokens::new(prompt),
+        footprint: choice.footprint,
         ending,
         pace: None,
         shared_parts: Arc::default(),
@@ -473,6 +475,72 @@
     insta::assert_debug_snapshot!(forecasts);
 }
 
+/// Guards against requests to an engine whose memory they would exceed, by what this process or its peers
+/// have placed there, and against prefixes that count once for each request.
+#[test]
+fn engines_without_room_get_no_requests_while_others_have_room() {
+    let engines = vec![instance("e1", "lm", None), instance("e2", "lm", None)];
+    let (mut balancer, now) = balancer(engines);
+    let session = Session::next();
+    let peer = |own, prefixes: &[(u64, u64)]| PeerDigest {
+        session,
+        digest: Digest {
+            tokens: vec![Occupancy {
+                endpoint: "e1".parse().expect("a valid name"),
+                own: Tokens::new(own),
+                prefixes: prefixes
+                    .iter()
+                    .map(|(hash, tokens)| (*hash, Tokens::new(*tokens)))
+                    .collect(),
+            }],
+            ..Digest::default()
+        },
+    };
+    // The prefix of 500 tokens, and 500 of its own and 100 of output for each request.
+    let demand = Demand {
+        output: Tokens::new(100),
+        ..demand("lm", Need::Start, 1_000, Some(7))
+    };
+    let mut results = Vec::new();
+    let mut run = |what: &str, balancer: &mut LoadBalancer| {
+        let chosen: crate::error::Result<Vec<Choice>> =
+            (0..8).map(|_| balancer.choose(&demand, now)).collect();
+        let chosen = chosen.expect("an engine");
+        let on_first = chosen
+            .iter()
+            .filter(|choice| choice.instance.id.as_str() == "e1");
+        results.push(format!(
+            "{what}: {} of {} at e1",
+            on_first.count(),
+            chosen.len()
+        ));
+        for choice in &chosen {
+            let finish = Finish {
+                prompt: choice.prefill_tokens,
+                ..finish(choice, 0, Ending::Served)
+            };
+            balancer.finish(&finish, now);
+        }
+    };
+    let capacity = |tokens| [("lm".parse().expect("a valid name"), Tokens::new(tokens))].into();
+    run("no limit", &mut balancer);
+    balancer.apply_peer_digest(peer(9_800, &[(8, 100)]), now);
+    run("no limit, peer at e1", &mut balancer);
+    balancer.set_memory(capacity(10_000));
+    run("peer fills e1", &mut balancer);
+    balancer.apply_peer_digest(peer(4_000, &[(7, 500)]), now);
+    run("peer has the same prefix", &mut balancer);
+    balancer.apply_peer_digest(peer(4_000, &[(8, 5_000)]), now);
+    run("peer has another prefix", &mut balancer);
+    balancer.set_memory(capacity(1_000));
+    run("none has room", &mut balancer);
+    balancer.set_memory(capacity(10_000));
+    balancer.remove_peer(session);
+    run("peer has gone", &mut balancer);
+    let left = balancer.take_digest(now);
+    insta::assert_debug_snapshot!((results, left));
+}
+
 /// Guards against a load report whose numbers overflow, which makes its endpoint look idle.
 #[test]
 fn large_load_reports_do_not_overflow() {
@@ -727,6 +795,7 @@
     let mut chosen = choices(balancer, &demand, 60, now);
     for id in &chosen {
         let finish = Finish {
+            footprint: Footprint::default(),
             endpoint: id.parse().expect("a valid name"),
             rank: 1,
             prompt: Tokens::ZERO,
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -104,6 +104,7 @@
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
             prompt: self.pending_prefill,
+            footprint: self.choice.footprint,
             ending: self.ending,
             pace: self.pace,
             shared_parts: Arc::clone(&self.shared_parts),
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -656,6 +656,7 @@
             need,
             rank: self.route.rank,
             prompt: generation.map_or(Tokens::ZERO, |generation| generation.prompt),
+            output: generation.map_or(Tokens::ZERO, |generation| generation.max_output),
             shared_prefix: generation.map_or(Tokens::ZERO, |generation| generation.shared),
             shared_parts: Arc::clone(&self.call.shared_parts),
             affinity: generation.and_then(|generation| generation.affinity),
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -1,4 +1,6 @@
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use actix::Addr;
 use rand::Rng;
@@ -8,12 +10,13 @@
 use crate::{
     clock::{self, Shared},
     directory::{self, Codec, Directory, Update},
-    dispatch::{self, Dispatcher, ListConfirmed, SetInstances},
+    dispatch::{self, Dispatcher, ListConfirmed, SetInstances, SetMemory},
     entry::recorder,
     id::{Incarnation, Revision},
     ingress::{self, Protocol},
     link::{self, Identity},
     peers::{self, Presence},
+    route::Plan,
     settings, shutdown,
     store::{Path, Reader, Store},
 };
@@ -122,6 +125,7 @@
 
     let mut active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
     let plan = active_plan.subscribe();
+    let services = active_plan.subscribe();
     let follow_plan = directory::follow(
         Rc::clone(&adapter.store),
         adapter.plan_path,
@@ -185,7 +189,9 @@
         }
         None => (None, None),
     };
+    let follow_services = follow_services(services, dispatcher.clone());
     let mut tasks = vec![
+        tokio::task::spawn_local(follow_services).abort_handle(),
         follow_plan,
         follow_endpoints,
         tokio::task::spawn_local(run_expiry(publisher, Arc::clone(&clock))).abort_handle(),
@@ -275,6 +281,27 @@
     }
 }
 
+/// Sends the memory of the engines to the dispatcher, for each plan.
+async fn follow_services(
+    mut plan: watch::Receiver<Option<Arc<Plan>>>,
+    dispatcher: Addr<Dispatcher>,
+) {
+    while plan.changed().await.is_ok() {
+        let Some(plan) = plan.borrow_and_update().clone() else {
+            continue;
+        };
+        let capacities = plan.services().iter();
+        let capacities: BTreeMap<_, _> = capacities
+            .filter_map(|(name, service)| Some((name.clone(), service.kv_tokens?)))
+            .collect();
+        for (service, tokens) in &capacities {
+            log::info!(version:% = plan.version(), service:% = service, kv_tokens = tokens.get();
+                "memory of the engines is limited");
+        }
+        dispatcher.do_send(SetMemory(capacities));
+    }
+}
+
 async fn run_expiry(publisher: Rc<RefCell<EndpointPublisher>>, clock: Shared) {
     let mut ticks = time::interval(EXPIRY_INTERVAL);
     let mut last = clock.now();
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -17,8 +17,8 @@
     dispatch::{Dispatcher, PeerCoverage, PeerDigest, PeerDisconnected, TakeDigest},
     id::{Endpoint, Process},
     link::{self, Identity, Outbox, Peer, Session},
-    unit::as_f64,
-    wire::{Digest, Frame, Usage},
+    unit::{Tokens, as_f64},
+    wire::{Digest, Frame, Occupancy, Usage},
 };
 
 /// Interval at which changes are sent. A prompt of a thousand tokens takes an engine about 12 ms,
@@ -81,6 +81,8 @@
     links: BTreeMap<Session, Link>,
     /// Usage in the last digest, for each endpoint with work in progress.
     last_sent: BTreeMap<Endpoint, Usage>,
+    /// Memory in use in the last digest, for each engine with requests.
+    last_tokens: BTreeMap<Endpoint, Occupancy>,
     last_sent_at: Option<Instant>,
 }
 
@@ -103,6 +105,7 @@
         dialers: BTreeMap::new(),
         links: BTreeMap::new(),
         last_sent: BTreeMap::new(),
+        last_tokens: BTreeMap::new(),
         last_sent_at: None,
     }
     .start();
@@ -166,43 +169,45 @@
         let Digest {
             usages,
             failed,
+            tokens,
             parts,
         } = digest;
-        let current: BTreeMap<Endpoint, Usage> = usages
-            .into_iter()
-            .map(|usage| (usage.endpoint.clone(), usage))
-            .collect();
-        let mut changes: Vec<Usage> = current
-            .values()
-            .filter(|usage| self.last_sent.get(&usage.endpoint) != Some(*usage))
-            .cloned()
-            .collect();
-        let ended = self
-            .last_sent
-            .keys()
-            .filter(|endpoint| !current.contains_key(*endpoint));
-        changes.extend(ended.map(|endpoint| Usage {
-            endpoint: endpoint.clone(),
+        let current = by_endpoint(usages, |usage| &usage.endpoint);
+        let changes = changes(&self.last_sent, &current, |endpoint| Usage {
+            endpoint,
             requests: 0,
             prompt_tokens_to_prefill: Vec::new(),
-        }));
+        });
+        let current_tokens = by_endpoint(tokens, |occupancy| &occupancy.endpoint);
+        let token_changes =
+            self::changes(&self.last_tokens, &current_tokens, |endpoint| Occupancy {
+                endpoint,
+                own: Tokens::ZERO,
+                prefixes: Vec::new(),
+            });
         let heartbeat_due = self
             .last_sent_at
             .is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= HEARTBEAT_INTERVAL);
-        let due = heartbeat_due || !changes.is_empty() || !failed.is_empty() || !parts.is_empty();
+        let due = heartbeat_due
+            || !changes.is_empty()
+            || !token_changes.is_empty()
+            || !failed.is_empty()
+            || !parts.is_empty();
         for link in self.links.values_mut() {
             let first = !std::mem::replace(&mut link.has_snapshot, true);
             if !first && !due {
                 continue;
             }
-            let usages = if first {
-                current.values().cloned().collect()
+            let (usages, tokens) = if first {
+                let tokens = current_tokens.values().cloned();
+                (current.values().cloned().collect(), tokens.collect())
             } else {
-                changes.clone()
+                (changes.clone(), token_changes.clone())
             };
             link.outbox.send(Frame::Digest(Digest {
                 usages,
                 failed: failed.clone(),
+                tokens,
                 parts: parts.clone(),
             }));
         }
@@ -210,9 +215,32 @@
             self.last_sent_at = Some(now);
         }
         self.last_sent = current;
+        self.last_tokens = current_tokens;
     }
 }
 
+fn by_endpoint<T>(items: Vec<T>, endpoint: impl Fn(&T) -> &Endpoint) -> BTreeMap<Endpoint, T> {
+    let items = items.into_iter();
+    items.map(|item| (endpoint(&item).clone(), item)).collect()
+}
+
+/// What differs from the last digest. `none` is the state of an endpoint that is not listed any more.
+fn changes<T: Clone + PartialEq>(
+    last: &BTreeMap<Endpoint, T>,
+    current: &BTreeMap<Endpoint, T>,
+    none: impl Fn(Endpoint) -> T,
+) -> Vec<T> {
+    let changed = current
+        .iter()
+        .filter(|(endpoint, item)| last.get(*endpoint) != Some(*item))
+        .map(|(_, item)| item.clone());
+    let ended = last
+        .keys()
+        .filter(|endpoint| !current.contains_key(*endpoint))
+        .map(|endpoint| none(endpoint.clone()));
+    changed.chain(ended).collect()
+}
+
 impl Actor for Mesh {
     type Context = Context<Self>;
 
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -220,6 +220,7 @@
             need: Need::Start,
             rank: 0,
             prompt: Tokens::new(1_000),
+            output: Tokens::ZERO,
             shared_prefix: Tokens::ZERO,
             shared_parts: Arc::default(),
             affinity: None,
--- a/src/platform/codec.rs
+++ b/src/platform/codec.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -12,7 +13,7 @@
     id,
     route::{self, Limits, Plan, Route, Target, Version},
     store::Path,
-    unit::Bytes,
+    unit::{Bytes, Tokens},
 };
 
 /// Timeout of routes that do not configure one.
@@ -100,6 +101,21 @@
     gap_aim_ms: Option<f64>,
 }
 
+#[derive(Deserialize)]
+struct ConfigService {
+    #[serde(alias = "service")]
+    name: id::Service,
+    #[serde(default)]
+    engine: Option<ConfigEngine>,
+}
+
+/// Settings of the engines of a service; the others are not used.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ConfigEngine {
+    kv_tokens: Option<u64>,
+}
+
 #[derive(Deserialize)]
 struct Split {
     service: id::Service,
@@ -186,10 +202,30 @@
                 .map_or(defaults.idle, Duration::from_millis),
         };
         let routes = routes.collect();
-        Ok(Plan::new(Version::new(config.version), routes, limits))
+        let plan = Plan::new(Version::new(config.version), routes, limits);
+        Ok(plan.with_services(decode_services(&text, config.version)))
     }
 }
 
+/// Decodes the services of a configuration. Those without settings of engines, and those that cannot be
+/// read, are left out: their engines are not limited.
+fn decode_services(text: &str, version: u64) -> BTreeMap<id::Service, route::Service> {
+    // Configurations need not have the list.
+    let services = list::elements(text, "services").unwrap_or_default();
+    let services = services.into_iter().filter_map(|text| {
+        let service: ConfigService = serde_json::from_str(text)
+            .map_err(|error| decode_error("service", error))
+            .inspect_err(|error| {
+                log::error!(version = version, error:% = error;
+                    "service cannot be read; the memory of its engines is not limited");
+            })
+            .ok()?;
+        let kv_tokens = service.engine?.kv_tokens.map(Tokens::new);
+        Some((service.name, route::Service { kv_tokens }))
+    });
+    services.collect()
+}
+
 fn to_route(route: ConfigRoute) -> Result<Route> {
     let kind = match (route.route_kind.as_str(), route.resumable) {
         ("idempotent", _) => route::Kind::Idempotent,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -153,6 +153,30 @@
     assert!(route.timeout.checked_mul(1_000).is_some());
 }
 
+/// Guards against a service that makes a configuration unusable, and against memory that is assigned to
+/// another service.
+#[test]
+fn services_state_the_memory_of_engines() {
+    let services = |list: &str| {
+        let list = format!("\"services\":{list}");
+        let text = CONFIGURATION.replacen("\"services\":[]", &list, 1);
+        let plan = Codec.plan(text.as_bytes()).expect("a plan");
+        let services = plan.services().iter();
+        let services = services.map(|(name, service)| format!("{name}: {service:?}"));
+        services.collect::<Vec<_>>().join(", ")
+    };
+    let lists = [
+        "[]",
+        "{}",
+        r#"[{"name":"plain"},
+            {"name":"lm","engine":{"slots":64,"kvTokens":477722,"kvBytes":327680,"linkMbps":100}}]"#,
+        r#"[{"name":"a","engine":{"slots":64}},{"name":"b","engine":{"kvTokens":9}}]"#,
+        r#"[{"name":"a","engine":{"kvTokens":-1}},{"engine":{}},3,{"name":"b","engine":{"kvTokens":9}}]"#,
+    ];
+    let table = lists.map(|list| format!("{list}: {}", services(list)));
+    insta::assert_debug_snapshot!(table);
+}
+
 /// Guards against a request whose numbers overflow.
 #[test]
 fn shared_tokens_do_not_overflow() {
--- a/src/route/imp.rs
+++ b/src/route/imp.rs
@@ -1,11 +1,17 @@
-use std::{collections::HashMap, fmt, str::FromStr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+    str::FromStr,
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::Rng;
 
 use crate::{
     error::{Error, Kind as ErrorKind, Result},
     id,
-    unit::Bytes,
+    unit::{Bytes, Tokens},
 };
 
 /// Default limit of a request body.
@@ -167,12 +173,20 @@
     }
 }
 
-/// The routes and request limits of one version of the configuration.
+/// Settings of all endpoints of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Service {
+    /// Tokens that fit into the memory of each engine; `None` if this is not limited.
+    pub kv_tokens: Option<Tokens>,
+}
+
+/// The routes, services and request limits of one version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
     version: Version,
     /// Routes by host, then by path prefix.
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    services: BTreeMap<id::Service, Service>,
     limits: Limits,
 }
 
@@ -192,6 +206,19 @@
         plan
     }
 
+    /// Sets the services; none by default.
+    #[must_use]
+    pub fn with_services(mut self, services: BTreeMap<id::Service, Service>) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// Services with settings.
+    #[must_use]
+    pub const fn services(&self) -> &BTreeMap<id::Service, Service> {
+        &self.services
+    }
+
     /// Version of the plan.
     #[must_use]
     pub const fn version(&self) -> Version {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -34,4 +34,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use imp::{Kind, Limits, Plan, Route, Target, Version};
+pub use imp::{Kind, Limits, Plan, Route, Service, Target, Version};
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -366,6 +366,9 @@
     pub usages: Vec<Usage>,
     /// Endpoints that failed since the last digest.
     pub failed: Vec<Endpoint>,
+    /// Memory in use at engines, where it changed since the last digest and the configuration limits it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tokens: Vec<Occupancy>,
     /// What is new of parts of prompts that ran at endpoints when these ended.
     #[serde(default, skip_serializing_if = "PartReport::is_empty")]
     pub parts: PartReport,
@@ -449,6 +452,38 @@
     }
 }
 
+/// Memory of an engine that the requests of the sender use. Apart from [`Usage`], whose tuple gateways of
+/// earlier versions decode with its present length.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(from = "OccupancyTuple", into = "OccupancyTuple")]
+pub struct Occupancy {
+    /// The engine.
+    pub endpoint: Endpoint,
+    /// Tokens that no other request shares, output limits included.
+    pub own: Tokens,
+    /// Hash and tokens of each shared prefix.
+    pub prefixes: Vec<(u64, Tokens)>,
+}
+
+type OccupancyTuple = (Endpoint, Tokens, Vec<(u64, Tokens)>);
+
+impl From<OccupancyTuple> for Occupancy {
+    fn from((endpoint, own, prefixes): OccupancyTuple) -> Self {
+        Self {
+            endpoint,
+            own,
+            prefixes,
+        }
+    }
+}
+
+impl From<Occupancy> for OccupancyTuple {
+    fn from(occupancy: Occupancy) -> Self {
+        (occupancy.endpoint, occupancy.own, occupancy.prefixes)
+    }
+}
+
 /// Requests a document newer than `have`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,8 +21,8 @@
 pub use codec::{Error, FRAME_MAX, decode, encode};
 pub use imp::{
     Answer, Cancel, Change, Chunk, Crash, Credit, Digest, Document, Done, End, Fail, Fetch, Frame,
-    Generate, Hello, Invoke, Load, Lookup, Message, Order, Outcome, PROTOCOL, PartReport, Prompt,
-    Recorded, Report, Role, Sampling, Submit, Usage, Verdict, Work,
+    Generate, Hello, Invoke, Load, Lookup, Message, Occupancy, Order, Outcome, PROTOCOL,
+    PartReport, Prompt, Recorded, Report, Role, Sampling, Submit, Usage, Verdict, Work,
 };
 
 /// Result of encoding or decoding a frame.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -78,6 +78,11 @@
         let frame = Frame::Digest(Digest {
             usages: usages.collect(),
             failed: vec!["e1".parse().expect("valid name")],
+            tokens: vec![Occupancy {
+                endpoint: "e1".parse().expect("valid name"),
+                own: Tokens::new(6_637),
+                prefixes: vec![(u64::MAX, Tokens::new(5_382))],
+            }],
             parts: PartReport {
                 crashes: vec![Crash {
                     part: "5c1e07a2".parse().expect("valid part"),
