Balance plain services by expected time where endpoints report their slowdown

Queues built up at slow endpoints and were not seen.

Where an endpoint of the service has reported a slowdown, the cost is the slowdown times the requests for each slot, at least one, with a smaller cost for slots in use. Requests are those of this process and its peers, or those in a recent report if it has more. The forecast is a learned service time, slowdown and queue left out, times both. No request of a plain service is refused because of its forecast. Other services are served as before.

--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -40,6 +40,11 @@
 /// Cost of an endpoint of a plain service in another zone, in requests.
 const REMOTE_ZONE_REQUESTS: f64 = 0.5;
 
+/// Cost of the requests in the slots of an endpoint of a plain service that reports its slowdown, as a
+/// fraction of the time of a request if all slots are in use. It spreads requests over endpoints without
+/// queues; a queue costs more.
+const SLOTS_IN_USE_COST: f64 = 0.5;
+
 /// Load of peer processes at an endpoint: what the peers report, else an estimate from the last
 /// load report of the endpoint.
 pub(super) fn peer_load(loads: &PeerLoads, member: &Member, rank: u8, now: Instant) -> PeerLoad {
@@ -97,8 +102,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Placement {
     /// Cost of the request at this endpoint, for its caller and for the other requests there, in
-    /// seconds. For a plain service it is the number of requests per slot, times the
-    /// slowdown of the endpoint.
+    /// seconds. For a plain service it is the number of requests per slot, or the time until the answer
+    /// as a multiple of the usual service time if its endpoints report their slowdown.
     pub(super) cost: f64,
     /// Prompt tokens of the request to prefill.
     pub(super) prefill: Tokens,
@@ -106,8 +111,11 @@
     pub(super) tokens_ahead: Tokens,
     /// Whether the shared prefix is transferred from the engine that keeps it.
     pub(super) fetches: bool,
-    /// Expected time until the endpoint answers; zero for a plain service.
+    /// Expected time until the endpoint answers; zero for a plain service whose endpoints report no
+    /// slowdown.
     pub(super) forecast: Duration,
+    /// Requests for each slot of an endpoint of a plain service, at least 1; `None` for an engine.
+    pub(super) rounds: Option<f64>,
 }
 
 /// An endpoint that may be selected, and what the peers do there.
@@ -132,6 +140,8 @@
     pause_pressure: f64,
     preferred_zone: &'a Zone,
     home: Option<&'a Endpoint>,
+    /// Whether endpoints report their slowdown.
+    report_slowdown: bool,
     now: Instant,
 }
 
@@ -170,6 +180,9 @@
             pause_pressure,
             preferred_zone,
             home,
+            report_slowdown: candidates
+                .iter()
+                .any(|candidate| candidate.member.reports_slowdown()),
             now,
         }
     }
@@ -181,21 +194,14 @@
 
     /// Estimates what a request would meet at an endpoint.
     pub(super) fn place(&self, candidate: &Candidate<'_>, demand: &Demand) -> Placement {
+        if demand.prompt == Tokens::ZERO {
+            return self.place_plain(candidate);
+        }
         let member = candidate.member;
         let instance = &member.instance;
         let is_remote = instance.zone != *self.preferred_zone;
         let requests = candidate.requests();
         let slowdown = member.slowdown_factor(self.now);
-        if demand.prompt == Tokens::ZERO {
-            let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
-            return Placement {
-                cost: slowdown * (requests + 1.0 + zone) / f64::from(instance.slots.max(1)),
-                prefill: Tokens::ZERO,
-                tokens_ahead: Tokens::ZERO,
-                fetches: false,
-                forecast: Duration::ZERO,
-            };
-        }
         let seconds = slowdown / self.model.engine_rate(instance, self.now).get();
         let is_home = self.home == Some(&instance.id);
         let shared = as_f64(demand.shared_prefix.get());
@@ -240,6 +246,43 @@
             tokens_ahead: Tokens::new(round(queued)) + prefill,
             fetches,
             forecast: Duration::from_secs_f64(forecast),
+            rounds: None,
+        }
+    }
+
+    /// Estimates what a request would meet at an endpoint of a plain service.
+    fn place_plain(&self, candidate: &Candidate<'_>) -> Placement {
+        let member = candidate.member;
+        let instance = &member.instance;
+        let slots = f64::from(instance.slots.max(1));
+        let is_remote = instance.zone != *self.preferred_zone;
+        let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
+        let mut requests = candidate.requests();
+        if self.report_slowdown {
+            // The endpoint also knows of requests that their senders have given up, and of peers without
+            // a link.
+            let reported = f64::from(member.in_flight) + member.recent_peer_requests(self.now);
+            requests = requests.max(reported);
+        }
+        let per_slot = (requests + 1.0 + zone) / slots;
+        let rounds = ((requests + 1.0) / slots).max(1.0);
+        let slowdown = member.slowdown_factor(self.now);
+        let (cost, forecast) = if self.report_slowdown {
+            let service_time = self.model.service_time(&instance.service, self.now);
+            (
+                slowdown * (per_slot.max(1.0) + per_slot * SLOTS_IN_USE_COST),
+                service_time.mul_f64(slowdown * rounds),
+            )
+        } else {
+            (per_slot, Duration::ZERO)
+        };
+        Placement {
+            cost,
+            prefill: Tokens::ZERO,
+            tokens_ahead: Tokens::ZERO,
+            fetches: false,
+            forecast,
+            rounds: Some(rounds),
         }
     }
 }
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -169,6 +169,7 @@
             fetch_from,
             forecast: placement.forecast,
             slowdown: member.reported_slowdown(now),
+            rounds: placement.rounds,
             selected_at: now,
             own_requests: member.in_flight,
             peer_requests: peer_load(&self.peer_loads, member, demand.rank, now).requests,
@@ -247,7 +248,15 @@
             member.last_answer = Some(now);
             if let Some(prediction) = progress.prediction {
                 let seen = observe(&prediction, progress.load, now);
-                self.model.record_prefill(&member.instance, seen, now);
+                let instance = &member.instance;
+                match prediction.rounds {
+                    Some(rounds) => {
+                        let service = &instance.service;
+                        self.model
+                            .record_service_time(service, seen.elapsed, rounds, now);
+                    }
+                    None => self.model.record_prefill(instance, seen, now),
+                }
             }
             if let Some(load) = progress.load {
                 member.report = Some(Report {
@@ -566,7 +575,9 @@
     let excess = forecast.saturating_sub(demand.remaining);
     // A request that has been sent before may be half done, so it is tried to the end.
     let first = demand.need == Need::Start && demand.excluded.is_empty();
-    if !first || excess.is_zero() {
+    // The forecast of a plain service only compares its endpoints.
+    let is_plain = demand.prompt == Tokens::ZERO;
+    if is_plain || !first || excess.is_zero() {
         return Ok(());
     }
     let longest = demand.remaining.mul_f64(RETRY_AFTER_FRACTION_MAX);
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -152,6 +152,17 @@
         report.and_then(|report| report.load.slowdown)
     }
 
+    /// Whether the endpoint reports its slowdown, however old the last report is.
+    pub(super) fn reports_slowdown(&self) -> bool {
+        self.report
+            .is_some_and(|report| report.load.slowdown.is_some())
+    }
+
+    /// Requests of peer processes in the last report, less of them as it gets old.
+    pub(super) fn recent_peer_requests(&self, now: Instant) -> f64 {
+        f64::from(self.peer_requests(now)) * self.report_freshness(now)
+    }
+
     /// How much of the last report still holds of what changes many times a second, from 0 to 1.
     fn report_freshness(&self, now: Instant) -> f64 {
         self.report.map_or(0.0, |report| {
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -87,10 +87,13 @@
     /// Engine that is expected to have the shared prefix cached, if the selected one has not. Its
     /// copy is transferred, which is faster than a second prefill.
     pub fetch_from: Option<SocketAddr>,
-    /// Expected time until the endpoint answers; zero for a plain service.
+    /// Expected time until the endpoint answers; zero for a plain service whose endpoints report no
+    /// slowdown.
     pub forecast: Duration,
     /// Slowdown that the endpoint has reported within the last second.
     pub slowdown: Option<Slowdown>,
+    /// Requests for each slot of an endpoint of a plain service, at least 1; `None` for an engine.
+    pub rounds: Option<f64>,
     /// When the endpoint was selected.
     pub selected_at: Instant,
     /// Requests of this process in flight there, including this one.
@@ -128,6 +131,8 @@
     pub tokens_ahead: Tokens,
     /// Slowdown that the endpoint had reported within the last second.
     pub slowdown: Option<Slowdown>,
+    /// Requests for each slot, at least 1; `None` for an engine.
+    pub rounds: Option<f64>,
 }
 
 /// Reports that an endpoint has begun to answer. Sent by the [`Ticket`].
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -459,6 +459,7 @@
                 selected_at: at,
                 tokens_ahead: Tokens::new(6_000),
                 slowdown: percent.map(Slowdown::from_percent),
+                rounds: None,
             };
             at += slowed;
             let mut answer = paced_answer("e1", percent.unwrap_or(100), Some(prediction));
@@ -541,6 +542,61 @@
     insta::assert_debug_snapshot!((results, left));
 }
 
+/// Guards against queues at a slow endpoint of a plain service while a fast one has free slots, against a
+/// forecast that hides them, and against refusing requests because of it.
+#[test]
+fn plain_services_avoid_queues_at_slow_endpoints() {
+    let endpoints = vec![instance("s1", "print", None), instance("s2", "print", None)];
+    let (mut balancer, now) = balancer(endpoints);
+    let demand = Demand {
+        remaining: Duration::from_millis(1),
+        ..demand("print", Need::Start, 0, None)
+    };
+    let mut results = Vec::new();
+    let mut run = |what: &str, balancer: &mut LoadBalancer, now: Instant| {
+        let chosen: crate::error::Result<Vec<Choice>> =
+            (0..12).map(|_| balancer.choose(&demand, now)).collect();
+        let chosen = chosen.expect("no refusal");
+        let slow = chosen
+            .iter()
+            .filter(|choice| choice.instance.id.as_str() == "s1");
+        let longest = chosen.iter().map(|choice| choice.forecast).max();
+        let longest = longest.expect("choices").as_millis();
+        results.push(format!(
+            "{what}: {} of 12 at s1, up to {longest} ms",
+            slow.count()
+        ));
+        for choice in &chosen {
+            balancer.finish(&finish(choice, 0, Ending::Served), now);
+        }
+    };
+    run("without reports", &mut balancer, now);
+    // Answers after 100 ms at the usual speed, from the second place in a queue at half the speed.
+    let prediction = Prediction {
+        selected_at: now,
+        tokens_ahead: Tokens::ZERO,
+        slowdown: Some(Slowdown::from_percent(200)),
+        rounds: Some(2.0),
+    };
+    let learned = now + Duration::from_millis(400);
+    for _ in 0..200 {
+        balancer.progress(&paced_answer("s1", 200, Some(prediction)), learned);
+    }
+    balancer.progress(&paced_answer("s2", 100, None), learned);
+    run("s1 at half the speed", &mut balancer, learned);
+    balancer.progress(&paced_answer("s1", 1_000, None), learned);
+    run("s1 at a tenth of the speed", &mut balancer, learned);
+    let later = learned + Duration::from_secs(1);
+    run("a second later", &mut balancer, later);
+    let mut queue = paced_answer("s1", 100, None);
+    if let Some(load) = &mut queue.load {
+        load.waiting = 30;
+    }
+    balancer.progress(&queue, later);
+    run("s1 has a queue", &mut balancer, later);
+    insta::assert_debug_snapshot!(results);
+}
+
 /// Guards against a load report whose numbers overflow, which makes its endpoint look idle.
 #[test]
 fn large_load_reports_do_not_overflow() {
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -75,6 +75,7 @@
                 selected_at: self.choice.selected_at,
                 tokens_ahead: self.choice.tokens_ahead,
                 slowdown: self.choice.slowdown,
+                rounds: self.choice.rounds,
             }),
         });
     }
--- a/src/forecast/imp.rs
+++ b/src/forecast/imp.rs
@@ -26,6 +26,9 @@
 const RATE_RANGE: f64 = 8.0;
 /// Half-life of observations of the prefill rate.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Number of answers of a plain service after which observations outweigh the assumption that it takes
+/// no time.
+const SERVICE_PRIOR_ANSWERS: f64 = 5.0;
 
 /// Pause pressure that is assumed without observations.
 const PRESSURE_PRIOR: f64 = 0.25;
@@ -54,6 +57,8 @@
     stages: BTreeMap<(Service, Option<Stage>), Average>,
     /// Seconds over prompt tokens.
     engines: BTreeMap<Endpoint, Average>,
+    /// Seconds over rounds of requests, of plain services.
+    services: BTreeMap<Service, Average>,
     /// Squared relative pauses over pauses.
     pauses: BTreeMap<Service, Average>,
 }
@@ -82,6 +87,30 @@
             .add(seconds, tokens, now);
     }
 
+    /// Records how long a successful answer of a plain service took to begin. `rounds` are the requests
+    /// for each slot of the endpoint, this one included, at least 1: slots are used by one request after
+    /// the other.
+    pub fn record_service_time(
+        &mut self,
+        service: &Service,
+        elapsed: Duration,
+        rounds: f64,
+        now: Instant,
+    ) {
+        let services = self.services.entry(service.clone());
+        services
+            .or_insert_with(|| Average::new(RATE_HALF_LIFE, now))
+            .add(elapsed.as_secs_f64(), rounds.max(1.0), now);
+    }
+
+    /// Time in which an endpoint of a plain service runs one request; zero without recent observations.
+    #[must_use]
+    pub fn service_time(&self, service: &Service, now: Instant) -> Duration {
+        self.services.get(service).map_or(Duration::ZERO, |seen| {
+            Duration::from_secs_f64(seen.ratio(0.0, SERVICE_PRIOR_ANSWERS, now))
+        })
+    }
+
     /// Records the pauses of a stream.
     pub fn record_pace(&mut self, service: &Service, pace: Pace, now: Instant) {
         if pace.pauses() > 0 {
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -52,6 +52,17 @@
     );
 }
 
+/// Guards against a digest that gateways of earlier versions, which know nothing of memory, cannot decode
+/// or whose digests cannot be decoded.
+#[test]
+fn memory_is_optional_in_digests() {
+    let frame = Frame::Digest(Digest::default());
+    let bytes = encode(&frame).expect("small frame");
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(!text.contains("tokens"), "{text}");
+    assert_eq!(decode(&bytes).expect("valid"), frame);
+}
+
 proptest! {
     /// Guards against a decoder that panics on invalid input from a peer.
     #[test]
