Test the ways of engine memory into the dispatcher and to peers

One test follows the memory of engines from the plan to the dispatcher, the other the tokens that a gateway has placed to its peer, until they are freed or the link closes. With digests that carry no tokens the second one fails.

--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -282,7 +282,7 @@
 }
 
 /// Sends the memory of the engines to the dispatcher, for each plan.
-async fn follow_services(
+pub(super) async fn follow_services(
     mut plan: watch::Receiver<Option<Arc<Plan>>>,
     dispatcher: Addr<Dispatcher>,
 ) {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,12 +1,19 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use super::ActivePlan;
+use actix::Addr;
+use tokio::sync::watch;
+
+use super::{ActivePlan, imp::follow_services};
 use crate::{
+    clock::System,
     directory::{Availability, Codec, Instance, Update},
+    dispatch::{self, Choose, Demand, Dispatcher, Need, SetInstances, TakeDigest},
     error::{Error, Kind, Result},
     id::Revision,
-    route::{Limits, Plan, Version},
+    route::{Limits, Plan, Service, Version},
     store::{Change, Event, Item, Path},
+    testing::with_paused_time,
+    unit::Tokens,
 };
 
 /// Decodes a version number as a plan without routes.
@@ -109,3 +116,69 @@
     });
     insta::assert_debug_snapshot!(versions);
 }
+
+/// Engines whose memory the dispatcher reports to peers.
+async fn limited_engines(dispatcher: &Addr<Dispatcher>) -> Vec<String> {
+    // Lets the task that follows the plan run.
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    let digest = dispatcher.send(TakeDigest).await.expect("it runs");
+    let tokens = digest.tokens.into_iter();
+    tokens
+        .map(|occupancy| format!("{}: {}", occupancy.endpoint, occupancy.own))
+        .collect()
+}
+
+/// Guards against memory of engines that does not reach the dispatcher, or stays limited after the plan
+/// limits it no more.
+#[test]
+fn memory_of_engines_follows_the_plan() {
+    let plan = |version, kv_tokens| {
+        let service = ("lm".parse().expect("a valid name"), Service { kv_tokens });
+        let plan = Plan::new(Version::new(version), Vec::new(), Limits::default());
+        Some(Arc::new(plan.with_services([service].into())))
+    };
+    let seen = with_paused_time(async {
+        let zone: crate::id::Zone = "a".parse().expect("a valid name");
+        let dispatcher = dispatch::spawn(dispatch::Config::new(System::shared(), zone.clone()));
+        dispatcher.do_send(SetInstances(vec![Arc::new(Instance {
+            id: "e1".parse().expect("a valid name"),
+            service: "lm".parse().expect("a valid name"),
+            address: "127.0.0.1:9001".parse().expect("an address"),
+            zone,
+            slots: 4,
+            draining: false,
+            stage: None,
+            started: None,
+        })]));
+        let plans = watch::Sender::new(None);
+        actix_rt::spawn(follow_services(plans.subscribe(), dispatcher.clone()));
+        let demand = Demand {
+            service: "lm".parse().expect("a valid name"),
+            need: Need::Start,
+            rank: 0,
+            prompt: Tokens::new(1_000),
+            output: Tokens::new(20),
+            shared_prefix: Tokens::ZERO,
+            shared_parts: Arc::default(),
+            affinity: None,
+            remaining: Duration::from_mins(1),
+            excluded: Vec::new(),
+            preferred_zone: None,
+        };
+        let ticket = dispatcher.send(Choose(demand)).await.expect("it runs");
+        let ticket = ticket.expect("e1");
+        let mut seen = vec![("no plan", limited_engines(&dispatcher).await)];
+        for (what, version, tokens) in [
+            ("limited", 1, Some(Tokens::new(9_000))),
+            ("limited no more", 2, None),
+            ("limited again", 3, Some(Tokens::new(9_000))),
+        ] {
+            plans.send_replace(plan(version, tokens));
+            seen.push((what, limited_engines(&dispatcher).await));
+        }
+        drop(ticket);
+        seen.push(("request ended", limited_engines(&dispatcher).await));
+        seen
+    });
+    insta::assert_debug_snapshot!(seen);
+}
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -6,8 +6,8 @@
 use crate::{
     clock::System,
     directory::{Instance, Stage, Update},
-    dispatch::{self, Choose, Demand, Dispatcher, Ending, Need, SetInstances, Ticket},
-    id::{Incarnation, Process, Revision},
+    dispatch::{self, Choose, Demand, Dispatcher, Ending, Need, SetInstances, SetMemory, Ticket},
+    id::{Endpoint, Incarnation, Process, Revision},
     link::{BoundListener, Identity},
     store::{Change, Event, Item, Memory, Path, Reader as _},
     testing::with_paused_time,
@@ -232,6 +232,32 @@
         ticket.expect("a running dispatcher").expect("an engine")
     }
 
+    /// Lists another engine.
+    async fn add_engine(&self, id: &str) {
+        let first = Arc::clone(&self.choose().await.choice().instance);
+        let other = Arc::new(Instance {
+            id: id.parse().expect("a valid name"),
+            address: "127.0.0.1:9002".parse().expect("an address"),
+            ..Instance::clone(&first)
+        });
+        self.dispatcher.do_send(SetInstances(vec![first, other]));
+    }
+
+    /// Waits until this gateway places requests at an engine, or until it places none of many there.
+    async fn wait_for_use_of(&self, endpoint: &Endpoint, expected: bool) {
+        for _ in 0..POLLS_MAX {
+            let mut used = false;
+            for _ in 0..100 {
+                used |= self.choose().await.choice().instance.id == *endpoint;
+            }
+            if used == expected {
+                return;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("{}: use of {endpoint} did not become {expected}", self.name);
+    }
+
     /// Waits until this gateway counts `expected` requests of other gateways at the engine. Each
     /// poll starts a request of this gateway and drops it at once.
     async fn wait_for_others(&self, expected: f64) {
@@ -297,3 +323,39 @@
         first.wait_for_others(2.0).await;
     });
 }
+
+/// Guards against gateways that do not tell each other what they have placed in the memory of engines, or
+/// that count it after it has been freed or after the other gateway has gone.
+#[test]
+fn memory_that_peers_use_is_left_to_them() {
+    actix::System::new().block_on(async {
+        let (first, second) = (gateway("a").await, gateway("b").await);
+        let items = [&first, &second].map(|gateway| {
+            let address = gateway.listener.address().to_string();
+            item(gateway.name.as_str(), &address)
+        });
+        for gateway in [&first, &second] {
+            gateway.add_engine("e2").await;
+            // Room for one request at each engine.
+            let memory = [("lm".parse().expect("a valid name"), Tokens::new(1_500))];
+            gateway.dispatcher.do_send(SetMemory(memory.into()));
+            let snapshot = Update::Snapshot(items.to_vec());
+            gateway.mesh.do_send(GatewaysChanged(snapshot));
+        }
+        // After the first response only memory keeps other requests away: no prompt waits any more.
+        let mut ticket = second.choose().await;
+        ticket.record_first_response(None, false);
+        let used = ticket.choice().instance.id.clone();
+        first.wait_for_use_of(&used, false).await;
+        ticket.end(Ending::Served);
+        first.wait_for_use_of(&used, true).await;
+        let mut other = second.choose().await;
+        other.record_first_response(None, false);
+        let used = other.choice().instance.id.clone();
+        first.wait_for_use_of(&used, false).await;
+        // Dropping the listener closes the link, as the end of the process would.
+        drop(second.listener);
+        first.wait_for_use_of(&used, true).await;
+        drop(other);
+    });
+}
