--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -14,7 +14,6 @@
     kv_memory::Room,
     member::{Member, Report},
     peer_load::PeerLoads,
-    urgency::Urgency,
 };
 use crate::{
     directory::{Instance, Stage},
@@ -26,6 +25,7 @@
     notice::{Board, Standing},
     quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
+    triage::{self, Outlook, Policy, Reason, Rejection, Verdict},
     unit::{Slowdown, Tokens, as_f64},
     wire::{Digest, Occupancy, Usage},
 };
@@ -37,9 +37,6 @@
 /// Work that peers may have placed at an engine since their last digest: about a third of the
 /// interval between digests.
 const UNSEEN_WORK: Duration = Duration::from_millis(30);
-/// Longest period after which a refused caller is asked to come back, as a fraction of the time to
-/// its deadline, so that enough time is left to serve it then.
-const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
 
 /// Time over which the requests that wait for the end of a pause are spread.
 const RETURN_SPREAD: Duration = Duration::from_millis(300);
@@ -58,7 +55,7 @@
     /// Memory of the engines of each service.
     capacities: BTreeMap<Service, Tokens>,
     model: Model,
-    urgency: Urgency,
+    policy: Box<dyn Policy>,
     failure_reports: FailureReports,
     quarantine: Quarantine,
     notices: Board,
@@ -80,7 +77,7 @@
             peer_loads: PeerLoads::default(),
             capacities: BTreeMap::new(),
             model: Model::new(),
-            urgency: Urgency::default(),
+            policy: triage::new(triage::Mode::default()),
             failure_reports: FailureReports::default(),
             quarantine: Quarantine::new(),
             notices: Board::default(),
@@ -88,6 +85,14 @@
         }
     }
 
+    /// Sets the policy that delays and rejects requests. Without it, requests are rejected if no answer
+    /// is expected before their deadline.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Box<dyn Policy>) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Notes that the store has confirmed the list of endpoints.
     pub const fn confirm_list(&mut self, now: Instant) {
         self.list_confirmed_at = Some(now);
@@ -127,24 +132,20 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible, and [`Kind::Overloaded`] if a first
-    /// attempt is not expected to be answered before its deadline at any of them.
+    /// Returns [`Kind::NoEndpoint`] if no endpoint is eligible, and [`Kind::Overloaded`] if the policy
+    /// rejects the request, in any case a first attempt that is not expected to be answered before its
+    /// deadline at any of them.
     /// [`Kind::Quarantined`] if the prompt has a part that has ended engines.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
         if let Some(hold) = self.quarantine.check(&demand.shared_parts, now) {
             return Err(quarantined(hold));
         }
-        // Backlogs, of this process and of its peers, are by the rank at the engines.
-        let demand = &Demand {
-            rank: self.urgency.rank(demand, now),
-            ..demand.clone()
-        };
+        let (rank, selection) = self.select_by_policy(demand, now)?;
         let Selection {
             endpoint,
             home,
             placement,
-        } = self.select(demand, now)?;
-        check_forecast(demand, placement.forecast)?;
+        } = selection;
         let prefill = placement.prefill;
         let fetch_from = home
             .and_then(|home| self.members.get(&home))
@@ -157,22 +158,26 @@
             format!("{endpoint} was selected while it is {standing}")
         });
         member.in_flight += 1;
-        member.backlog.add(demand.rank, prefill);
+        member.backlog.add(rank, prefill);
         let footprint = Footprint::of(demand);
         member.memory.add(footprint);
+        if placement.delays_streams {
+            member.crowded_at = Some(now);
+        }
         Ok(Choice {
             instance: Arc::clone(&member.instance),
-            rank: demand.rank,
+            rank,
             prefill_tokens: prefill,
             footprint,
             tokens_ahead: placement.tokens_ahead,
             fetch_from,
             forecast: placement.forecast,
+            bare_forecast: placement.bare_forecast,
             slowdown: member.reported_slowdown(now),
             rounds: placement.rounds,
             selected_at: now,
             own_requests: member.in_flight,
-            peer_requests: peer_load(&self.peer_loads, member, demand.rank, now).requests,
+            peer_requests: peer_load(&self.peer_loads, member, rank, now).requests,
             report_age: member
                 .report
                 .map(|report| now.saturating_duration_since(report.received_at)),
@@ -237,7 +242,7 @@
     pub fn record_request(&mut self, demand: &Demand, now: Instant) {
         let budget = self.budgets.entry(demand.service.clone()).or_default();
         budget.record(now);
-        self.urgency.record(demand, now);
+        self.policy.record(&demand.triage(), now);
     }
 
     /// Handles the start of an answer: removes the prompt from the backlog of the endpoint and
@@ -246,16 +251,23 @@
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
             member.backlog.subtract(progress.rank, progress.prompt);
             member.last_answer = Some(now);
+            let instance = &member.instance;
+            let service = &instance.service;
+            self.policy.record_prefill(service, progress.prompt, now);
             if let Some(prediction) = progress.prediction {
                 let seen = observe(&prediction, progress.load, now);
-                let instance = &member.instance;
                 match prediction.rounds {
                     Some(rounds) => {
-                        let service = &instance.service;
                         self.model
                             .record_service_time(service, seen.elapsed, rounds, now);
                     }
-                    None => self.model.record_prefill(instance, seen, now),
+                    None => {
+                        self.model.record_prefill(instance, seen, now);
+                        // The forecast includes the reported slowdown, and so does the time.
+                        let elapsed = now.saturating_duration_since(prediction.selected_at);
+                        self.model
+                            .record_excess(instance, prediction.expected, elapsed, now);
+                    }
                 }
             }
             if let Some(load) = progress.load {
@@ -288,18 +300,29 @@
         member.backlog.subtract(finish.rank, finish.prompt);
         member.memory.subtract(finish.footprint);
         let service = member.instance.service.clone();
+        let has_waited = finish.prompt > Tokens::ZERO && finish.ending == Ending::Abandoned;
+        if finish.demand.is_first() && (has_waited || finish.ending == Ending::Served) {
+            let served = !has_waited;
+            let request = finish.demand.triage();
+            self.policy.record_ending(&request, served, now);
+        }
         if let Some(mut pace) = finish.pace {
             if finish.ending != Ending::Served {
                 pace.break_off(now);
             }
             self.model.record_pace(&service, pace, now);
+            let exposed = member.crowded_at.zip(pace.started_at());
+            if exposed.is_some_and(|(crowded_at, started_at)| crowded_at >= started_at) {
+                self.model.record_exposed(&service, pace, now);
+            }
         }
         match finish.ending {
             Ending::Served => {
                 member.record_success();
                 // A prefill is no answer.
                 if member.instance.stage != Some(Stage::Prefill) {
-                    self.quarantine.record_served(&finish.shared_parts, now);
+                    self.quarantine
+                        .record_served(&finish.demand.shared_parts, now);
                 }
                 self.ejector.record_success(endpoint, now);
                 self.failure_reports.record_success(endpoint);
@@ -323,7 +346,7 @@
                 }
                 if finish.ending == Ending::Crashed {
                     self.quarantine
-                        .record_crash(endpoint, &finish.shared_parts, now);
+                        .record_crash(endpoint, &finish.demand.shared_parts, now);
                 }
                 if reports_failure {
                     self.unreported_failures.insert(endpoint.clone());
@@ -362,6 +385,8 @@
             }
         });
         Digest {
+            begun: Vec::new(),
+            time: None,
             usages: usages.collect(),
             tokens: tokens.collect(),
             failed: std::mem::take(&mut self.unreported_failures)
@@ -436,6 +461,39 @@
         budget.may_retry(now)
     }
 
+    /// Selects an endpoint at the rank at the engines that the policy sets, and returns both.
+    fn select_by_policy(&mut self, demand: &Demand, now: Instant) -> Result<(u8, Selection)> {
+        let request = demand.triage();
+        let mut rank = self.policy.rank(&request, now);
+        loop {
+            // Backlogs, of this process and of its peers, are by the rank at the engines.
+            let ranked = Demand {
+                rank,
+                ..demand.clone()
+            };
+            let selection = self.select(&ranked, now)?;
+            // The forecast of a plain service only compares its endpoints.
+            let forecast = if demand.prompt == Tokens::ZERO {
+                Duration::ZERO
+            } else {
+                selection.placement.forecast
+            };
+            let outlook = Outlook {
+                rank,
+                forecast,
+                queueing: selection.placement.queueing,
+            };
+            match self.policy.decide(&request, outlook, now) {
+                // Less urgent ranks are finite, so this ends.
+                Verdict::GiveWay(less_urgent) if less_urgent > rank => rank = less_urgent,
+                Verdict::Run | Verdict::GiveWay(_) => return Ok((rank, selection)),
+                Verdict::Reject(rejection) => {
+                    return Err(rejected(demand, rejection, outlook.forecast));
+                }
+            }
+        }
+    }
+
     /// Returns the endpoint with the lowest cost among those that can answer in time.
     fn select(&mut self, demand: &Demand, now: Instant) -> Result<Selection> {
         let eligible = self
@@ -568,27 +626,36 @@
     }
 }
 
-/// Refuses a request that even the best endpoint is not expected to answer in time, so that its
-/// caller learns at once that it has to come back later. Without this, requests wait in the engines
-/// in order of arrival until they are too late, and under overload none is served in time.
-fn check_forecast(demand: &Demand, forecast: Duration) -> Result<()> {
-    let excess = forecast.saturating_sub(demand.remaining);
-    // A request that has been sent before may be half done, so it is tried to the end.
-    let first = demand.need == Need::Start && demand.excluded.is_empty();
-    // The forecast of a plain service only compares its endpoints.
-    let is_plain = demand.prompt == Tokens::ZERO;
-    if is_plain || !first || excess.is_zero() {
-        return Ok(());
+/// Logs and counts the rejection of a request.
+fn rejected(demand: &Demand, rejection: Rejection, forecast: Duration) -> Error {
+    let Rejection {
+        reason,
+        retry_after,
+    } = rejection;
+    let service = demand.service.to_string();
+    if reason == Reason::Deadline {
+        metrics::counter!("forecast_refusals_total", "service" => service.clone()).increment(1);
     }
-    let longest = demand.remaining.mul_f64(RETRY_AFTER_FRACTION_MAX);
-    metrics::counter!("forecast_refusals_total", "service" => demand.service.to_string())
-        .increment(1);
+    metrics::counter!("triage_rejections_total", "service" => service,
+        "reason" => reason.to_string(), "rank" => demand.rank.to_string())
+    .increment(1);
+    log::debug!(service:% = demand.service, route:? = demand.route.as_ref().map(ToString::to_string),
+        customer:? = demand.customer.as_ref().map(ToString::to_string), rank = demand.rank,
+        reason:% = reason, forecast_ms = forecast.as_millis(),
+        target_ms = demand.latency_target.as_millis(),
+        remaining_ms = demand.remaining.as_millis(),
+        retry_after_ms = retry_after.as_millis();
+        "rejected a request for lack of capacity");
+    let time = match reason {
+        Reason::Deadline => format!("the deadline is in {} ms", demand.remaining.as_millis()),
+        Reason::Displaced => "it would delay more valuable requests".to_owned(),
+        Reason::Share => "its customer has used more than its share".to_owned(),
+    };
     let detail = format!(
-        "not run: an answer is expected after {} ms, the deadline is in {} ms",
-        forecast.as_millis(),
-        demand.remaining.as_millis()
+        "not run: an answer is expected after {} ms, {time}",
+        forecast.as_millis()
     );
-    Err(Error::new(Kind::Overloaded, detail).with_retry_after(excess.min(longest)))
+    Error::new(Kind::Overloaded, detail).with_retry_after(retry_after)
 }
 
 /// The time until an answer as it would have been at the usual speed of the endpoint. The slowdown is
--- a/src/dispatch/kv_memory.rs
+++ b/src/dispatch/kv_memory.rs
@@ -27,7 +27,7 @@
             .map(|affinity| (affinity, demand.shared_prefix));
         let shared = prefix.map_or(Tokens::ZERO, |(_, tokens)| tokens);
         Self {
-            own: demand.prompt.saturating_sub(shared) + demand.output,
+            own: demand.prompt.saturating_sub(shared) + demand.max_output,
             prefix,
         }
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod failure;
 mod imp;
 mod kv_memory;
+mod lateness;
 mod member;
 mod message;
 mod peer_load;
@@ -18,7 +19,6 @@
 #[cfg(test)]
 mod tests;
 mod ticket;
-mod urgency;
 
 pub use actor::{Config, Dispatcher, spawn};
 pub use backlog::Backlog;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -9,11 +9,12 @@
 use crate::{
     clock::System,
     directory::{Instance, Stage, Started},
-    forecast::Pace,
+    forecast::{Expectation, Pace},
     id::{Endpoint, Zone},
     link::Session,
     notice::Notice,
     testing::with_paused_time,
+    triage,
     unit::{Slowdown, Tokens},
     wire::{Digest, Occupancy, Usage},
 };
@@ -40,8 +41,12 @@
         service: service.parse().expect("a valid name"),
         need,
         rank: 1,
+        route: None,
+        customer: None,
+        latency_target: Duration::from_secs(1),
+        waited: Duration::ZERO,
+        max_output: Tokens::ZERO,
         prompt: Tokens::new(prompt),
-        output: Tokens::ZERO,
         shared_prefix: Tokens::new(prompt / 2),
         shared_parts: Arc::default(),
         affinity,
@@ -59,7 +64,7 @@
         footprint: choice.footprint,
         ending,
         pace: None,
-        shared_parts: Arc::default(),
+        demand: Arc::new(demand("lm", Need::Start, prompt, None)),
     }
 }
 
@@ -460,6 +465,10 @@
                 tokens_ahead: Tokens::new(6_000),
                 slowdown: percent.map(Slowdown::from_percent),
                 rounds: None,
+                expected: Expectation {
+                    own: Tokens::new(6_000),
+                    forecast: slowed,
+                },
             };
             at += slowed;
             let mut answer = paced_answer("e1", percent.unwrap_or(100), Some(prediction));
@@ -499,7 +508,7 @@
     };
     // The prefix of 500 tokens, and 500 of its own and 100 of output for each request.
     let demand = Demand {
-        output: Tokens::new(100),
+        max_output: Tokens::new(100),
         ..demand("lm", Need::Start, 1_000, Some(7))
     };
     let mut results = Vec::new();
@@ -577,6 +586,10 @@
         tokens_ahead: Tokens::ZERO,
         slowdown: Some(Slowdown::from_percent(200)),
         rounds: Some(2.0),
+        expected: Expectation {
+            own: Tokens::ZERO,
+            forecast: Duration::ZERO,
+        },
     };
     let learned = now + Duration::from_millis(400);
     for _ in 0..200 {
@@ -857,7 +870,7 @@
             prompt: Tokens::ZERO,
             ending: Ending::Abandoned,
             pace: None,
-            shared_parts: Arc::default(),
+            demand: Arc::new(demand.clone()),
         };
         balancer.finish(&finish, now);
     }
@@ -1087,3 +1100,23 @@
     }
     assert_eq!(down, 5);
 }
+
+/// Guards against a policy whose decisions have no effect on the rank of requests at the engines.
+#[test]
+fn requests_that_can_only_be_late_give_way() {
+    let (balancer, now) = balancer(engines());
+    let mut balancer = balancer.with_policy(triage::new(triage::Mode::ByCost));
+    let demand = demand("lm", Need::Start, 12_000, None);
+    balancer.record_request(&demand, now);
+    let mut outcomes = Vec::new();
+    for _ in 0..40 {
+        let outcome = match balancer.choose(&demand, now) {
+            Ok(choice) => format!("rank {}", choice.rank),
+            Err(error) => error.to_string(),
+        };
+        if outcomes.last() != Some(&outcome) {
+            outcomes.push(outcome);
+        }
+    }
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -5,8 +5,12 @@
 
 use actix::Recipient;
 
-use super::{Choice, Ending, Finish, Load, NoticeReceived, Permit, Prediction, Progress};
-use crate::{clock::Shared, forecast::Pace, id::PromptPart, unit::Tokens};
+use super::{Choice, Demand, Ending, Finish, Load, NoticeReceived, Permit, Prediction, Progress};
+use crate::{
+    clock::Shared,
+    forecast::{Expectation, Pace},
+    unit::Tokens,
+};
 
 /// Where a [`Ticket`] and its [`Permit`]s report to.
 #[derive(Clone, Debug)]
@@ -30,18 +34,18 @@
     reports: Reports,
     ending: Ending,
     pace: Option<Pace>,
-    shared_parts: Arc<[PromptPart]>,
+    demand: Arc<Demand>,
 }
 
 impl Ticket {
-    pub(super) fn new(choice: Choice, shared_parts: Arc<[PromptPart]>, reports: Reports) -> Self {
+    pub(super) fn new(choice: Choice, demand: Arc<Demand>, reports: Reports) -> Self {
         Self {
             pending_prefill: choice.prefill_tokens,
             choice,
             reports,
             ending: Ending::Abandoned,
             pace: None,
-            shared_parts,
+            demand,
         }
     }
 
@@ -66,6 +70,10 @@
     /// how fast the endpoint is; a rejection may come without any work.
     pub fn record_first_response(&mut self, load: Option<Load>, succeeded: bool) {
         let prompt = std::mem::replace(&mut self.pending_prefill, Tokens::ZERO);
+        let expected = Expectation {
+            own: self.choice.prefill_tokens,
+            forecast: self.choice.bare_forecast,
+        };
         self.reports.progress.do_send(Progress {
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
@@ -76,6 +84,7 @@
                 tokens_ahead: self.choice.tokens_ahead,
                 slowdown: self.choice.slowdown,
                 rounds: self.choice.rounds,
+                expected,
             }),
         });
     }
@@ -108,7 +117,7 @@
             footprint: self.choice.footprint,
             ending: self.ending,
             pace: self.pace,
-            shared_parts: Arc::clone(&self.shared_parts),
+            demand: Arc::clone(&self.demand),
         });
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -80,7 +80,7 @@
         ("newest plan", put("12")),
     ];
     let states = feeds.map(|(name, update)| {
-        active_plan.apply(update);
+        active_plan.apply(update, Duration::ZERO);
         let version = receiver
             .borrow()
             .as_ref()
@@ -107,7 +107,7 @@
         ("newer, at a revision given out before", put("9")),
     ];
     let versions = feeds.map(|(name, update)| {
-        active_plan.apply(update);
+        active_plan.apply(update, Duration::ZERO);
         let version = receiver
             .borrow()
             .as_ref()
@@ -157,7 +157,11 @@
             need: Need::Start,
             rank: 0,
             prompt: Tokens::new(1_000),
-            output: Tokens::new(20),
+            max_output: Tokens::new(20),
+            route: None,
+            customer: None,
+            latency_target: Duration::from_secs(1),
+            waited: Duration::ZERO,
             shared_prefix: Tokens::ZERO,
             shared_parts: Arc::default(),
             affinity: None,
@@ -182,3 +186,44 @@
     });
     insta::assert_debug_snapshot!(seen);
 }
+
+/// Guards against a confirmation by an answer that does not show that the active plan is the newest, and
+/// against one that moves back in time.
+#[test]
+fn only_answers_that_show_the_newest_plan_confirm_it() {
+    let mut active_plan = ActivePlan::new(Arc::new(VersionOnly), path("/plan"));
+    let confirmed = active_plan.subscribe_confirmed();
+    let quiet = || Update::Changes(Vec::new());
+    let feeds = [
+        ("nothing is known", Update::Snapshot(Vec::new())),
+        ("quiet", quiet()),
+        ("first plan", snapshot("/plan", "4")),
+        ("quiet", quiet()),
+        ("unreadable plan", put("seven")),
+        ("quiet", quiet()),
+        ("newer plan", put("7")),
+        ("deleted", change(Change::Delete)),
+        ("quiet", quiet()),
+        ("read again", snapshot("/plan", "7")),
+        (
+            "store lost",
+            Update::Availability(Availability::Unavailable),
+        ),
+        ("restored", Update::Restored),
+        ("older copy", snapshot("/plan", "4")),
+        ("quiet", quiet()),
+        ("written again", put("7")),
+        ("quiet", quiet()),
+    ];
+    let mut states = Vec::new();
+    for (second, (name, update)) in (1..).zip(feeds) {
+        active_plan.apply(update, Duration::from_secs(second));
+        states.push(format!("{second} s, {name}: {:?}", *confirmed.borrow()));
+    }
+    active_plan.apply(quiet(), Duration::from_secs(3));
+    states.push(format!(
+        "answer to an earlier call: {:?}",
+        *confirmed.borrow()
+    ));
+    insta::assert_debug_snapshot!(states);
+}
--- a/src/ingress/imp.rs
+++ b/src/ingress/imp.rs
@@ -18,6 +18,7 @@
 use super::{Result, serve};
 use crate::{
     clock::Shared,
+    customer::{Customer, Freshness, Key},
     dispatch::{Choose, IsSilent, MayRetry},
     error::{Error, Kind},
     forward::{Call, Ports, Upstream},
@@ -25,6 +26,7 @@
     memory::Pool,
     route::Plan,
     shutdown, unit,
+    usage::RequestBegun,
 };
 
 /// Time within which the head of a request must arrive.
@@ -55,6 +57,12 @@
     /// `Kind::BadRequest` on a malformed field.
     fn decode(&self, request: &HttpRequest, body: Bytes, arrived: Instant) -> Result<Call>;
 
+    /// The API key of a request; `None` if there is not exactly one well-formed key.
+    fn key(&self, request: &HttpRequest) -> Option<Key>;
+
+    /// Sets the customer of a request, and removes what the caller says of its identity.
+    fn identify(&self, call: &mut Call, customer: Option<Arc<Customer>>);
+
     /// Creates the client of the endpoints for one thread.
     fn upstream(&self) -> Rc<dyn Upstream>;
 }
@@ -70,6 +78,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// The active plan; `None` until the first one is received.
     pub plan: watch::Receiver<Option<Arc<Plan>>>,
+    /// Whether the plan was confirmed recently enough for requests with a key.
+    pub freshness: Freshness,
     /// Whether at least one endpoint is known.
     pub endpoints: watch::Receiver<bool>,
     /// Follows whether the process stops.
@@ -84,6 +94,8 @@
     pub clock: Shared,
     /// Bytes of callers' bodies that are held until their requests have ended.
     pub body_buffers: unit::Bytes,
+    /// Counts the requests of customers that begin to run; `None` if this is not asked for.
+    pub begun: Option<Recipient<RequestBegun>>,
     /// Renders the metrics of this process.
     pub metrics: PrometheusHandle,
 }
@@ -103,12 +115,17 @@
         if self.shutdown.schedule().is_some() {
             return Err(Error::new(Kind::Leaving, "the process is stopping"));
         }
-        if self.plan.borrow().is_none() || !*self.endpoints.borrow() {
+        let confirmed = self.freshness.confirmed();
+        let plan = self.plan.borrow().clone();
+        if plan.is_none() || !*self.endpoints.borrow() {
             return Err(Error::new(
                 Kind::NotReady,
                 "no plan or no endpoint is known",
             ));
         }
+        if plan.is_some_and(|plan| plan.customers().is_some()) {
+            self.freshness.check(confirmed)?;
+        }
         Ok(())
     }
 }
@@ -209,6 +226,7 @@
         upstream: config.protocol.upstream(),
         shutdown: config.shutdown.clone(),
         clock: Arc::clone(&config.clock),
+        begun: config.begun.clone(),
     };
     Context {
         config: config.clone(),
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -10,6 +10,8 @@
     WrapFuture,
 };
 
+use tokio::sync::watch;
+
 use super::Roster;
 use crate::{
     clock::Shared,
@@ -17,13 +19,18 @@
     dispatch::{Dispatcher, PeerCoverage, PeerDigest, PeerDisconnected, TakeDigest},
     id::{Endpoint, Process},
     link::{self, Identity, Outbox, Peer, Session},
+    route::Plan,
     unit::{Tokens, as_f64},
+    usage::{Counts, PeerCounts, Reporter, TakeCounts},
     wire::{Digest, Frame, Occupancy, Usage},
 };
 
 /// Interval at which changes are sent. A prompt of a thousand tokens takes an engine about 12 ms,
 /// so a longer interval hides most of the work; a shorter one costs a wake-up per peer each time.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while requests are placed by their latency target. A prompt of 12,000 tokens that peers do not
+/// know of yet makes a short one late that they place behind it.
+const TARGETED_DIGEST_INTERVAL: Duration = Duration::from_millis(30);
 /// Time without changes after which an empty digest is sent. Links that are silent for three
 /// seconds are closed.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,6 +46,17 @@
     pub disconnected: Recipient<PeerDisconnected>,
     /// Notified when the number of linked or registered peers may have changed.
     pub coverage: Recipient<PeerCoverage>,
+    /// Counts requests by customer; `None` if this is not asked for.
+    pub usage: Option<Addr<Reporter>>,
+}
+
+impl Recipients {
+    /// Sets the actor that counts requests by customer.
+    #[must_use]
+    pub fn with_usage(mut self, usage: Option<Addr<Reporter>>) -> Self {
+        self.usage = usage;
+        self
+    }
 }
 
 impl From<&Addr<Dispatcher>> for Recipients {
@@ -48,6 +66,7 @@
             digest: dispatcher.clone().recipient(),
             disconnected: dispatcher.clone().recipient(),
             coverage: dispatcher.clone().recipient(),
+            usage: None,
         }
     }
 }
@@ -58,16 +77,33 @@
     identity: Identity,
     clock: Shared,
     recipients: Recipients,
+    plan: watch::Receiver<Option<Arc<Plan>>>,
 }
 
 impl Config {
-    /// Parameters of a mesh for the process that `identity` names.
+    /// Parameters of a mesh for the process that `identity` names. Digests are sent more often while the
+    /// plan has customers, whose requests are placed by their latency target.
     #[must_use]
-    pub const fn new(identity: Identity, clock: Shared, recipients: Recipients) -> Self {
+    pub const fn new(
+        identity: Identity,
+        clock: Shared,
+        recipients: Recipients,
+        plan: watch::Receiver<Option<Arc<Plan>>>,
+    ) -> Self {
         Self {
             identity,
             clock,
             recipients,
+            plan,
+        }
+    }
+
+    fn digest_interval(&self) -> Duration {
+        let plan = self.plan.borrow();
+        if plan.as_ref().is_some_and(|plan| plan.customers().is_some()) {
+            TARGETED_DIGEST_INTERVAL
+        } else {
+            DIGEST_INTERVAL
         }
     }
 }
@@ -92,6 +128,8 @@
     outbox: Outbox,
     /// Whether the first digest, which contains all usages, was sent.
     has_snapshot: bool,
+    /// Whether all counts of requests were sent.
+    has_counts: bool,
 }
 
 /// Starts a mesh and accepts links on `port`. Dropping the listener closes the accepted links.
@@ -164,14 +202,19 @@
     }
 
     /// Sends the changes since the last digest, or all usages over a new link.
-    fn send_digest(&mut self, digest: Digest) {
+    fn send_digest(&mut self, digest: Digest, counts: Option<Counts>) {
         let now = self.config.clock.now();
         let Digest {
             usages,
             failed,
             tokens,
             parts,
+            ..
         } = digest;
+        let time = counts.as_ref().map(|counts| counts.time);
+        let (changed_counts, all_counts) = counts
+            .map(|counts| (counts.changes, counts.all))
+            .unwrap_or_default();
         let current = by_endpoint(usages, |usage| &usage.endpoint);
         let changes = changes(&self.last_sent, &current, |endpoint| Usage {
             endpoint,
@@ -192,7 +235,8 @@
             || !changes.is_empty()
             || !token_changes.is_empty()
             || !failed.is_empty()
-            || !parts.is_empty();
+            || !parts.is_empty()
+            || !changed_counts.is_empty();
         for link in self.links.values_mut() {
             let first = !std::mem::replace(&mut link.has_snapshot, true);
             if !first && !due {
@@ -204,11 +248,21 @@
             } else {
                 (changes.clone(), token_changes.clone())
             };
+            // A link that was opened after the counts were asked for gets them with the next digest.
+            let begun = match &all_counts {
+                Some(all_counts) if !link.has_counts => {
+                    link.has_counts = true;
+                    all_counts.clone()
+                }
+                _ => changed_counts.clone(),
+            };
             link.outbox.send(Frame::Digest(Digest {
                 usages,
                 failed: failed.clone(),
                 tokens,
                 parts: parts.clone(),
+                begun,
+                time,
             }));
         }
         if due {
@@ -241,11 +295,11 @@
     changed.chain(ended).collect()
 }
 
-impl Actor for Mesh {
-    type Context = Context<Self>;
-
-    fn started(&mut self, ctx: &mut Context<Self>) {
-        ctx.run_interval(DIGEST_INTERVAL, |mesh, ctx| {
+impl Mesh {
+    /// Sends a digest after each interval.
+    fn schedule_digest(&self, ctx: &mut Context<Self>) {
+        ctx.run_later(self.config.digest_interval(), |mesh, ctx| {
+            mesh.schedule_digest(ctx);
             if mesh.links.is_empty() {
                 return;
             }
@@ -255,10 +309,26 @@
                 .take_digest
                 .send(TakeDigest)
                 .into_actor(mesh);
-            let sent = digest.map(|digest: Result<_, MailboxError>, mesh, _| match digest {
-                Ok(digest) => mesh.send_digest(digest),
-                Err(error) => {
-                    log::debug!(error:% = error; "dispatcher has stopped; no digest is sent");
+            let sent = digest.then(|digest, mesh: &mut Self, _| {
+                let take = TakeCounts {
+                    all: mesh.links.values().any(|link| !link.has_counts),
+                };
+                let usage = mesh.config.recipients.usage.clone();
+                let counts = async move {
+                    let counts = match usage {
+                        Some(usage) => usage.send(take).await.ok(),
+                        None => None,
+                    };
+                    (digest, counts)
+                };
+                counts.into_actor(mesh)
+            });
+            let sent = sent.map(|(digest, counts): (Result<_, MailboxError>, _), mesh, _| {
+                match digest {
+                    Ok(digest) => mesh.send_digest(digest, counts),
+                    Err(error) => {
+                        log::debug!(error:% = error; "dispatcher has stopped; no digest is sent");
+                    }
                 }
             });
             ctx.spawn(sent);
@@ -266,8 +336,16 @@
     }
 }
 
+impl Actor for Mesh {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        self.schedule_digest(ctx);
+    }
+}
+
 /// Snapshot or changes of the gateways' entries in the store.
-#[derive(Debug, Message)]
+#[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct GatewaysChanged(pub Update);
 
@@ -297,6 +375,7 @@
             process: msg.process,
             outbox: msg.outbox,
             has_snapshot: false,
+            has_counts: false,
         };
         self.links.insert(msg.session, link);
         self.report_links();
@@ -336,7 +415,16 @@
     }
 
     fn on_frame(&self, peer: &Peer, frame: Frame, _outbox: &Outbox) {
-        if let Frame::Digest(digest) = frame {
+        if let Frame::Digest(mut digest) = frame {
+            let begun = std::mem::take(&mut digest.begun);
+            if let (Some(usage), Some(time)) = (&self.recipients.usage, digest.time) {
+                usage.do_send(PeerCounts {
+                    process: peer.hello.process.clone(),
+                    incarnation: peer.hello.incarnation,
+                    begun,
+                    time,
+                });
+            }
             self.recipients.digest.do_send(PeerDigest {
                 session: peer.session,
                 digest,
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -201,7 +201,12 @@
     let loopback = "127.0.0.1:0".parse().expect("an address");
     let port = BoundListener::bind(loopback).await.expect("a free port");
     let (mesh, listener) = spawn(
-        Config::new(identity, clock, Recipients::from(&dispatcher)),
+        Config::new(
+            identity,
+            clock,
+            Recipients::from(&dispatcher),
+            watch::Sender::new(None).subscribe(),
+        ),
         port,
     );
     Gateway {
@@ -219,8 +224,12 @@
             service: "lm".parse().expect("a valid name"),
             need: Need::Start,
             rank: 0,
+            route: None,
+            customer: None,
+            latency_target: Duration::from_secs(1),
+            waited: Duration::ZERO,
+            max_output: Tokens::ZERO,
             prompt: Tokens::new(1_000),
-            output: Tokens::ZERO,
             shared_prefix: Tokens::ZERO,
             shared_parts: Arc::default(),
             affinity: None,
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -9,6 +9,8 @@
 pub(super) const ENDPOINTS_PREFIX: &str = "/servers/";
 /// Prefix of the entries with which gateways register.
 pub(super) const GATEWAYS_PREFIX: &str = "/gateways";
+/// Prefix of what the holder of the duties keeps.
+pub(super) const DUTIES_PREFIX: &str = "/duties";
 /// Key of the operator's configuration.
 pub(super) const PLAN_KEY: &str = "/op/config";
 
@@ -53,9 +55,18 @@
 pub(super) const SERVING_STAGE: &str = "serving-stage";
 /// Address of an engine from which the shared parts of a prompt are copied.
 pub(super) const KV_FETCH: &str = "kv-fetch";
+/// Name of the customer that sent a request.
+pub(super) const TENANT: &str = "tenant";
 /// Location of the KV cache of a request, as `address/handle`.
 pub(super) const KV_SOURCE: &str = "kv-source";
 
+/// Path of usage reports at the platform's API.
+pub(super) const DUTY_USAGE: &str = "/usage";
+/// Host that holds the duties, in calls to the platform's API.
+pub(super) const DUTY_HOLDER: &str = "duty-holder";
+/// Number that increases when the holder of the duties changes.
+pub(super) const FENCING_TOKEN: &str = "fencing-token";
+
 /// Headers that only this system may set; they are dropped from requests of callers.
 pub(super) const SYSTEM_HEADERS: [&str; 10] = [
     EXPECT_INSTANCE,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -20,7 +20,9 @@
 
 use super::*;
 use crate::{
+    customer::Key,
     directory::{self, Codec as _},
+    duty,
     error::Executed,
     ingress::Protocol as _,
     store::{Item, Path, Position, Reader as _, Store as _, Txn, Write},
@@ -177,6 +179,60 @@
     insta::assert_debug_snapshot!(table);
 }
 
+/// Guards against an unreadable customer that costs the others their keys, or the process its plan, and
+/// against requests that need no key because the list of customers is unreadable.
+#[test]
+fn unreadable_customers_are_skipped() {
+    let lists = [
+        ("none", ""),
+        ("empty", r#""tenants":[],"#),
+        ("not a list", r#""tenants":{},"#),
+        (
+            "one of each",
+            r#""tenants":[{"name":"hule930","apiKeys":["a"],"priority":1,"more":1e999},
+                {"name":"two words","apiKeys":["b"]}, {"name":"fida11","apiKeys":"c"}, 7,
+                {"name":"mona2","apiKeys":["d"],"priority":-1}, {"apiKeys":["e"]},
+                {"name":"juri5","apiKeys":["f"]}],"#,
+        ),
+    ];
+    let results = lists.map(|(name, list)| {
+        let text = CONFIGURATION.replacen("\"services\"", &format!("{list}\"services\""), 1);
+        let plan = Codec.plan(text.as_bytes()).map_err(|error| error.kind());
+        let found = plan.map(|plan| {
+            let customers = plan.customers()?;
+            let keys = ["a", "b", "c", "d", "e", "f"].map(Key::new);
+            let owners = keys.iter().filter_map(|key| customers.find(key));
+            Some(owners.cloned().collect::<Vec<_>>())
+        });
+        format!("{name}: {found:?}")
+    });
+    insta::assert_debug_snapshot!(results);
+}
+
+/// Guards against a key that is taken from a malformed or repeated header.
+#[test]
+fn only_one_whole_bearer_key_is_read() {
+    let cases: [&[&str]; 9] = [
+        &["Bearer k-1"],
+        &["bearer  k-1"],
+        &[],
+        &["Bearer"],
+        &["Bearer "],
+        &["Basic k-1"],
+        &["k-1"],
+        &["Bearer k-1, Bearer k-1"],
+        &["Bearer k-1", "Bearer k-1"],
+    ];
+    let read = cases.map(|values| {
+        let request = values.iter().fold(TestRequest::get(), |request, value| {
+            request.append_header(("Authorization", *value))
+        });
+        let key = protocol().key(&request.to_http_request());
+        format!("{values:?}: {}", key == Some(Key::new("k-1")))
+    });
+    insta::assert_debug_snapshot!(read);
+}
+
 /// Guards against a request whose numbers overflow.
 #[test]
 fn shared_tokens_do_not_overflow() {
@@ -470,7 +526,7 @@
             path("/servers/"),
             Duration::ZERO,
             clock::System::shared(),
-            Box::new(move |update| drop(sender.send(update))),
+            Box::new(move |update, _sent| drop(sender.send(update))),
         );
         let mut seen = Vec::new();
         while seen.len() < 4 {
@@ -658,3 +714,40 @@
     let loads = texts.map(|text| format!("{text:?}: {:?}", engine::decode_load(text)));
     insta::assert_debug_snapshot!(loads);
 }
+
+/// Guards against a call to the platform's API whose path, body or headers are not those of the
+/// platform, and against a refused token that looks like another failure.
+#[actix_rt::test]
+async fn duty_calls_have_the_platforms_format() {
+    let mut seen = Vec::new();
+    for status in ["200 OK", "409 Conflict", "429 Too Many Requests"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let cloud = Cloud::new(address, "edge-1".parse().expect("a valid name"));
+        let served = task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = Vec::new();
+            while !request.ends_with(b"}") || !request.windows(8).any(|part| part == b"windowId") {
+                assert!(stream.read_buf(&mut request).await.expect("readable") > 0);
+            }
+            let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes()).await.expect("writable");
+            request
+        });
+        let counts = [("hule930", 412), ("fida11", 11)]
+            .map(|(name, count)| (name.parse().expect("a valid name"), count));
+        let call = duty::Call::Usage {
+            window: crate::id::Window::new(353_445_120),
+            counts: Arc::new(counts.into()),
+        };
+        let token = "8192".parse().expect("a token");
+        let answer = duty::Api::send(&cloud, token, &call).await;
+        let request = String::from_utf8(served.await.expect("served")).expect("text");
+        let request = request.replace(&address.to_string(), "ADDRESS");
+        let lines = request.lines().filter(|line| !line.starts_with("date:"));
+        let mut lines: Vec<&str> = lines.collect();
+        lines.sort_unstable();
+        seen.push((answer, lines.join("\n")));
+    }
+    insta::assert_debug_snapshot!(seen);
+}
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use ::log::Level;
-use jsonc_parser::ast::Value;
+use jsonc_parser::{ast::Value, common::Ranged};
 
 use super::{
     Result,
@@ -11,7 +11,9 @@
     config::{ParsedDuration, Reader},
     directory::Budget,
     id::{Process, Zone},
+    triage,
     unit::Bytes,
+    usage,
 };
 
 /// Default of the memory that a gateway may use.
@@ -30,6 +32,8 @@
 const STOP_DELAY_DEFAULT: Duration = Duration::from_millis(2_500);
 /// Default drain notice.
 const DRAIN_NOTICE_DEFAULT: Duration = Duration::from_secs(2);
+/// Kind of duty in the settings that switches usage reports on.
+const USAGE_KIND: &str = "usage";
 /// Default time from the stop signal until the process is killed.
 const GRACE_DEFAULT: Duration = Duration::from_secs(8);
 
@@ -62,12 +66,90 @@
     pub stop_delay: Duration,
     /// Time from the stop signal until the process is killed; 8 s by default.
     pub grace: Duration,
+    /// Time after which no request may run with a key that was removed from the plan. With it, requests
+    /// with a key are refused while the plan is not confirmed for four fifths of this time.
+    pub key_revocation: Option<Duration>,
     /// Memory that the process may use; 160 MiB by default.
     pub memory: Bytes,
+    /// Calls to the platform's API that one gateway at a time makes; none by default.
+    pub duties: Option<Duties>,
+    /// What happens when a service has too little capacity; `reject` by default.
+    pub overload: triage::Mode,
     /// Least severe level that is logged; `info` by default.
     pub log: Level,
 }
 
+/// Settings of the calls to the platform's API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Duties {
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// Time to live of the lease of the gateway that makes the calls.
+    pub lease: Duration,
+    /// Whether the API refuses fencing tokens lower than one that it has seen.
+    pub tokens_checked: bool,
+    /// Shortest interval between calls.
+    pub call_interval: Duration,
+    /// Usage reports; `None` to send none.
+    pub usage: Option<usage::Spec>,
+}
+
+impl Duties {
+    fn read(r: &mut Reader, value: &Value<'_>) -> Option<Self> {
+        let known = [
+            "address",
+            "lease",
+            "tokens_checked",
+            "calls_per_s",
+            "kinds",
+            "usage",
+        ];
+        let fields = r.object(value, &known)?;
+        let address = r.field(&fields, "address", Reader::address);
+        let lease = r.field(&fields, "lease", Reader::text);
+        let tokens_checked = r.field(&fields, "tokens_checked", Reader::boolean);
+        let call_interval = r.field(&fields, "calls_per_s", |r, v| read_call_rate(r, v));
+        // Kinds that this version does not know are not made.
+        let kinds = r.field(&fields, "kinds", |r, v| r.list(v, Reader::text::<String>));
+        let usage = r.optional(&fields, "usage", None, |r, v| read_usage(r, v).map(Some));
+        let reports = kinds?.iter().any(|kind| kind == USAGE_KIND);
+        let ParsedDuration(lease) = lease?;
+        Some(Self {
+            address: address?,
+            lease,
+            tokens_checked: tokens_checked?,
+            call_interval: call_interval?,
+            usage: usage?.filter(|_| reports),
+        })
+    }
+}
+
+/// Reads a number of calls per second as the interval between them.
+fn read_call_rate(r: &mut Reader, value: &Value<'_>) -> Option<Duration> {
+    let rate = match value {
+        Value::NumberLit(number) => number.value.parse::<f64>().ok(),
+        _ => None,
+    };
+    let interval = rate.filter(|rate| *rate > 0.0);
+    let interval = interval.and_then(|rate| Duration::try_from_secs_f64(rate.recip()).ok());
+    if interval.is_none() {
+        r.fault(value.range(), "expected a number above zero");
+    }
+    interval
+}
+
+fn read_usage(r: &mut Reader, value: &Value<'_>) -> Option<usage::Spec> {
+    let fields = r.object(value, &["window", "lateness"])?;
+    let window = r.field(&fields, "window", Reader::text);
+    let lateness = r.field(&fields, "lateness", Reader::text);
+    let (ParsedDuration(window), ParsedDuration(lateness)) = (window?, lateness?);
+    if window.is_zero() {
+        r.fault(fields.range, "the window must be longer than zero");
+        return None;
+    }
+    Some(usage::Spec { window, lateness })
+}
+
 impl Gateway {
     /// Part of the memory for bodies of callers that are held until their requests have ended.
     #[must_use]
@@ -88,11 +170,15 @@
     }
 
     /// Time in which the store is followed again after the open connections to it have gone silent: the
-    /// setting, or the part of the drain notice if that is shorter.
+    /// setting, or the part of the drain notice or of the revocation time if that is shorter. A confirmation
+    /// of the plan is up to two waits of a watch call old, each of which is shorter than the recovery, and
+    /// has to be renewed within four fifths of the revocation time.
     #[must_use]
     pub fn store_recovery(&self) -> Duration {
+        let confirmation = self.key_revocation.map_or(Duration::MAX, |time| time / 2);
         self.store_recovery
             .min(self.drain_budget().store_recovery())
+            .min(confirmation)
     }
 
     /// Reads and validates a settings file.
@@ -126,7 +212,10 @@
             "drain_notice",
             "stop_delay",
             "grace",
+            "key_revocation",
             "memory",
+            "duties",
+            "overload",
             "log",
         ];
         let fields = r.object(value, &known)?;
@@ -168,7 +257,16 @@
             ParsedDuration(GRACE_DEFAULT),
             Reader::text,
         );
+        let key_revocation = r.optional(&fields, "key_revocation", None, |r, value| {
+            r.text(value).map(|ParsedDuration(time)| Some(time))
+        });
         let memory = r.optional(&fields, "memory", MEMORY_DEFAULT, Reader::text);
+        let duties = r.optional(&fields, "duties", None, |r, value| {
+            Duties::read(r, value).map(Some)
+        });
+        let overload = r.optional(&fields, "overload", triage::Mode::default(), |r, value| {
+            r.choice(value, &triage::Mode::NAMES)
+        });
         let log = r.optional(&fields, "log", Level::Info, log_level);
         Some(Self {
             process: process?,
@@ -182,7 +280,10 @@
             drain_notice: drain_notice?.0,
             stop_delay: stop_delay?.0,
             grace: grace?.0,
+            key_revocation: key_revocation?,
             memory: memory?,
+            duties: duties?,
+            overload: overload?,
             log: log?,
         })
     }
