Count requests that exceed engine memory once per choice

A policy that lets a request give way selects an endpoint more than once, and may reject the request in the end; each selection was counted.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -145,6 +145,7 @@
             endpoint,
             home,
             placement,
+            exceeds_memory,
         } = selection;
         let prefill = placement.prefill;
         let fetch_from = home
@@ -160,6 +161,14 @@
         member.in_flight += 1;
         member.backlog.add(rank, prefill);
         let footprint = Footprint::of(demand);
+        if exceeds_memory {
+            metrics::counter!("engine_memory_exceeded_total",
+                "service" => demand.service.to_string())
+            .increment(1);
+            log::debug!(endpoint:% = endpoint, service:% = demand.service,
+                own_tokens = footprint.own.get();
+                "no engine is known to have room in its memory for the request");
+        }
         member.memory.add(footprint);
         if placement.delays_streams {
             member.crowded_at = Some(now);
@@ -256,18 +265,15 @@
             self.policy.record_prefill(service, progress.prompt, now);
             if let Some(prediction) = progress.prediction {
                 let seen = observe(&prediction, progress.load, now);
-                match prediction.rounds {
-                    Some(rounds) => {
-                        self.model
-                            .record_service_time(service, seen.elapsed, rounds, now);
-                    }
-                    None => {
-                        self.model.record_prefill(instance, seen, now);
-                        // The forecast includes the reported slowdown, and so does the time.
-                        let elapsed = now.saturating_duration_since(prediction.selected_at);
-                        self.model
-                            .record_excess(instance, prediction.expected, elapsed, now);
-                    }
+                if let Some(rounds) = prediction.rounds {
+                    self.model
+                        .record_service_time(service, seen.elapsed, rounds, now);
+                } else {
+                    self.model.record_prefill(instance, seen, now);
+                    // The forecast includes the reported slowdown, and so does the time.
+                    let elapsed = now.saturating_duration_since(prediction.selected_at);
+                    self.model
+                        .record_excess(instance, prediction.expected, elapsed, now);
                 }
             }
             if let Some(load) = progress.load {
@@ -567,19 +573,14 @@
             })
             // An engine that can answer in time precedes a cheaper one that cannot.
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        if let Some(((true, _, _), _, endpoint, _)) = &best {
-            metrics::counter!("engine_memory_exceeded_total",
-                "service" => demand.service.to_string())
-            .increment(1);
-            log::debug!(endpoint:% = endpoint, service:% = demand.service,
-                own_tokens = footprint.own.get();
-                "no engine is known to have room in its memory for the request");
-        }
-        let selected = best.map(|(_, _, endpoint, placement)| Selection {
-            endpoint: endpoint.clone(),
-            home: conditions.home().filter(|_| placement.fetches).cloned(),
-            placement,
-        });
+        let selected = best.map(
+            |((exceeds_memory, _, _), _, endpoint, placement)| Selection {
+                endpoint: endpoint.clone(),
+                home: conditions.home().filter(|_| placement.fetches).cloned(),
+                placement,
+                exceeds_memory,
+            },
+        );
         selected.ok_or_else(|| no_endpoint(&demand.service))
     }
 
@@ -689,6 +690,8 @@
     /// The engine from which the shared prefix is transferred.
     home: Option<Endpoint>,
     placement: Placement,
+    /// Whether the request may exceed the memory of the engine.
+    exceeds_memory: bool,
 }
 
 fn no_endpoint(service: &Service) -> Error {
