--- a/src/dispatch/cost.rs
+++ b/src/dispatch/cost.rs
@@ -41,6 +41,11 @@
 /// Cost of an endpoint of a plain service in another zone, in requests.
 const REMOTE_ZONE_REQUESTS: f64 = 0.5;
 
+/// Cost of the requests in the slots of an endpoint of a plain service that reports its slowdown, as a
+/// fraction of the time of a request if all slots are in use. It spreads requests over endpoints without
+/// queues; a queue costs more.
+const SLOTS_IN_USE_COST: f64 = 0.5;
+
 /// Load of peer processes at an endpoint: what the peers report, else an estimate from the last
 /// load report of the endpoint.
 pub(super) fn peer_load(loads: &PeerLoads, member: &Member, rank: u8, now: Instant) -> PeerLoad {
@@ -98,7 +103,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Placement {
     /// Cost of the request at this endpoint, for its caller and for the other requests there, in
-    /// seconds. For a plain service it is the number of requests per slot.
+    /// seconds. For a plain service it is the number of requests per slot, or the time until the answer
+    /// as a multiple of the usual service time if its endpoints report their slowdown.
     pub(super) cost: f64,
     /// Prompt tokens of the request to prefill.
     pub(super) prefill: Tokens,
@@ -106,7 +112,8 @@
     pub(super) tokens_ahead: Tokens,
     /// Whether the shared prefix is transferred from the engine that keeps it.
     pub(super) fetches: bool,
-    /// Expected time until the endpoint answers; zero for a plain service.
+    /// Expected time until the endpoint answers; zero for a plain service whose endpoints report no
+    /// slowdown.
     pub(super) forecast: Duration,
     /// The forecast without what is learned of the errors of forecasts.
     pub(super) bare_forecast: Duration,
@@ -114,6 +121,8 @@
     pub(super) delays_streams: bool,
     /// Part of the forecast in which the endpoint prefills for other requests.
     pub(super) queueing: Duration,
+    /// Requests for each slot of an endpoint of a plain service, at least 1; `None` for an engine.
+    pub(super) rounds: Option<f64>,
 }
 
 /// An endpoint that may be selected, and what the peers do there.
@@ -139,6 +148,8 @@
     lateness: Option<Lateness>,
     preferred_zone: &'a Zone,
     home: Option<&'a Endpoint>,
+    /// Whether endpoints report their slowdown.
+    report_slowdown: bool,
     now: Instant,
 }
 
@@ -183,6 +194,9 @@
             lateness,
             preferred_zone,
             home,
+            report_slowdown: candidates
+                .iter()
+                .any(|candidate| candidate.member.reports_slowdown()),
             now,
         }
     }
@@ -194,24 +208,15 @@
 
     /// Estimates what a request would meet at an endpoint.
     pub(super) fn place(&self, candidate: &Candidate<'_>, demand: &Demand) -> Placement {
+        if demand.prompt == Tokens::ZERO {
+            return self.place_plain(candidate);
+        }
         let member = candidate.member;
         let instance = &member.instance;
         let is_remote = instance.zone != *self.preferred_zone;
         let requests = candidate.requests();
-        if demand.prompt == Tokens::ZERO {
-            let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
-            return Placement {
-                cost: (requests + 1.0 + zone) / f64::from(instance.slots.max(1)),
-                prefill: Tokens::ZERO,
-                tokens_ahead: Tokens::ZERO,
-                fetches: false,
-                forecast: Duration::ZERO,
-                bare_forecast: Duration::ZERO,
-                delays_streams: false,
-                queueing: Duration::ZERO,
-            };
-        }
-        let seconds = 1.0 / self.model.engine_rate(instance, self.now).get();
+        let slowdown = member.slowdown_factor(self.now);
+        let seconds = slowdown / self.model.engine_rate(instance, self.now).get();
         let is_home = self.home == Some(&instance.id);
         let shared = as_f64(demand.shared_prefix.get());
         let fetch_seconds = KV_FETCH_SETUP.as_secs_f64() + shared / KV_FETCH_RATE;
@@ -256,7 +261,7 @@
             cost: forecast.as_secs_f64()
                 + self.harm(instance.stage, requests, work, forecast)
                 + eviction
-                + requests * REQUEST_OVERHEAD.as_secs_f64()
+                + requests * slowdown * REQUEST_OVERHEAD.as_secs_f64()
                 + zone.as_secs_f64(),
             prefill,
             tokens_ahead: Tokens::new(round(queued)) + prefill,
@@ -268,6 +273,46 @@
                 && self
                     .lateness
                     .is_some_and(|lateness| lateness.delays_streams(work.queued + work.own)),
+            rounds: None,
+        }
+    }
+
+    /// Estimates what a request would meet at an endpoint of a plain service.
+    fn place_plain(&self, candidate: &Candidate<'_>) -> Placement {
+        let member = candidate.member;
+        let instance = &member.instance;
+        let slots = f64::from(instance.slots.max(1));
+        let is_remote = instance.zone != *self.preferred_zone;
+        let zone = if is_remote { REMOTE_ZONE_REQUESTS } else { 0.0 };
+        let mut requests = candidate.requests();
+        if self.report_slowdown {
+            // The endpoint also knows of requests that their senders have given up, and of peers without
+            // a link.
+            let reported = f64::from(member.in_flight) + member.recent_peer_requests(self.now);
+            requests = requests.max(reported);
+        }
+        let per_slot = (requests + 1.0 + zone) / slots;
+        let rounds = ((requests + 1.0) / slots).max(1.0);
+        let slowdown = member.slowdown_factor(self.now);
+        let (cost, forecast) = if self.report_slowdown {
+            let service_time = self.model.service_time(&instance.service, self.now);
+            (
+                slowdown * (per_slot.max(1.0) + per_slot * SLOTS_IN_USE_COST),
+                service_time.mul_f64(slowdown * rounds),
+            )
+        } else {
+            (per_slot, Duration::ZERO)
+        };
+        Placement {
+            cost,
+            prefill: Tokens::ZERO,
+            tokens_ahead: Tokens::ZERO,
+            fetches: false,
+            forecast,
+            bare_forecast: forecast,
+            queueing: Duration::ZERO,
+            delays_streams: false,
+            rounds: Some(rounds),
         }
     }
 
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -7,9 +7,11 @@
 use rand::{Rng, SeedableRng as _, rngs::StdRng};
 
 use super::{
-    Choice, Demand, Ending, Finish, Need, NoticeReceived, PeerCoverage, PeerDigest, Progress,
+    Choice, Demand, Ending, Finish, Footprint, Load, Need, NoticeReceived, PeerCoverage,
+    PeerDigest, Prediction, Progress,
     cost::{Candidate, Conditions, Placement, peer_load},
     failure::{FailureReports, Reporter},
+    kv_memory::Room,
     member::{Member, Report},
     peer_load::PeerLoads,
 };
@@ -24,8 +26,8 @@
     quarantine::{Hold, Quarantine},
     retry::{Budget as _, Ejector, WindowBudget},
     triage::{self, Outlook, Policy, Reason, Rejection, Verdict},
-    unit::{Tokens, as_f64},
-    wire::{Digest, Usage},
+    unit::{Slowdown, Tokens, as_f64},
+    wire::{Digest, Occupancy, Usage},
 };
 
 /// Consecutive failures of an endpoint after which it is reported to peers. An endpoint that is
@@ -50,6 +52,8 @@
     ejector: Ejector,
     budgets: BTreeMap<Service, WindowBudget>,
     peer_loads: PeerLoads,
+    /// Memory of the engines of each service.
+    capacities: BTreeMap<Service, Tokens>,
     model: Model,
     policy: Box<dyn Policy>,
     failure_reports: FailureReports,
@@ -71,6 +75,7 @@
             ejector: Ejector::new(),
             budgets: BTreeMap::new(),
             peer_loads: PeerLoads::default(),
+            capacities: BTreeMap::new(),
             model: Model::new(),
             policy: triage::new(triage::Mode::default()),
             failure_reports: FailureReports::default(),
@@ -93,6 +98,11 @@
         self.list_confirmed_at = Some(now);
     }
 
+    /// Replaces the memory of the engines of each service, in tokens.
+    pub fn set_memory(&mut self, capacities: BTreeMap<Service, Tokens>) {
+        self.capacities = capacities;
+    }
+
     /// Replaces the list of endpoints. Endpoints that remain at the same address keep their state.
     pub fn set_instances(&mut self, instances: Vec<Arc<Instance>>, now: Instant) {
         let mut old = std::mem::take(&mut self.members);
@@ -135,6 +145,7 @@
             endpoint,
             home,
             placement,
+            exceeds_memory,
         } = selection;
         let prefill = placement.prefill;
         let fetch_from = home
@@ -149,6 +160,16 @@
         });
         member.in_flight += 1;
         member.backlog.add(rank, prefill);
+        let footprint = Footprint::of(demand);
+        if exceeds_memory {
+            metrics::counter!("engine_memory_exceeded_total",
+                "service" => demand.service.to_string())
+            .increment(1);
+            log::debug!(endpoint:% = endpoint, service:% = demand.service,
+                own_tokens = footprint.own.get();
+                "no engine is known to have room in its memory for the request");
+        }
+        member.memory.add(footprint);
         if placement.delays_streams {
             member.crowded_at = Some(now);
         }
@@ -156,10 +177,13 @@
             instance: Arc::clone(&member.instance),
             rank,
             prefill_tokens: prefill,
+            footprint,
             tokens_ahead: placement.tokens_ahead,
             fetch_from,
             forecast: placement.forecast,
             bare_forecast: placement.bare_forecast,
+            slowdown: member.reported_slowdown(now),
+            rounds: placement.rounds,
             selected_at: now,
             own_requests: member.in_flight,
             peer_requests: peer_load(&self.peer_loads, member, rank, now).requests,
@@ -236,14 +260,21 @@
         if let Some(member) = self.members.get_mut(&progress.endpoint) {
             member.backlog.subtract(progress.rank, progress.prompt);
             member.last_answer = Some(now);
-            let service = &member.instance.service;
+            let instance = &member.instance;
+            let service = &instance.service;
             self.policy.record_prefill(service, progress.prompt, now);
-            if let Some((tokens, selected_at, expected)) = progress.prefill {
-                let elapsed = now.saturating_duration_since(selected_at);
-                let seen = Observation { tokens, elapsed };
-                self.model.record_prefill(&member.instance, seen, now);
-                self.model
-                    .record_excess(&member.instance, expected, elapsed, now);
+            if let Some(prediction) = progress.prediction {
+                let seen = observe(&prediction, progress.load, now);
+                if let Some(rounds) = prediction.rounds {
+                    self.model
+                        .record_service_time(service, seen.elapsed, rounds, now);
+                } else {
+                    self.model.record_prefill(instance, seen, now);
+                    // The forecast includes the reported slowdown, and so does the time.
+                    let elapsed = now.saturating_duration_since(prediction.selected_at);
+                    self.model
+                        .record_excess(instance, prediction.expected, elapsed, now);
+                }
             }
             if let Some(load) = progress.load {
                 member.report = Some(Report {
@@ -273,6 +304,7 @@
         };
         member.in_flight = member.in_flight.saturating_sub(1);
         member.backlog.subtract(finish.rank, finish.prompt);
+        member.memory.subtract(finish.footprint);
         let service = member.instance.service.clone();
         let has_waited = finish.prompt > Tokens::ZERO && finish.ending == Ending::Abandoned;
         if finish.demand.is_first() && (has_waited || finish.ending == Ending::Served) {
@@ -347,10 +379,22 @@
             requests: member.in_flight,
             prompt_tokens_to_prefill: member.backlog.iter().collect(),
         });
+        let tokens = self.members.values().filter(|member| {
+            self.capacities.contains_key(&member.instance.service) && !member.memory.is_empty()
+        });
+        let tokens = tokens.map(|member| {
+            let (own, prefixes) = member.memory.report();
+            Occupancy {
+                endpoint: member.instance.id.clone(),
+                own,
+                prefixes,
+            }
+        });
         Digest {
             begun: Vec::new(),
             time: None,
             usages: usages.collect(),
+            tokens: tokens.collect(),
             failed: std::mem::take(&mut self.unreported_failures)
                 .into_iter()
                 .collect(),
@@ -369,6 +413,8 @@
         }
         self.quarantine.apply_report(msg.digest.parts, now);
         self.peer_loads.update(msg.session, msg.digest.usages);
+        self.peer_loads
+            .update_memory(msg.session, msg.digest.tokens);
     }
 
     /// Records a failure of an endpoint, and backs off if enough processes have reported it.
@@ -395,6 +441,17 @@
             "backing off from endpoint after correlated failures");
     }
 
+    /// The room that an engine has for a request; ample where the configuration states no memory.
+    fn room(&self, member: &Member, request: Footprint) -> Room {
+        let instance = &member.instance;
+        let Some(capacity) = self.capacities.get(&instance.service) else {
+            return Room::Ample;
+        };
+        let peers = self.peer_loads.memory(&instance.id);
+        let factor = self.peer_loads.coverage_factor();
+        member.memory.room(peers, factor, request, *capacity)
+    }
+
     /// Removes the load of a peer whose link has closed.
     pub fn remove_peer(&mut self, session: Session) {
         self.peer_loads.remove(session);
@@ -422,9 +479,15 @@
                 ..demand.clone()
             };
             let selection = self.select(&ranked, now)?;
+            // The forecast of a plain service only compares its endpoints.
+            let forecast = if demand.prompt == Tokens::ZERO {
+                Duration::ZERO
+            } else {
+                selection.placement.forecast
+            };
             let outlook = Outlook {
                 rank,
-                forecast: selection.placement.forecast,
+                forecast,
                 queueing: selection.placement.queueing,
             };
             match self.policy.decide(&request, outlook, now) {
@@ -485,9 +548,15 @@
             .collect();
         let preferred_zone = demand.preferred_zone.as_ref().unwrap_or(&self.zone);
         let conditions = Conditions::new(&self.model, &candidates, demand, preferred_zone, now);
+        let footprint = Footprint::of(demand);
+        let rooms: Vec<Room> = candidates[..open]
+            .iter()
+            .map(|candidate| self.room(candidate.member, footprint))
+            .collect();
         let best = candidates[..open]
             .iter()
-            .map(|candidate| {
+            .zip(rooms)
+            .map(|(candidate, room)| {
                 // Jitter keeps processes that see the same load from all selecting the same
                 // endpoint before the next digest.
                 let jitter = self.rng.random_range(1.0..1.05);
@@ -499,20 +568,20 @@
                 let placement = conditions.place(candidate, demand);
                 let endpoint = &candidate.member.instance.id;
                 let misses = placement.forecast > demand.remaining;
-                (
-                    misses,
-                    placement.cost * jitter + unseen,
-                    endpoint,
-                    placement,
-                )
+                // An engine ends if its memory is exceeded, which fails all requests there.
+                let order = (room == Room::None, misses, room == Room::Tight);
+                (order, placement.cost * jitter + unseen, endpoint, placement)
             })
             // An engine that can answer in time precedes a cheaper one that cannot.
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let selected = best.map(|(_, _, endpoint, placement)| Selection {
-            endpoint: endpoint.clone(),
-            home: conditions.home().filter(|_| placement.fetches).cloned(),
-            placement,
-        });
+        let selected = best.map(
+            |((exceeds_memory, _, _), _, endpoint, placement)| Selection {
+                endpoint: endpoint.clone(),
+                home: conditions.home().filter(|_| placement.fetches).cloned(),
+                placement,
+                exceeds_memory,
+            },
+        );
         selected.ok_or_else(|| no_endpoint(&demand.service))
     }
 
@@ -591,6 +660,22 @@
     Error::new(Kind::Overloaded, detail).with_retry_after(retry_after)
 }
 
+/// The time until an answer as it would have been at the usual speed of the endpoint. The slowdown is
+/// applied to the learned speed while it is reported, and must not be learned as well.
+fn observe(prediction: &Prediction, load: Option<Load>, now: Instant) -> Observation {
+    let elapsed = now.saturating_duration_since(prediction.selected_at);
+    let reports = [prediction.slowdown, load.and_then(|load| load.slowdown)];
+    let known = reports.into_iter().flatten().map(Slowdown::factor);
+    let (sum, count) = known.fold((0.0, 0.0), |(sum, count), factor| {
+        (sum + factor, count + 1.0)
+    });
+    let slowdown = if count > 0.0 { sum / count } else { 1.0 };
+    Observation {
+        tokens: prediction.tokens_ahead,
+        elapsed: elapsed.div_f64(slowdown),
+    }
+}
+
 fn quarantined(hold: Hold) -> Error {
     metrics::counter!("quarantine_refusals_total").increment(1);
     let detail = format!(
@@ -606,6 +691,8 @@
     /// The engine from which the shared prefix is transferred.
     home: Option<Endpoint>,
     placement: Placement,
+    /// Whether the request may exceed the memory of the engine.
+    exceeds_memory: bool,
 }
 
 fn no_endpoint(service: &Service) -> Error {
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -5,14 +5,17 @@
 
 use tokio::sync::watch;
 
-use super::{Backlog, Evidence, Load};
+use super::{Backlog, Evidence, Load, kv_memory::KvMemory};
 use crate::{
     directory::{Instance, Listing},
     notice::{Closure, Standing},
+    unit::Slowdown,
 };
 
 /// Age from which a load report is ignored, about the duration of a request.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(2);
+/// Age from which a reported slowdown is ignored: it changes many times a second.
+const SLOWDOWN_MAX_AGE: Duration = Duration::from_secs(1);
 /// First backoff of an endpoint that has rejected a request. Each further rejection doubles it.
 const BACKOFF_INITIAL: Duration = Duration::from_millis(250);
 /// First backoff of an endpoint that does not run.
@@ -28,6 +31,8 @@
     pub(super) in_flight: u32,
     /// Their prompt tokens that wait for prefill.
     pub(super) backlog: Backlog,
+    /// Memory that they use.
+    pub(super) memory: KvMemory,
     pub(super) report: Option<Report>,
     /// Rejections, and refused connections, since the last request that was served.
     pub(super) rejections: u32,
@@ -59,6 +64,7 @@
             instance,
             in_flight: 0,
             backlog: Backlog::default(),
+            memory: KvMemory::default(),
             report: None,
             rejections: 0,
             failures: 0,
@@ -136,6 +142,39 @@
             .map_or(0, |report| report.load.waiting)
     }
 
+    /// Factor by which work takes longer than usual at the endpoint. The last report counts less as it
+    /// gets old; without a recent one, the factor is 1.
+    pub(super) fn slowdown_factor(&self, now: Instant) -> f64 {
+        let slowdown = self.reported_slowdown(now).unwrap_or_default();
+        slowdown.factor().powf(self.report_freshness(now))
+    }
+
+    /// Slowdown in the last report, unless that is too old.
+    pub(super) fn reported_slowdown(&self, now: Instant) -> Option<Slowdown> {
+        let report = self.report.filter(|_| self.report_freshness(now) > 0.0);
+        report.and_then(|report| report.load.slowdown)
+    }
+
+    /// Whether the endpoint reports its slowdown, however old the last report is.
+    pub(super) fn reports_slowdown(&self) -> bool {
+        self.report
+            .is_some_and(|report| report.load.slowdown.is_some())
+    }
+
+    /// Requests of peer processes in the last report, less of them as it gets old.
+    pub(super) fn recent_peer_requests(&self, now: Instant) -> f64 {
+        f64::from(self.peer_requests(now)) * self.report_freshness(now)
+    }
+
+    /// How much of the last report still holds of what changes many times a second, from 0 to 1.
+    fn report_freshness(&self, now: Instant) -> f64 {
+        self.report.map_or(0.0, |report| {
+            let age = now.saturating_duration_since(report.received_at);
+            let left = SLOWDOWN_MAX_AGE.saturating_sub(age);
+            left.div_duration_f64(SLOWDOWN_MAX_AGE)
+        })
+    }
+
     fn fresh_report(&self, now: Instant) -> Option<Report> {
         self.report
             .filter(|report| now.saturating_duration_since(report.received_at) < REPORT_MAX_AGE)
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -7,7 +8,7 @@
 use actix::Message;
 use tokio::sync::watch;
 
-use super::{Evidence, Ticket};
+use super::{Evidence, Footprint, Ticket};
 use crate::{
     directory::Instance,
     error::Result,
@@ -16,7 +17,7 @@
     link::Session,
     notice::Notice,
     triage,
-    unit::Tokens,
+    unit::{Slowdown, Tokens},
     wire::Digest,
 };
 
@@ -112,16 +113,23 @@
     pub rank: u8,
     /// Prompt tokens that the endpoint has to prefill for the request.
     pub prefill_tokens: Tokens,
+    /// Memory of the endpoint that the request uses until it ends.
+    pub footprint: Footprint,
     /// Prompt tokens that the endpoint is expected to prefill before it answers, including those of
     /// the request itself.
     pub tokens_ahead: Tokens,
     /// Engine that is expected to have the shared prefix cached, if the selected one has not. Its
     /// copy is transferred, which is faster than a second prefill.
     pub fetch_from: Option<SocketAddr>,
-    /// Expected time until the endpoint answers; zero for a plain service.
+    /// Expected time until the endpoint answers; zero for a plain service whose endpoints report no
+    /// slowdown.
     pub forecast: Duration,
     /// The forecast without what is learned of the errors of forecasts.
     pub bare_forecast: Duration,
+    /// Slowdown that the endpoint has reported within the last second.
+    pub slowdown: Option<Slowdown>,
+    /// Requests for each slot of an endpoint of a plain service, at least 1; `None` for an engine.
+    pub rounds: Option<f64>,
     /// When the endpoint was selected.
     pub selected_at: Instant,
     /// Requests of this process in flight there, including this one.
@@ -146,6 +154,23 @@
     pub waiting: u32,
     /// Requests that the endpoint can run concurrently.
     pub slots: u32,
+    /// How long work takes at the endpoint now; `None` if it does not report this.
+    pub slowdown: Option<Slowdown>,
+}
+
+/// What was known when an endpoint was selected, to compare with the time that it took to answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// When the endpoint was selected.
+    pub selected_at: Instant,
+    /// Prompt tokens to prefill before the answer.
+    pub tokens_ahead: Tokens,
+    /// Slowdown that the endpoint had reported within the last second.
+    pub slowdown: Option<Slowdown>,
+    /// Requests for each slot, at least 1; `None` for an engine.
+    pub rounds: Option<f64>,
+    /// What was expected of the answer. Its forecast includes the slowdown.
+    pub expected: Expectation,
 }
 
 /// Reports that an endpoint has begun to answer. Sent by the [`Ticket`].
@@ -160,9 +185,9 @@
     pub prompt: Tokens,
     /// Load that the endpoint sent with the answer, if any.
     pub load: Option<Load>,
-    /// Prompt tokens that were ahead of a successful answer, when the endpoint was selected, and what
-    /// was expected then; `None` for an answer that says nothing about the speed of the endpoint.
-    pub prefill: Option<(Tokens, Instant, Expectation)>,
+    /// What was known at the selection, for a successful answer; `None` for an answer that says nothing
+    /// about the speed of the endpoint.
+    pub prediction: Option<Prediction>,
 }
 
 /// How a request ended at an endpoint.
@@ -198,6 +223,8 @@
     pub rank: u8,
     /// Prompt tokens of the request that are still counted in the backlog of the endpoint.
     pub prompt: Tokens,
+    /// Memory of the endpoint that the request has used.
+    pub footprint: Footprint,
     /// Outcome, which updates the health of the endpoint.
     pub ending: Ending,
     /// Pauses of the stream, if the request was answered with one.
@@ -274,3 +301,9 @@
 #[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub struct SetInstances(pub Vec<Arc<Instance>>);
+
+/// Replaces the memory of the engines of each service, in tokens. Engines of other services are not
+/// limited.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetMemory(pub BTreeMap<Service, Tokens>);
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -9,14 +9,14 @@
 use crate::{
     clock::System,
     directory::{Instance, Stage, Started},
-    forecast::Pace,
+    forecast::{Expectation, Pace},
     id::{Endpoint, Zone},
     link::Session,
     notice::Notice,
     testing::with_paused_time,
     triage,
-    unit::Tokens,
-    wire::{Digest, Usage},
+    unit::{Slowdown, Tokens},
+    wire::{Digest, Occupancy, Usage},
 };
 
 fn zone(name: &str) -> Zone {
@@ -61,6 +61,7 @@
         endpoint: choice.instance.id.clone(),
         rank: choice.rank,
         prompt: Tokens::new(prompt),
+        footprint: choice.footprint,
         ending,
         pace: None,
         demand: Arc::new(demand("lm", Need::Start, prompt, None)),
@@ -338,7 +339,7 @@
         rank: 0,
         prompt: Tokens::ZERO,
         load: None,
-        prefill: None,
+        prediction: None,
     };
     balancer.progress(&answer, later);
     assert!(!balancer.is_silent(&endpoint, now));
@@ -408,8 +409,9 @@
             running: 4,
             waiting: 4,
             slots: 4,
+            slowdown: None,
         }),
-        prefill: None,
+        prediction: None,
     };
     balancer.progress(&busy, now);
     let demand = demand("print", Need::Start, 0, None);
@@ -419,6 +421,195 @@
     insta::assert_debug_snapshot!((fresh, outdated));
 }
 
+/// An answer of an endpoint that works at this slowdown.
+fn paced_answer(endpoint: &str, percent: u32, prediction: Option<Prediction>) -> Progress {
+    Progress {
+        endpoint: endpoint.parse().expect("a valid name"),
+        rank: 0,
+        prompt: Tokens::ZERO,
+        load: Some(Load {
+            running: 0,
+            waiting: 0,
+            slots: 4,
+            slowdown: Some(Slowdown::from_percent(percent)),
+        }),
+        prediction,
+    }
+}
+
+/// Guards against a slowdown that does not count, or that counts for longer than it lasts.
+#[test]
+fn forecasts_follow_a_reported_slowdown_for_a_second() {
+    let (mut balancer, now) = balancer(vec![instance("e1", "lm", None)]);
+    balancer.progress(&paced_answer("e1", 400, None), now);
+    let demand = demand("lm", Need::Start, 6_000, None);
+    let forecasts = [0, 250, 500, 1_000, 5_000].map(|age| {
+        let at = now + Duration::from_millis(age);
+        let choice = balancer.choose(&demand, at).expect("e1");
+        balancer.finish(&finish(&choice, 6_000, Ending::Abandoned), at);
+        format!("after {age} ms: {:?}", choice.forecast)
+    });
+    insta::assert_debug_snapshot!(forecasts);
+}
+
+/// Guards against a slowdown that counts twice: as reported, and in the learned speed.
+#[test]
+fn reported_slowdown_is_not_learned() {
+    let forecasts = [None, Some(100), Some(400)].map(|percent| {
+        let (mut balancer, start) = balancer(vec![instance("e1", "lm", None)]);
+        let slowed = Duration::from_millis(100) * percent.unwrap_or(400) / 100;
+        let mut at = start;
+        for _ in 0..200 {
+            let prediction = Prediction {
+                selected_at: at,
+                tokens_ahead: Tokens::new(6_000),
+                slowdown: percent.map(Slowdown::from_percent),
+                rounds: None,
+                expected: Expectation {
+                    own: Tokens::new(6_000),
+                    forecast: slowed,
+                },
+            };
+            at += slowed;
+            let mut answer = paced_answer("e1", percent.unwrap_or(100), Some(prediction));
+            if percent.is_none() {
+                answer.load = None;
+            }
+            balancer.progress(&answer, at);
+        }
+        let demand = demand("lm", Need::Start, 6_000, None);
+        let choice = balancer.choose(&demand, at + Duration::from_secs(1));
+        let forecast = choice.expect("e1").forecast;
+        format!("{percent:?}: {} ms", forecast.as_millis())
+    });
+    insta::assert_debug_snapshot!(forecasts);
+}
+
+/// Guards against requests to an engine whose memory they would exceed, by what this process or its peers
+/// have placed there, and against prefixes that count once for each request.
+#[test]
+fn engines_without_room_get_no_requests_while_others_have_room() {
+    let engines = vec![instance("e1", "lm", None), instance("e2", "lm", None)];
+    let (mut balancer, now) = balancer(engines);
+    let session = Session::next();
+    let peer = |own, prefixes: &[(u64, u64)]| PeerDigest {
+        session,
+        digest: Digest {
+            tokens: vec![Occupancy {
+                endpoint: "e1".parse().expect("a valid name"),
+                own: Tokens::new(own),
+                prefixes: prefixes
+                    .iter()
+                    .map(|(hash, tokens)| (*hash, Tokens::new(*tokens)))
+                    .collect(),
+            }],
+            ..Digest::default()
+        },
+    };
+    // The prefix of 500 tokens, and 500 of its own and 100 of output for each request.
+    let demand = Demand {
+        max_output: Tokens::new(100),
+        ..demand("lm", Need::Start, 1_000, Some(7))
+    };
+    let mut results = Vec::new();
+    let mut run = |what: &str, balancer: &mut LoadBalancer| {
+        let chosen: crate::error::Result<Vec<Choice>> =
+            (0..8).map(|_| balancer.choose(&demand, now)).collect();
+        let chosen = chosen.expect("an engine");
+        let on_first = chosen
+            .iter()
+            .filter(|choice| choice.instance.id.as_str() == "e1");
+        results.push(format!(
+            "{what}: {} of {} at e1",
+            on_first.count(),
+            chosen.len()
+        ));
+        for choice in &chosen {
+            let finish = Finish {
+                prompt: choice.prefill_tokens,
+                ..finish(choice, 0, Ending::Served)
+            };
+            balancer.finish(&finish, now);
+        }
+    };
+    let capacity = |tokens| [("lm".parse().expect("a valid name"), Tokens::new(tokens))].into();
+    run("no limit", &mut balancer);
+    balancer.apply_peer_digest(peer(9_800, &[(8, 100)]), now);
+    run("no limit, peer at e1", &mut balancer);
+    balancer.set_memory(capacity(10_000));
+    run("peer fills e1", &mut balancer);
+    balancer.apply_peer_digest(peer(4_000, &[(7, 500)]), now);
+    run("peer has the same prefix", &mut balancer);
+    balancer.apply_peer_digest(peer(4_000, &[(8, 5_000)]), now);
+    run("peer has another prefix", &mut balancer);
+    balancer.set_memory(capacity(1_000));
+    run("none has room", &mut balancer);
+    balancer.set_memory(capacity(10_000));
+    balancer.remove_peer(session);
+    run("peer has gone", &mut balancer);
+    let left = balancer.take_digest(now);
+    insta::assert_debug_snapshot!((results, left));
+}
+
+/// Guards against queues at a slow endpoint of a plain service while a fast one has free slots, against a
+/// forecast that hides them, and against refusing requests because of it.
+#[test]
+fn plain_services_avoid_queues_at_slow_endpoints() {
+    let endpoints = vec![instance("s1", "print", None), instance("s2", "print", None)];
+    let (mut balancer, now) = balancer(endpoints);
+    let demand = Demand {
+        remaining: Duration::from_millis(1),
+        ..demand("print", Need::Start, 0, None)
+    };
+    let mut results = Vec::new();
+    let mut run = |what: &str, balancer: &mut LoadBalancer, now: Instant| {
+        let chosen: crate::error::Result<Vec<Choice>> =
+            (0..12).map(|_| balancer.choose(&demand, now)).collect();
+        let chosen = chosen.expect("no refusal");
+        let slow = chosen
+            .iter()
+            .filter(|choice| choice.instance.id.as_str() == "s1");
+        let longest = chosen.iter().map(|choice| choice.forecast).max();
+        let longest = longest.expect("choices").as_millis();
+        results.push(format!(
+            "{what}: {} of 12 at s1, up to {longest} ms",
+            slow.count()
+        ));
+        for choice in &chosen {
+            balancer.finish(&finish(choice, 0, Ending::Served), now);
+        }
+    };
+    run("without reports", &mut balancer, now);
+    // Answers after 100 ms at the usual speed, from the second place in a queue at half the speed.
+    let prediction = Prediction {
+        selected_at: now,
+        tokens_ahead: Tokens::ZERO,
+        slowdown: Some(Slowdown::from_percent(200)),
+        rounds: Some(2.0),
+        expected: Expectation {
+            own: Tokens::ZERO,
+            forecast: Duration::ZERO,
+        },
+    };
+    let learned = now + Duration::from_millis(400);
+    for _ in 0..200 {
+        balancer.progress(&paced_answer("s1", 200, Some(prediction)), learned);
+    }
+    balancer.progress(&paced_answer("s2", 100, None), learned);
+    run("s1 at half the speed", &mut balancer, learned);
+    balancer.progress(&paced_answer("s1", 1_000, None), learned);
+    run("s1 at a tenth of the speed", &mut balancer, learned);
+    let later = learned + Duration::from_secs(1);
+    run("a second later", &mut balancer, later);
+    let mut queue = paced_answer("s1", 100, None);
+    if let Some(load) = &mut queue.load {
+        load.waiting = 30;
+    }
+    balancer.progress(&queue, later);
+    run("s1 has a queue", &mut balancer, later);
+    insta::assert_debug_snapshot!(results);
+}
+
 /// Guards against a load report whose numbers overflow, which makes its endpoint look idle.
 #[test]
 fn large_load_reports_do_not_overflow() {
@@ -431,8 +622,9 @@
             running: u32::MAX,
             waiting: 1,
             slots: 4,
+            slowdown: None,
         }),
-        prefill: None,
+        prediction: None,
     };
     balancer.progress(&absurd, now);
     let demand = demand("print", Need::Start, 0, None);
@@ -672,6 +864,7 @@
     let mut chosen = choices(balancer, &demand, 60, now);
     for id in &chosen {
         let finish = Finish {
+            footprint: Footprint::default(),
             endpoint: id.parse().expect("a valid name"),
             rank: 1,
             prompt: Tokens::ZERO,
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -5,7 +5,7 @@
 
 use actix::Recipient;
 
-use super::{Choice, Demand, Ending, Finish, Load, NoticeReceived, Permit, Progress};
+use super::{Choice, Demand, Ending, Finish, Load, NoticeReceived, Permit, Prediction, Progress};
 use crate::{
     clock::Shared,
     forecast::{Expectation, Pace},
@@ -79,11 +79,13 @@
             rank: self.choice.rank,
             prompt,
             load,
-            prefill: succeeded.then_some((
-                self.choice.tokens_ahead,
-                self.choice.selected_at,
+            prediction: succeeded.then_some(Prediction {
+                selected_at: self.choice.selected_at,
+                tokens_ahead: self.choice.tokens_ahead,
+                slowdown: self.choice.slowdown,
+                rounds: self.choice.rounds,
                 expected,
-            )),
+            }),
         });
     }
 
@@ -112,6 +114,7 @@
             endpoint: self.choice.instance.id.clone(),
             rank: self.choice.rank,
             prompt: self.pending_prefill,
+            footprint: self.choice.footprint,
             ending: self.ending,
             pace: self.pace,
             demand: Arc::clone(&self.demand),
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -1,4 +1,6 @@
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use actix::{Addr, Recipient};
 use rand::Rng;
@@ -10,7 +12,7 @@
     clock::{self, Shared},
     customer::Freshness,
     directory::{self, Codec, Directory, Update},
-    dispatch::{self, Dispatcher, ListConfirmed, SetInstances},
+    dispatch::{self, Dispatcher, ListConfirmed, SetInstances, SetMemory},
     duty::{self, Duties, Release},
     entry::recorder,
     error::{Error, Kind},
@@ -143,31 +145,9 @@
     let dispatcher = dispatch::spawn(config.seed(rand::rng().random()));
 
     let incarnation = Incarnation::random(&mut rand::rng());
-    let duties = settings
-        .duties
-        .as_ref()
-        .filter(|duties| duties.usage.is_some())
-        .map(|duties| start_duties(duties, &settings.process, incarnation, &adapter, &clock))
-        .transpose()?;
+    let duties = start_duties(settings, incarnation, &adapter, &clock)?;
 
-    let active_plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
-    let active = active_plan.subscribe();
-    let freshness = Freshness::new(
-        active_plan.subscribe_confirmed(),
-        settings.key_revocation,
-        Arc::clone(&clock),
-    );
-    let active_plan = Rc::new(RefCell::new(active_plan));
-    let shared_plan = settings
-        .key_revocation
-        .map(|_| Rc::new(plan::Shared(Rc::clone(&active_plan))) as Rc<dyn SharedPlan>);
-    let follow_plan = directory::follow(
-        Rc::clone(&adapter.store),
-        adapter.plan_path,
-        BATCH_DELAY,
-        Arc::clone(&clock),
-        Box::new(move |update, sent| active_plan.borrow_mut().apply(update, sent)),
-    );
+    let plan = start_plan(settings, &adapter, &clock);
 
     let budget = settings.drain_budget();
     let any_known = watch::Sender::new(false);
@@ -194,8 +174,8 @@
         listen: settings.listen,
         readiness: settings.readiness,
         protocol: adapter.protocol,
-        plan: active.clone(),
-        freshness,
+        plan: plan.active.clone(),
+        freshness: plan.freshness,
         endpoints,
         shutdown: shutdown_watch,
         choose: dispatcher.clone().recipient(),
@@ -222,23 +202,29 @@
                 // Gateways state the version of their plan in digests, so no revision is announced.
                 revision: watch::Sender::new(Revision::default()).subscribe(),
             };
+            let usage = duties.as_ref().and_then(|actors| actors.usage.clone());
+            let recipients = peers::Recipients::from(&dispatcher).with_usage(usage);
+            let active = plan.active.clone();
+            let mut config = peers::Config::new(identity, Arc::clone(&clock), recipients, active);
+            if let Some(shared) = plan.shared {
+                config = config.with_plan(shared);
+            }
             let (links, follow) = join_peers(
-                identity,
+                config,
                 port,
-                &adapter.gateways_store,
-                &adapter.gateways_prefix,
-                &dispatcher,
-                active,
-                duties.as_ref(),
+                adapter.gateways_prefix.join(&settings.process),
+                (&adapter.gateways_store, &adapter.gateways_prefix),
+                duties.clone(),
                 &clock,
-                shared_plan,
             );
             (Some(links), Some(follow))
         }
         None => (None, None),
     };
+    let follow_services = follow_services(plan.active, dispatcher.clone());
     let mut tasks = vec![
-        follow_plan,
+        tokio::task::spawn_local(follow_services).abort_handle(),
+        plan.task,
         follow_endpoints,
         tokio::task::spawn_local(run_expiry(publisher, Arc::clone(&clock))).abort_handle(),
         tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
@@ -278,14 +264,18 @@
     }
 }
 
-/// Starts to compete for the duties and to count requests.
+/// Starts to compete for the duties and to count requests, if the settings ask for usage reports.
 fn start_duties(
-    duties: &settings::Duties,
-    process: &Process,
+    settings: &settings::Gateway,
     incarnation: Incarnation,
     adapter: &Adapter,
     clock: &Shared,
-) -> Result<DutyActors> {
+) -> Result<Option<DutyActors>> {
+    let duties = settings.duties.as_ref();
+    let Some(duties) = duties.filter(|duties| duties.usage.is_some()) else {
+        return Ok(None);
+    };
+    let process = &settings.process;
     let store = &adapter.gateways_store;
     let boot = clock::Boot::shared();
     let timing = authority::Timing::new(duties.lease).with_poll_interval(duties.lease);
@@ -320,10 +310,10 @@
             clock: boot,
         })
     });
-    Ok(DutyActors {
+    Ok(Some(DutyActors {
         duties: actor,
         usage,
-    })
+    }))
 }
 
 fn duties_group() -> Result<Group> {
@@ -333,45 +323,68 @@
     })
 }
 
-/// Registers this gateway and starts to link it with others. Also returns the task that watches
-/// their entries in the store.
+/// What is known of the plan, and the task that follows it in the store.
+struct PlanFollower {
+    active: watch::Receiver<Option<Arc<Plan>>>,
+    freshness: Freshness,
+    /// The plan for peers, if keys may only be accepted with a confirmed plan.
+    shared: Option<Rc<dyn SharedPlan>>,
+    task: AbortHandle,
+}
+
+fn start_plan(settings: &settings::Gateway, adapter: &Adapter, clock: &Shared) -> PlanFollower {
+    let plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
+    let active = plan.subscribe();
+    let freshness = Freshness::new(
+        plan.subscribe_confirmed(),
+        settings.key_revocation,
+        Arc::clone(clock),
+    );
+    let plan = Rc::new(RefCell::new(plan));
+    let shared = settings
+        .key_revocation
+        .map(|_| Rc::new(plan::Shared(Rc::clone(&plan))) as Rc<dyn SharedPlan>);
+    let task = directory::follow(
+        Rc::clone(&adapter.store),
+        adapter.plan_path.clone(),
+        BATCH_DELAY,
+        Arc::clone(clock),
+        Box::new(move |update, sent| plan.borrow_mut().apply(update, sent)),
+    );
+    PlanFollower {
+        active,
+        freshness,
+        shared,
+        task,
+    }
+}
+
+/// Registers this gateway at `entry` and starts to link it with others, whose entries have the given prefix
+/// in the store. Also returns the task that watches them.
 fn join_peers(
-    identity: Identity,
+    config: peers::Config,
     port: link::BoundListener,
-    store: &Rc<dyn Store>,
-    gateways: &Path,
-    dispatcher: &Addr<Dispatcher>,
-    active: watch::Receiver<Option<Arc<Plan>>>,
-    duties: Option<&DutyActors>,
+    entry: Path,
+    (store, prefix): (&Rc<dyn Store>, &Path),
+    duties: Option<DutyActors>,
     clock: &Shared,
-    plan: Option<Rc<dyn SharedPlan>>,
 ) -> (PeerLinks, AbortHandle) {
-    let entry = gateways.join(&identity.process);
     let presence = Presence::register(
         Rc::clone(store),
         entry,
         port.address().to_string().into_bytes(),
     );
-    let usage = duties.and_then(|actors| actors.usage.clone());
-    let recipients = peers::Recipients::from(dispatcher).with_usage(usage);
-    let mut config = peers::Config::new(identity, Arc::clone(clock), recipients, active);
-    if let Some(plan) = plan {
-        config = config.with_plan(plan);
-    }
     let (mesh, listener) = peers::spawn(config, port);
     let follow = directory::follow(
         Rc::clone(store) as Rc<dyn Reader>,
-        gateways.clone(),
+        prefix.clone(),
         BATCH_DELAY,
         Arc::clone(clock),
-        Box::new({
-            let duties = duties.cloned();
-            move |update, _sent| {
-                if let Some(actors) = &duties {
-                    actors.gateways_changed(&update);
-                }
-                mesh.do_send(peers::GatewaysChanged(update));
+        Box::new(move |update, _sent| {
+            if let Some(actors) = &duties {
+                actors.gateways_changed(&update);
             }
+            mesh.do_send(peers::GatewaysChanged(update));
         }),
     );
     (PeerLinks { presence, listener }, follow)
@@ -414,6 +427,27 @@
     }
 }
 
+/// Sends the memory of the engines to the dispatcher, for each plan.
+pub(super) async fn follow_services(
+    mut plan: watch::Receiver<Option<Arc<Plan>>>,
+    dispatcher: Addr<Dispatcher>,
+) {
+    while plan.changed().await.is_ok() {
+        let Some(plan) = plan.borrow_and_update().clone() else {
+            continue;
+        };
+        let capacities = plan.services().iter();
+        let capacities: BTreeMap<_, _> = capacities
+            .filter_map(|(name, service)| Some((name.clone(), service.kv_tokens?)))
+            .collect();
+        for (service, tokens) in &capacities {
+            log::info!(version:% = plan.version(), service:% = service, kv_tokens = tokens.get();
+                "memory of the engines is limited");
+        }
+        dispatcher.do_send(SetMemory(capacities));
+    }
+}
+
 async fn run_expiry(publisher: Rc<RefCell<EndpointPublisher>>, clock: Shared) {
     let mut ticks = time::interval(EXPIRY_INTERVAL);
     let mut last = clock.now();
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -23,9 +23,9 @@
     id::{Endpoint, Process, Revision},
     link::{self, Identity, Outbox, Peer, Session},
     route::{Plan, Version},
-    unit::as_f64,
+    unit::{Tokens, as_f64},
     usage::{Counts, PeerCounts, Reporter, TakeCounts},
-    wire::{Digest, Document, FRAME_MAX, Fetch, Frame, PlanState, Usage},
+    wire::{Digest, Document, FRAME_MAX, Fetch, Frame, Occupancy, PlanState, Usage},
 };
 
 /// Interval at which changes are sent. A prompt of a thousand tokens takes an engine about 12 ms,
@@ -136,6 +136,8 @@
     links: BTreeMap<Session, Link>,
     /// Usage in the last digest, for each endpoint with work in progress.
     last_sent: BTreeMap<Endpoint, Usage>,
+    /// Memory in use in the last digest, for each engine with requests.
+    last_tokens: BTreeMap<Endpoint, Occupancy>,
     last_sent_at: Option<Instant>,
     plans: PlanExchange,
 }
@@ -161,6 +163,7 @@
         dialers: BTreeMap::new(),
         links: BTreeMap::new(),
         last_sent: BTreeMap::new(),
+        last_tokens: BTreeMap::new(),
         last_sent_at: None,
         plans: PlanExchange::default(),
     }
@@ -225,6 +228,7 @@
         let Digest {
             usages,
             failed,
+            tokens,
             parts,
             ..
         } = digest;
@@ -232,33 +236,29 @@
         let (changed_counts, all_counts) = counts
             .map(|counts| (counts.changes, counts.all))
             .unwrap_or_default();
-        let current: BTreeMap<Endpoint, Usage> = usages
-            .into_iter()
-            .map(|usage| (usage.endpoint.clone(), usage))
-            .collect();
-        let mut changes: Vec<Usage> = current
-            .values()
-            .filter(|usage| self.last_sent.get(&usage.endpoint) != Some(*usage))
-            .cloned()
-            .collect();
-        let ended = self
-            .last_sent
-            .keys()
-            .filter(|endpoint| !current.contains_key(*endpoint));
-        changes.extend(ended.map(|endpoint| Usage {
-            endpoint: endpoint.clone(),
+        let current = by_endpoint(usages, |usage| &usage.endpoint);
+        let changes = changes(&self.last_sent, &current, |endpoint| Usage {
+            endpoint,
             requests: 0,
             prompt_tokens_to_prefill: Vec::new(),
-        }));
+        });
         let heartbeat_interval = match self.config.plan {
             Some(_) => CONFIRMATION_INTERVAL,
             None => HEARTBEAT_INTERVAL,
         };
+        let current_tokens = by_endpoint(tokens, |occupancy| &occupancy.endpoint);
+        let token_changes =
+            self::changes(&self.last_tokens, &current_tokens, |endpoint| Occupancy {
+                endpoint,
+                own: Tokens::ZERO,
+                prefixes: Vec::new(),
+            });
         let heartbeat_due = self
             .last_sent_at
             .is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= heartbeat_interval);
         let due = heartbeat_due
             || !changes.is_empty()
+            || !token_changes.is_empty()
             || !failed.is_empty()
             || !parts.is_empty()
             || !changed_counts.is_empty();
@@ -269,10 +269,11 @@
             if !first && !due {
                 continue;
             }
-            let usages = if first {
-                current.values().cloned().collect()
+            let (usages, tokens) = if first {
+                let tokens = current_tokens.values().cloned();
+                (current.values().cloned().collect(), tokens.collect())
             } else {
-                changes.clone()
+                (changes.clone(), token_changes.clone())
             };
             // A link that was opened after the counts were asked for gets them with the next digest.
             let begun = match &all_counts {
@@ -285,6 +286,7 @@
             link.outbox.send(Frame::Digest(Digest {
                 usages,
                 failed: failed.clone(),
+                tokens,
                 parts: parts.clone(),
                 begun,
                 time,
@@ -295,6 +297,7 @@
             self.last_sent_at = Some(now);
         }
         self.last_sent = current;
+        self.last_tokens = current_tokens;
     }
 
     /// Uses what a peer knows of the plan.
@@ -346,6 +349,28 @@
     }
 }
 
+fn by_endpoint<T>(items: Vec<T>, endpoint: impl Fn(&T) -> &Endpoint) -> BTreeMap<Endpoint, T> {
+    let items = items.into_iter();
+    items.map(|item| (endpoint(&item).clone(), item)).collect()
+}
+
+/// What differs from the last digest. `none` is the state of an endpoint that is not listed any more.
+fn changes<T: Clone + PartialEq>(
+    last: &BTreeMap<Endpoint, T>,
+    current: &BTreeMap<Endpoint, T>,
+    none: impl Fn(Endpoint) -> T,
+) -> Vec<T> {
+    let changed = current
+        .iter()
+        .filter(|(endpoint, item)| last.get(*endpoint) != Some(*item))
+        .map(|(_, item)| item.clone());
+    let ended = last
+        .keys()
+        .filter(|endpoint| !current.contains_key(*endpoint))
+        .map(|endpoint| none(endpoint.clone()));
+    changed.chain(ended).collect()
+}
+
 impl Mesh {
     /// Sends a digest after each interval.
     fn schedule_digest(&self, ctx: &mut Context<Self>) {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -155,6 +155,30 @@
     assert!(route.timeout.checked_mul(1_000).is_some());
 }
 
+/// Guards against a service that makes a configuration unusable, and against memory that is assigned to
+/// another service.
+#[test]
+fn services_state_the_memory_of_engines() {
+    let services = |list: &str| {
+        let list = format!("\"services\":{list}");
+        let text = CONFIGURATION.replacen("\"services\":[]", &list, 1);
+        let plan = Codec.plan(text.as_bytes()).expect("a plan");
+        let services = plan.services().iter();
+        let services = services.map(|(name, service)| format!("{name}: {service:?}"));
+        services.collect::<Vec<_>>().join(", ")
+    };
+    let lists = [
+        "[]",
+        "{}",
+        r#"[{"name":"plain"},
+            {"name":"lm","engine":{"slots":64,"kvTokens":477722,"kvBytes":327680,"linkMbps":100}}]"#,
+        r#"[{"name":"a","engine":{"slots":64}},{"name":"b","engine":{"kvTokens":9}}]"#,
+        r#"[{"name":"a","engine":{"kvTokens":-1}},{"engine":{}},3,{"name":"b","engine":{"kvTokens":9}}]"#,
+    ];
+    let table = lists.map(|list| format!("{list}: {}", services(list)));
+    insta::assert_debug_snapshot!(table);
+}
+
 /// Guards against an unreadable customer that costs the others their keys, or the process its plan, and
 /// against requests that need no key because the list of customers is unreadable.
 #[test]
@@ -664,6 +688,33 @@
     insta::assert_debug_snapshot!(notices);
 }
 
+/// Guards against a load report that is misread, and against one whose slowdown makes an endpoint look
+/// infinitely fast or slow.
+#[test]
+fn load_reports_have_three_or_four_figures() {
+    let texts = [
+        "3,1,6",
+        " 3, 1, 6 ",
+        "3,1,6,130",
+        "3,1,6,97.6",
+        "3,1,6,1",
+        "3,1,6,4000000000000",
+        "3,1,6,0",
+        "3,1,6,-20",
+        "3,1,6,NaN",
+        "3,1,6,inf",
+        "3,1,6,",
+        "3,1,6,fast",
+        "3,1,6,130,1",
+        "3,1",
+        "",
+        "3,-1,6",
+        "3,1.5,6,130",
+    ];
+    let loads = texts.map(|text| format!("{text:?}: {:?}", engine::decode_load(text)));
+    insta::assert_debug_snapshot!(loads);
+}
+
 /// Guards against a call to the platform's API whose path, body or headers are not those of the
 /// platform, and against a refused token that looks like another failure.
 #[actix_rt::test]
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -101,6 +101,10 @@
     fn wall(&self) -> SystemTime {
         UNIX_EPOCH + Duration::from_secs(1_000) + (self.now() - self.0)
     }
+
+    fn since_boot(&self) -> Duration {
+        System.since_boot()
+    }
 }
 
 /// Duties that hold a term while the token is set, and record the reports.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -53,6 +53,17 @@
     );
 }
 
+/// Guards against a digest that gateways of earlier versions, which know nothing of memory, cannot decode
+/// or whose digests cannot be decoded.
+#[test]
+fn memory_is_optional_in_digests() {
+    let frame = Frame::Digest(Digest::default());
+    let bytes = encode(&frame).expect("small frame");
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(!text.contains("tokens"), "{text}");
+    assert_eq!(decode(&bytes).expect("valid"), frame);
+}
+
 proptest! {
     /// Guards against a decoder that panics on invalid input from a peer.
     #[test]
@@ -79,6 +90,11 @@
         let frame = Frame::Digest(Digest {
             usages: usages.collect(),
             failed: vec!["e1".parse().expect("valid name")],
+            tokens: vec![Occupancy {
+                endpoint: "e1".parse().expect("valid name"),
+                own: Tokens::new(6_637),
+                prefixes: vec![(u64::MAX, Tokens::new(5_382))],
+            }],
             parts: PartReport {
                 crashes: vec![Crash {
                     part: "5c1e07a2".parse().expect("valid part"),
