Pass the options of customers and duties by the environment

Cause: the stand of review/ fills in the template of the settings with a list of placeholders of its own, so sections in the template made it unreadable there.

--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -758,9 +758,6 @@
             ("{{heartbeatMs}}", "1200".to_owned()),
             ("{{bounds.drainMs}}", "2000".to_owned()),
             ("{{bounds.graceS}}", "8".to_owned()),
-            ("{{#bounds.revokeStrict}}", "// ".to_owned()),
-            ("{{bounds.revokeMs}}", "5000".to_owned()),
-            ("{{/bounds.revokeStrict}}", String::new()),
         ] {
             settings = settings.replace(place, &value);
         }
--- a/src/cli/imp.rs
+++ b/src/cli/imp.rs
@@ -7,7 +7,8 @@
     config::{ParsedDuration, Section},
     error::{Error, Kind},
     id::{Editor, Endpoint, Revision},
-    unit::Bytes,
+    settings,
+    unit::{self, Bytes},
 };
 
 /// Environment variable with the operators' bearer key. An argument would be visible in the list of
@@ -38,6 +39,24 @@
 /// Result of a command.
 pub(super) type Result<T> = std::result::Result<T, Failure>;
 
+/// Parses a time; an empty text, as of a platform that states none, is none.
+fn parse_key_revocation(text: &str) -> std::result::Result<Option<ParsedDuration>, unit::Error> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    text.parse().map(Some)
+}
+
+/// Parses the object `duties` of the settings; an empty text is none.
+fn parse_duties(text: &str) -> std::result::Result<Option<settings::Duties>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    settings::Duties::parse("duties", text)
+        .map(Some)
+        .map_err(|faults| faults.to_string())
+}
+
 /// Builds the definition of the command line.
 #[must_use]
 pub fn command() -> Command {
@@ -86,6 +105,22 @@
                         .value_name("SIZE")
                         .value_parser(str::parse::<Bytes>)
                         .help("Overrides memory of the settings file"),
+                )
+                .arg(
+                    Arg::new("key-revocation")
+                        .long("key-revocation")
+                        .env("KEY_REVOCATION")
+                        .value_name("TIME")
+                        .value_parser(parse_key_revocation)
+                        .help("Overrides key_revocation of the settings file, unless it is empty"),
+                )
+                .arg(
+                    Arg::new("duties")
+                        .long("duties")
+                        .env("DUTIES")
+                        .value_name("JSON")
+                        .value_parser(parse_duties)
+                        .help("Overrides duties of the settings file, unless it is empty"),
                 ),
         )
         .subcommand(config_command())
@@ -218,8 +253,12 @@
         Some(("agent", matches)) => serve::agent(&argument::<String>(matches, "settings")),
         Some(("gateway", matches)) => serve::gateway(
             matches.get_one::<String>("settings"),
-            matches.get_one::<ParsedDuration>("store-recovery").copied(),
-            matches.get_one::<Bytes>("memory").copied(),
+            &serve::Overrides {
+                store_recovery: matches.get_one("store-recovery").copied(),
+                memory: matches.get_one("memory").copied(),
+                key_revocation: matches.get_one("key-revocation").copied().flatten(),
+                duties: matches.get_one("duties").cloned().flatten(),
+            },
         ),
         Some(("config", matches)) => config::run(matches),
         Some(("status", matches)) => status::show(matches),
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -39,22 +39,37 @@
     })
 }
 
-/// Runs a gateway. `store_recovery` and `memory` go before those of the settings file.
-pub(super) fn gateway(
-    file: Option<&String>,
-    store_recovery: Option<ParsedDuration>,
-    memory: Option<Bytes>,
-) -> Result<()> {
+/// Options of a gateway that go before those of its settings file.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Overrides {
+    pub(super) store_recovery: Option<ParsedDuration>,
+    pub(super) memory: Option<Bytes>,
+    pub(super) key_revocation: Option<ParsedDuration>,
+    pub(super) duties: Option<settings::Duties>,
+}
+
+impl Overrides {
+    fn apply(&self, settings: &mut settings::Gateway) {
+        if let Some(ParsedDuration(recovery)) = self.store_recovery {
+            settings.store_recovery = recovery;
+        }
+        if let Some(ParsedDuration(revocation)) = self.key_revocation {
+            settings.key_revocation = Some(revocation);
+        }
+        settings.memory = self.memory.unwrap_or(settings.memory);
+        settings.duties = self.duties.clone().or(settings.duties.take());
+    }
+}
+
+/// Runs a gateway.
+pub(super) fn gateway(file: Option<&String>, overrides: &Overrides) -> Result<()> {
     let file = match file {
         Some(file) => file.clone(),
         None => platform::settings_file()?,
     };
     let read_settings = || {
         let mut settings = settings::Gateway::open(&file)?;
-        if let Some(ParsedDuration(recovery)) = store_recovery {
-            settings.store_recovery = recovery;
-        }
-        settings.memory = memory.unwrap_or(settings.memory);
+        overrides.apply(&mut settings);
         Ok(settings)
     };
     let settings = read_settings().map_err(|faults| invalid(&faults))?;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -97,6 +97,15 @@
 }
 
 impl Duties {
+    /// Parses the text of the object. The faults give `name` as their file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of the text.
+    pub fn parse(name: &str, text: &str) -> Result<Self> {
+        parse_settings(name, text, Self::read)
+    }
+
     fn read(r: &mut Reader, value: &Value<'_>) -> Option<Self> {
         let known = [
             "address",
