--- a/mulberrymill-bench/tests/gateway/customers.rs
+++ b/mulberrymill-bench/tests/gateway/customers.rs
@@ -100,7 +100,7 @@
     wait_for_status(&harness, "/once/1", "k-1", 503).await;
     assert_eq!(status(&harness, "/once/1", None).await, 401);
     assert_eq!(status(&harness, "/plain/1", Some("k-1")).await, 200);
-    assert_eq!(received(&endpoint), ["request-priority: 1"]);
+    assert_eq!(received(&endpoint), ["request-priority: 0"]);
     assert_eq!(harness.readiness_status().await, 503);
     let mut without_key = config_with_customers(5);
     without_key["tenants"][0]["apiKeys"] = json!([]);
