--- a/src/dispatch/lateness.rs
+++ b/src/dispatch/lateness.rs
@@ -30,8 +30,8 @@
 }
 
 impl Lateness {
-    /// `None` for a request without a customer: its rank tells its kind from others, and placements are
-    /// compared by time alone. Customers have ranks of their own, so the targets have to tell kinds apart.
+    /// `None` for a request without a customer, whose placements are compared by time alone. The rank of a
+    /// customer replaces that of the route, so only the target distinguishes kinds of request then.
     pub(super) fn new(model: &Model, demand: &Demand, now: Instant) -> Option<Self> {
         let harmless = model.pause_target(&demand.service);
         demand.customer.as_ref().map(|_| Self {
--- a/src/duty/imp.rs
+++ b/src/duty/imp.rs
@@ -113,7 +113,7 @@
 }
 
 impl Schedule {
-    /// Starts a process at `now`. `lease` is the time to live of a lease, and `tokens_checked` tells
+    /// Starts a process at `now`. `lease` is the time to live of a lease, and `tokens_checked` states
     /// whether the API refuses tokens lower than one that it has seen.
     #[must_use]
     pub const fn new(lease: Duration, tokens_checked: bool, now: Instant) -> Self {
--- a/src/peers/plan.rs
+++ b/src/peers/plan.rs
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 pub struct PlanExchange {
     /// The last time that was received over each link.
-    heard: BTreeMap<Session, Duration>,
+    last_received: BTreeMap<Session, Duration>,
     /// The active version when a peer first had a newer one, and the time since boot of this or of the last
     /// request.
     behind: Option<(Option<Version>, Duration)>,
@@ -66,7 +66,7 @@
     ) -> PlanState {
         PlanState {
             sent: now,
-            echo: self.heard.get(&session).copied().unwrap_or_default(),
+            echo: self.last_received.get(&session).copied().unwrap_or_default(),
             confirmed: confirmed.map(|(version, as_of)| PlanConfirmation {
                 version,
                 // The encoding rounds down, and the age must not be understated.
@@ -83,7 +83,7 @@
         active: Option<Version>,
         now: Duration,
     ) -> Step {
-        self.heard.insert(session, state.sent);
+        self.last_received.insert(session, state.sent);
         let Some(confirmed) = state.confirmed else {
             return Step::Ignore;
         };
@@ -102,7 +102,7 @@
 
     /// Forgets a link that was closed.
     pub fn close(&mut self, session: Session) {
-        self.heard.remove(&session);
+        self.last_received.remove(&session);
     }
 
     fn request(&mut self, active: Option<Version>, now: Duration) -> Step {
