--- a/src/peers/plan.rs
+++ b/src/peers/plan.rs
@@ -66,7 +66,11 @@
     ) -> PlanState {
         PlanState {
             sent: now,
-            echo: self.last_received.get(&session).copied().unwrap_or_default(),
+            echo: self
+                .last_received
+                .get(&session)
+                .copied()
+                .unwrap_or_default(),
             confirmed: confirmed.map(|(version, as_of)| PlanConfirmation {
                 version,
                 // The encoding rounds down, and the age must not be understated.
