--- a/review/6/case.py
+++ b/review/6/case.py
@@ -69,8 +69,9 @@
 async def main(record, work, gateways):
     store = Store(record)
     await store.start()
-    engines = [Engine("e1", record), Engine("e2", record)]
-    for engine in engines:
+    # The service has three engines, as on the small site; the fourth is to take the place of one of them.
+    *engines, successor = [Engine(f"e{number}", record) for number in range(1, 5)]
+    for engine in [*engines, successor]:
         await engine.start()
     store.put_json("op/config", {
         "version": 3, "routes": [route("pay", "non_idempotent", "app", maxAttempts=1)],
@@ -117,6 +118,9 @@
         first = next((e for e in engines if e.runs), None)
         if first is None:
             raise CannotRun("no engine got the request")
+        engines.append(successor)
+        beat(successor)
+        record(f"store: has acknowledged {successor.name}, which replaces {first.name}")
         leaving.add(first.name)
         beat(first)
         record(f"store: has acknowledged that {first.name} is draining; it serves on for drainMs and longer")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -63,6 +63,7 @@
             )
         except Exception as error:
             status = repr(error)
+        record.detail(f"client: {request} to {gateway.name}: {status}")
         if status != 200:
             record(f"client: {request}: {status}")
 
@@ -113,7 +114,7 @@
         store.restore(copies[0])
         store.away = False
         store.put("op/config", base64.b64decode(copies[0][0]["op/config"]["value"]))
-        await until(end + 4.2)
+        await until(end + 4.1)
         cloud.silent = False
         record("cloud: answers again")
     await until(end + 18)
--- a/review/stand-2/engines.py
+++ b/review/stand-2/engines.py
@@ -25,6 +25,7 @@
                 await read_body(reader, headers)
                 request = headers.get("request-id", "-")
                 self.runs.append((request, headers))
+                self.record.detail(f"{self.name}: runs {request}")
                 await asyncio.sleep(self.delay(request))
                 writer.write(
                     f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nServer-Stamp: stamp-{self.name}\r\n"
--- a/review/stand-2/platform_stand.py
+++ b/review/stand-2/platform_stand.py
@@ -32,6 +32,10 @@
         self.file.flush()
         print(line, flush=True)
 
+    def detail(self, text):
+        """Writes to the file only: one line for each request."""
+        self.file.write(f"{time.monotonic() - START:8.3f} {text}\n")
+
 
 class CannotRun(Exception):
     """The case could not be run; says nothing about the rule."""
@@ -401,6 +405,8 @@
     turns 10 into 1, so that a fault of the script itself is not taken for a broken rule."""
     record = Record(folder)
     gateways = []
+    # Ends the gateways also if the script is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
 
     async def bounded():
         with tempfile.TemporaryDirectory() as work:
@@ -422,5 +428,7 @@
     except Exception as error:  # The case itself failed, which says nothing about the rule.
         record(f"cannot run: {type(error).__name__}: {error}")
         sys.exit(2)
+    except KeyboardInterrupt:
+        sys.exit(2)
     record("RULE BROKEN" if broken else "the rule held")
     sys.exit(10 if broken else 0)
