Take a request that was sent in part for possibly run when its endpoint leaves

Without a second endpoint the caller got a 503, which promises that the request has not run. Streams were cut, and the agent released the claim of an operation that runs at most once.

Cause: the permit of a request was revoked as soon as its endpoint was known to leave, and a request without its last byte was reported as withheld, like one of which nothing was sent.

Change: `Kind::Withheld` stands for "no byte was sent"; a request of which a part was sent ends as `Interrupted`, which may have run: it counts as a send and towards the retry budget, and one that must run once gets a 502. A request that was begun is sent on until seven eighths of the drain notice, counted from the last time at which the store listed the endpoint as staying, so that nothing is sent after the notice (DRAIN), and uploads that fit into it are completed.

--- a/mulberrymill-bench/tests/gateway.rs
+++ b/mulberrymill-bench/tests/gateway.rs
@@ -36,6 +36,8 @@
 mod silence;
 #[path = "gateway/stop.rs"]
 mod stop;
+#[path = "gateway/upload.rs"]
+mod upload;
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/src/directory/budget.rs
+++ b/src/directory/budget.rs
@@ -4,6 +4,9 @@
 /// again after an outage of the store, so that they are found in that time.
 const BATCH_DELAY_MAX: Duration = Duration::from_secs(1);
 
+/// Default drain notice.
+pub(crate) const NOTICE_DEFAULT: Duration = Duration::from_secs(2);
+
 /// Division of the drain notice: the time from the store's acknowledgement that an endpoint leaves to the
 /// last byte that it may be sent.
 ///
@@ -33,6 +36,13 @@
         self.notice * 7 / 8
     }
 
+    /// Time in which a request that was begun before may still be sent to its end. The rest is for what is
+    /// on its way.
+    #[must_use]
+    pub fn upload_time(self) -> Duration {
+        self.notice * 7 / 8
+    }
+
     /// Time by which an endpoint that does not register again after an outage may be used longer than it
     /// has to register.
     #[must_use]
@@ -40,3 +50,9 @@
         self.notice / 4
     }
 }
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new(NOTICE_DEFAULT)
+    }
+}
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -15,5 +15,6 @@
 mod tests;
 
 pub use budget::Budget;
+pub(crate) use budget::NOTICE_DEFAULT as DRAIN_NOTICE_DEFAULT;
 pub use follow::{Availability, Update, UpdateSink, follow};
 pub use imp::{Codec, Directory, Instance, Listing, Sequence, Stage, Started};
--- a/src/dispatch/actor.rs
+++ b/src/dispatch/actor.rs
@@ -3,11 +3,11 @@
 use actix::{Actor, Addr, AsyncContext, Context, Handler, MessageResult};
 
 use super::{
-    Choose, Finish, IsSilent, ListConfirmed, LoadBalancer, MayRetry, NoticeReceived, PeerCoverage,
-    PeerDigest, PeerDisconnected, Progress, SetInstances, SetMemory, TakeDigest, Ticket,
-    ticket::Reports,
+    Choose, ExpireInstances, Finish, IsSilent, ListConfirmed, LoadBalancer, MayRetry,
+    NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Progress, SetInstances, SetMemory,
+    TakeDigest, Ticket, ticket::Reports,
 };
-use crate::{clock::Shared, error::Result, id::Zone, triage};
+use crate::{clock::Shared, directory::Budget, error::Result, id::Zone, triage};
 
 /// Interval at which the end of pauses is logged and counted.
 const NOTICES_INTERVAL: Duration = Duration::from_millis(250);
@@ -19,21 +19,30 @@
     zone: Zone,
     seed: u64,
     overload: triage::Mode,
+    drain_budget: Budget,
 }
 
 impl Config {
     /// Configures a dispatcher that prefers endpoints in `zone`. The seed is 0 until
     /// [`Config::seed`] sets it.
     #[must_use]
-    pub const fn new(clock: Shared, zone: Zone) -> Self {
+    pub fn new(clock: Shared, zone: Zone) -> Self {
         Self {
             clock,
             zone,
             seed: 0,
             overload: triage::Mode::Auto,
+            drain_budget: Budget::default(),
         }
     }
 
+    /// Sets how long a request that was begun may still be sent to an endpoint that leaves.
+    #[must_use]
+    pub const fn drain_budget(mut self, budget: Budget) -> Self {
+        self.drain_budget = budget;
+        self
+    }
+
     /// Sets the seed of the random choices. Each process needs a seed of its own, or all of them
     /// make the same choices.
     #[must_use]
@@ -54,6 +63,7 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     clock: Shared,
+    drain_budget: Budget,
     balancer: LoadBalancer,
 }
 
@@ -65,6 +75,7 @@
         balancer: LoadBalancer::new(config.zone, config.seed)
             .with_policy(triage::new(config.overload)),
         clock: config.clock,
+        drain_budget: config.drain_budget,
     }
     .start()
 }
@@ -94,6 +105,7 @@
             finish: address.clone().recipient(),
             notice: address.recipient(),
             clock: Arc::clone(&self.clock),
+            upload_time: self.drain_budget.upload_time(),
         };
         Ok(Ticket::new(choice, Arc::new(demand), reports))
     }
@@ -155,6 +167,14 @@
     }
 }
 
+impl Handler<ExpireInstances> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, ExpireInstances(instances): ExpireInstances, _: &mut Context<Self>) {
+        self.balancer.expire_instances(instances, self.clock.now());
+    }
+}
+
 impl Handler<SetMemory> for Dispatcher {
     type Result = ();
 
--- a/src/dispatch/evidence.rs
+++ b/src/dispatch/evidence.rs
@@ -13,6 +13,9 @@
     pub listing: Listing,
     /// What it said of itself in its answers.
     pub closure: Closure,
+    /// While it is leaving: the last time at which the store did not list it as leaving yet, `None` if
+    /// there is none. It may have announced its leave at any time since.
+    pub stayed_until: Option<Instant>,
 }
 
 impl Evidence {
--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -105,6 +105,22 @@
 
     /// Replaces the list of endpoints. Endpoints that remain at the same address keep their state.
     pub fn set_instances(&mut self, instances: Vec<Arc<Instance>>, now: Instant) {
+        self.replace_instances(instances, self.list_confirmed_at, now);
+    }
+
+    /// Replaces the list of endpoints by one without those whose grace period is over. The store may have
+    /// removed these before the last time at which it confirmed its list.
+    pub fn expire_instances(&mut self, instances: Vec<Arc<Instance>>, now: Instant) {
+        self.replace_instances(instances, None, now);
+    }
+
+    /// Replaces the list of endpoints. Those that are leaving now stayed until `listed_at`.
+    fn replace_instances(
+        &mut self,
+        instances: Vec<Arc<Instance>>,
+        listed_at: Option<Instant>,
+        now: Instant,
+    ) {
         let mut old = std::mem::take(&mut self.members);
         for instance in instances {
             let known = old.remove(&instance.id);
@@ -113,9 +129,12 @@
             self.notices.set_run(&instance.id, instance.started);
             let closure = self.notices.closure(&instance.id);
             let mut member = known.unwrap_or_else(|| Member::new(Arc::clone(&instance), closure));
-            member.set_instance(Arc::clone(&instance));
+            member.set_instance(Arc::clone(&instance), listed_at, now);
             self.members.insert(instance.id.clone(), member);
         }
+        for member in old.values() {
+            member.set_removed(listed_at, now);
+        }
         let members = &self.members;
         let known = |endpoint: &Endpoint| members.contains_key(endpoint);
         self.notices.limit(known);
@@ -216,7 +235,7 @@
             return;
         };
         if let Some(member) = member {
-            member.set_closure(closure);
+            member.set_closure(closure, self.list_confirmed_at, now);
         }
         let standing = closure.standing(now);
         // Answers to requests that were on their way prolong a pause by little.
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -71,7 +71,11 @@
             backoff_until: None,
             last_answer: None,
             crowded_at: None,
-            evidence: watch::Sender::new(Evidence { listing, closure }),
+            evidence: watch::Sender::new(Evidence {
+                listing,
+                closure,
+                stayed_until: None,
+            }),
         }
     }
 
@@ -95,18 +99,39 @@
         self.backoff_until = None;
     }
 
-    /// Sets what the store lists of the same run.
-    pub(super) fn set_instance(&mut self, instance: Arc<Instance>) {
+    /// Sets what the store lists of the same run. It listed the endpoint as before at `listed_at`, the last
+    /// time at which it confirmed its list.
+    pub(super) fn set_instance(
+        &mut self,
+        instance: Arc<Instance>,
+        listed_at: Option<Instant>,
+        now: Instant,
+    ) {
         let listing = Listing::of(&instance);
         self.instance = instance;
-        self.evidence
-            .send_modify(|evidence| evidence.listing = listing);
+        self.update(listed_at, now, |evidence| evidence.listing = listing);
     }
 
-    /// Sets what the endpoint has said of itself.
-    pub(super) fn set_closure(&self, closure: Closure) {
-        self.evidence
-            .send_modify(|evidence| evidence.closure = closure);
+    /// Notes that the store does not list the endpoint any more, which it did at `listed_at`.
+    pub(super) fn set_removed(&self, listed_at: Option<Instant>, now: Instant) {
+        self.update(listed_at, now, |evidence| {
+            evidence.listing = Listing::Removed;
+        });
+    }
+
+    /// Sets what the endpoint has said of itself. The store last confirmed its list at `listed_at`.
+    pub(super) fn set_closure(&self, closure: Closure, listed_at: Option<Instant>, now: Instant) {
+        self.update(listed_at, now, |evidence| evidence.closure = closure);
+    }
+
+    fn update(&self, listed_at: Option<Instant>, now: Instant, change: impl FnOnce(&mut Evidence)) {
+        self.evidence.send_modify(|evidence| {
+            let was_leaving = evidence.standing(now) == Standing::Leaving;
+            change(evidence);
+            if !was_leaving {
+                evidence.stayed_until = listed_at;
+            }
+        });
     }
 
     /// What the endpoint has said of itself.
@@ -182,7 +207,7 @@
 }
 
 impl Drop for Member {
-    /// Withholds the requests that are still on their way to the endpoint.
+    /// Withholds the requests that are still on their way to the endpoint, unless it had left before.
     fn drop(&mut self) {
         self.evidence
             .send_modify(|evidence| evidence.listing = Listing::Removed);
--- a/src/dispatch/message.rs
+++ b/src/dispatch/message.rs
@@ -302,6 +302,11 @@
 #[rtype(result = "()")]
 pub struct SetInstances(pub Vec<Arc<Instance>>);
 
+/// Replaces the list of endpoints by one without those that did not register again in their grace period.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct ExpireInstances(pub Vec<Arc<Instance>>);
+
 /// Replaces the memory of the engines of each service, in tokens. Engines of other services are not
 /// limited.
 #[derive(Clone, Debug, Message)]
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -26,9 +26,9 @@
 pub use imp::LoadBalancer;
 pub use kv_memory::Footprint;
 pub use message::{
-    Choice, Choose, Demand, Ending, Finish, IsSilent, ListConfirmed, Load, MayRetry, Need,
-    NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Prediction, Progress, SetInstances,
-    SetMemory, TakeDigest,
+    Choice, Choose, Demand, Ending, ExpireInstances, Finish, IsSilent, ListConfirmed, Load,
+    MayRetry, Need, NoticeReceived, PeerCoverage, PeerDigest, PeerDisconnected, Prediction,
+    Progress, SetInstances, SetMemory, TakeDigest,
 };
 pub use permit::Permit;
 pub use ticket::Ticket;
--- a/src/dispatch/permit.rs
+++ b/src/dispatch/permit.rs
@@ -1,9 +1,13 @@
-use std::{fmt, sync::Arc, time::Instant};
+use std::{
+    fmt,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix::Recipient;
-use tokio::sync::watch;
+use tokio::{sync::watch, time};
 
-use super::{Choice, Evidence, NoticeReceived};
+use super::{Choice, Evidence, NoticeReceived, ticket::Reports};
 use crate::{
     clock::Shared,
     directory::Instance,
@@ -22,6 +26,7 @@
     chosen_at: Instant,
     notice: Recipient<NoticeReceived>,
     clock: Shared,
+    upload_time: Duration,
 }
 
 impl fmt::Debug for Permit {
@@ -33,13 +38,14 @@
 }
 
 impl Permit {
-    pub(super) fn new(choice: &Choice, notice: Recipient<NoticeReceived>, clock: Shared) -> Self {
+    pub(super) fn new(choice: &Choice, reports: &Reports) -> Self {
         Self {
             instance: Arc::clone(&choice.instance),
             evidence: choice.evidence.clone(),
             chosen_at: choice.selected_at,
-            notice,
-            clock,
+            notice: reports.notice.clone(),
+            clock: Arc::clone(&reports.clock),
+            upload_time: reports.upload_time,
         }
     }
 
@@ -65,16 +71,25 @@
         self.evidence.borrow().standing(self.clock.now())
     }
 
-    /// Returns once the endpoint takes no requests any more. A pause does not count: it may be shorter than
-    /// the write of a request.
+    /// Returns once a request that was begun before may not be sent any further: the endpoint leaves, and
+    /// the time in which it still takes such a request is over. A pause does not count: it may be shorter
+    /// than the write of a request.
     pub fn closed(&self) -> impl Future<Output = ()> + 'static {
         let mut evidence = self.evidence.clone();
         let clock = Arc::clone(&self.clock);
+        let upload_time = self.upload_time;
         async move {
             let is_leaving =
                 |evidence: &Evidence| evidence.standing(clock.now()) == Standing::Leaving;
-            // Without its sender the endpoint has been removed.
-            let _ = evidence.wait_for(is_leaving).await;
+            let stayed_until = match evidence.wait_for(is_leaving).await {
+                Ok(evidence) => evidence.stayed_until,
+                // Without its sender the endpoint has been removed.
+                Err(_closed) => None,
+            };
+            if let Some(stayed_until) = stayed_until {
+                let end = stayed_until + upload_time;
+                time::sleep(end.saturating_duration_since(clock.now())).await;
+            }
         }
     }
 
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -4,10 +4,11 @@
 };
 
 use proptest::prelude::*;
+use tokio::time;
 
 use super::*;
 use crate::{
-    clock::System,
+    clock::{Clock as _, System},
     directory::{Instance, Stage, Started},
     forecast::{Expectation, Pace},
     id::{Endpoint, Zone},
@@ -749,6 +750,58 @@
     insta::assert_debug_snapshot!(standings);
 }
 
+/// Guards against a request that is sent on after its endpoint must get no more (DRAIN), and against one that
+/// is given up while its endpoint still takes it. The drain notice is 2 s; the list is confirmed at 0 s.
+#[test]
+fn begun_requests_may_be_sent_until_the_drain_notice_ends() {
+    let ready = || vec![instance("s1", "print", None)];
+    let mut draining = ready();
+    Arc::make_mut(&mut draining[0]).draining = true;
+    let leaving = Notice {
+        leaving: true,
+        pause: None,
+    };
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for (what, learned_after) in [
+            ("drains", Duration::from_millis(300)),
+            ("drains, seen late", Duration::from_millis(1_900)),
+            ("is removed", Duration::from_millis(300)),
+            ("did not register again", Duration::from_millis(300)),
+            ("says that it leaves", Duration::from_millis(300)),
+            ("says so, then drains", Duration::from_millis(300)),
+        ] {
+            let dispatcher = spawn(Config::new(System::shared(), zone("a")));
+            let sent = dispatcher.send(SetInstances(ready())).await;
+            sent.expect("it runs");
+            dispatcher.send(ListConfirmed).await.expect("it runs");
+            let start = System.now();
+            let choose = Choose(demand("print", Need::Start, 0, None));
+            let ticket = dispatcher.send(choose).await.expect("it runs");
+            let permit = ticket.expect("s1").permit();
+            let mut closed = Box::pin(permit.closed());
+            let is_open = time::timeout(learned_after, &mut closed).await.is_err();
+            if what.starts_with("says") {
+                permit.record(leaving, None);
+            }
+            match what {
+                "is removed" => dispatcher.do_send(SetInstances(Vec::new())),
+                "did not register again" => dispatcher.do_send(ExpireInstances(Vec::new())),
+                "says that it leaves" => {}
+                _ => dispatcher.do_send(SetInstances(draining.clone())),
+            }
+            closed.await;
+            let closed_after = (System.now() - start).as_millis();
+            let standing = permit.standing();
+            outcomes.push(format!(
+                "{what}: open before: {is_open}, {standing}, closed after {closed_after} ms"
+            ));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against requests that stay counted as in flight after their caller disconnects while the
 /// dispatcher selects an endpoint.
 #[test]
--- a/src/dispatch/ticket.rs
+++ b/src/dispatch/ticket.rs
@@ -19,6 +19,8 @@
     pub(super) finish: Recipient<Finish>,
     pub(super) notice: Recipient<NoticeReceived>,
     pub(super) clock: Shared,
+    /// Time in which a request may be sent to its end after its endpoint has announced its leave.
+    pub(super) upload_time: Duration,
 }
 
 /// The permit to send a request to the selected endpoint.
@@ -58,11 +60,7 @@
     /// The permit for one request to the selected endpoint.
     #[must_use]
     pub fn permit(&self) -> Permit {
-        Permit::new(
-            &self.choice,
-            self.reports.notice.clone(),
-            Arc::clone(&self.reports.clock),
-        )
+        Permit::new(&self.choice, &self.reports)
     }
 
     /// Reports that the endpoint has begun to answer, which means that its prefill is done. `load`
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -273,11 +273,15 @@
             Wait::Ended(Err(error)) => {
                 self.log.retried(&format!("prefill: {error}"));
                 self.excluded.push(instance.id.clone());
-                if matches!(error, SendError::Refused(_)) {
-                    ticket.end(Ending::Down);
-                    return Ok(Prefill::Retry(None));
+                match error {
+                    SendError::Refused(_) => {
+                        ticket.end(Ending::Down);
+                        return Ok(Prefill::Retry(None));
+                    }
+                    // A planned leave is no failure.
+                    SendError::Interrupted(_) => ticket.end(Ending::Abandoned),
+                    _ => self.end_lost(ticket),
                 }
-                self.end_lost(ticket);
                 return self.check_prefill_retry().await;
             }
             Wait::Moved(next) => {
@@ -378,6 +382,12 @@
                 self.failed_connections += 1;
                 self.after_unsent(&detail)
             }
+            Wait::Ended(Err(SendError::Interrupted(detail))) => {
+                // A planned leave is no failure.
+                ticket.end(Ending::Abandoned);
+                self.may_have_run = true;
+                self.after_possible_execution(&detail).await?
+            }
             Wait::Ended(Err(SendError::Lost(detail))) => {
                 self.end_lost(ticket);
                 self.may_have_run = true;
--- a/src/forward/imp.rs
+++ b/src/forward/imp.rs
@@ -175,6 +175,8 @@
     Refused(String),
     /// It was not sent, since the endpoint takes no new requests any more.
     Withheld,
+    /// The endpoint left before the end of the request was sent. It may run what it has received.
+    Interrupted(String),
     /// The endpoint may have received the request.
     Lost(String),
 }
@@ -182,9 +184,10 @@
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NotSent(detail) | Self::Refused(detail) | Self::Lost(detail) => {
-                f.write_str(detail)
-            }
+            Self::NotSent(detail)
+            | Self::Refused(detail)
+            | Self::Interrupted(detail)
+            | Self::Lost(detail) => f.write_str(detail),
             Self::Withheld => f.write_str("the endpoint takes no new requests"),
         }
     }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -58,6 +58,10 @@
     Lose,
     /// Sends a part of a stream, then ends.
     Crash(&'static [&'static str]),
+    /// Leaves before the first byte of the request is sent.
+    Withhold,
+    /// Leaves before the end of the request is sent.
+    Interrupt,
     /// Accepts the request and never responds.
     Hang,
     /// Sends a body without end, as fast as it is read.
@@ -128,6 +132,8 @@
                 Act::Refuse => return Err(SendError::Refused("refused".to_owned())),
                 Act::Unreachable => return Err(SendError::NotSent("no route".to_owned())),
                 Act::Lose => return Err(SendError::Lost("reset".to_owned())),
+                Act::Withhold => return Err(SendError::Withheld),
+                Act::Interrupt => return Err(SendError::Interrupted("left".to_owned())),
                 Act::Hang => std::future::pending().await,
             };
             let prefilled = attempt.step == Step::Prefill && status == 200;
@@ -353,6 +359,73 @@
     insta::assert_debug_snapshot!(outcomes(&cases, &route, PLAIN, None));
 }
 
+/// Guards against a request that its endpoint may run, since it received a part of it before it left: it must
+/// not run at another endpoint too (TWICE), get a status that says that it has not run (REFUSED), or be sent
+/// more often than its route and the retry budget allow (BUDGET).
+#[test]
+fn interrupted_requests_may_have_run() {
+    let served = Act::Respond(200, Execution::MayHaveRun);
+    let lines = |kind, attempts, stages, prompt, cases: &[(&str, &[Act])]| {
+        outcomes(cases, &route(kind, attempts), stages, prompt)
+    };
+    let once = lines(
+        route::Kind::NonIdempotent,
+        1,
+        PLAIN,
+        None,
+        &[
+            ("interrupted", &[Act::Interrupt, served]),
+            ("withheld", &[Act::Withhold, served]),
+            (
+                "rejected, interrupted",
+                &[
+                    Act::Respond(503, Execution::Rejected),
+                    Act::Interrupt,
+                    served,
+                ],
+            ),
+        ],
+    );
+    let repeatable = lines(
+        route::Kind::Idempotent,
+        2,
+        PLAIN,
+        None,
+        &[
+            ("interrupted", &[Act::Interrupt, served]),
+            (
+                "interrupted twice",
+                &[Act::Interrupt, Act::Interrupt, served],
+            ),
+            (
+                "interrupted, rejected",
+                &[
+                    Act::Interrupt,
+                    Act::Respond(503, Execution::Rejected),
+                    served,
+                ],
+            ),
+        ],
+    );
+    let staged = lines(
+        route::Kind::Stream,
+        1,
+        STAGED,
+        Some(900),
+        &[
+            (
+                "prefill interrupted",
+                &[Act::Interrupt, Act::Stream(EVENTS)],
+            ),
+            (
+                "decode interrupted",
+                &[served, Act::Interrupt, Act::Stream(EVENTS)],
+            ),
+        ],
+    );
+    insta::assert_debug_snapshot!((once, repeatable, staged));
+}
+
 /// Guards against a request in progress that is cut without an answer at the end of a stop, or that is
 /// reported as not executed although it may have run (LOST, REFUSED).
 #[test]
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -12,7 +12,7 @@
     clock::{self, Shared},
     customer::Freshness,
     directory::{self, Codec, Directory, Update},
-    dispatch::{self, Dispatcher, ListConfirmed, SetInstances, SetMemory},
+    dispatch::{self, Dispatcher, ExpireInstances, ListConfirmed, SetInstances, SetMemory},
     duty::{self, Duties, Release},
     entry::recorder,
     error::{Error, Kind},
@@ -140,8 +140,10 @@
 pub async fn open(settings: &settings::Gateway, adapter: Adapter) -> Result<Gateway> {
     let clock = clock::System::shared();
     let metrics = recorder::install()?;
+    let budget = settings.drain_budget();
     let config = dispatch::Config::new(Arc::clone(&clock), settings.zone.clone())
-        .overload(settings.overload);
+        .overload(settings.overload)
+        .drain_budget(budget);
     let dispatcher = dispatch::spawn(config.seed(rand::rng().random()));
 
     let incarnation = Incarnation::random(&mut rand::rng());
@@ -149,7 +151,6 @@
 
     let plan = start_plan(settings, &adapter, &clock);
 
-    let budget = settings.drain_budget();
     let any_known = watch::Sender::new(false);
     let endpoints = any_known.subscribe();
     let publisher = Rc::new(RefCell::new(EndpointPublisher {
@@ -406,7 +407,8 @@
         let after: Vec<_> = self.directory.instances().map(Arc::clone).collect();
         // Heartbeats do not change the instances, so they are not sent to the dispatcher.
         if before != after {
-            self.publish(after);
+            self.note_any(&after);
+            self.dispatcher.do_send(SetInstances(after));
         }
         if confirms {
             self.dispatcher.do_send(ListConfirmed);
@@ -415,15 +417,16 @@
 
     fn expire(&mut self) {
         if self.directory.expire(self.clock.now()) {
-            self.publish(self.directory.instances().map(Arc::clone).collect());
+            let instances: Vec<_> = self.directory.instances().map(Arc::clone).collect();
+            self.note_any(&instances);
+            self.dispatcher.do_send(ExpireInstances(instances));
         }
     }
 
-    fn publish(&self, instances: Vec<Arc<directory::Instance>>) {
+    fn note_any(&self, instances: &[Arc<directory::Instance>]) {
         let any = !instances.is_empty();
         self.any_known
             .send_if_modified(|known| std::mem::replace(known, any) != any);
-        self.dispatcher.do_send(SetInstances(instances));
     }
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -407,6 +407,7 @@
         Kind::NotSent => SendError::NotSent(error.to_string()),
         Kind::Refused => SendError::Refused(error.to_string()),
         Kind::Withheld => SendError::Withheld,
+        Kind::Interrupted => SendError::Interrupted(error.to_string()),
         Kind::Lost | Kind::Malformed | Kind::Exceeded => SendError::Lost(error.to_string()),
     }
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     config::{ParsedDuration, Reader},
-    directory::Budget,
+    directory::{Budget, DRAIN_NOTICE_DEFAULT},
     id::{Process, Zone},
     triage,
     unit::Bytes,
@@ -32,8 +32,6 @@
 /// Default stop delay. The load balancer checks readiness once a second and stops sending
 /// requests after two negative answers.
 const STOP_DELAY_DEFAULT: Duration = Duration::from_millis(2_500);
-/// Default drain notice.
-const DRAIN_NOTICE_DEFAULT: Duration = Duration::from_secs(2);
 /// Kind of duty in the settings that switches usage reports on.
 const USAGE_KIND: &str = "usage";
 /// Default time from the stop signal until the process is killed.
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -1,4 +1,5 @@
 use std::{
+    cell::Cell,
     io::{self, ErrorKind},
     mem::MaybeUninit,
     net::SocketAddr,
@@ -17,7 +18,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpStream, tcp::WriteHalf},
     sync::{mpsc, oneshot},
     task, time,
 };
@@ -173,6 +174,25 @@
     Error::new(Kind::Withheld, "the endpoint takes no requests now")
 }
 
+fn interrupted() -> Error {
+    metrics::counter!("upstream_interruptions_total").increment(1);
+    Error::new(
+        Kind::Interrupted,
+        "the endpoint left before the end of the request",
+    )
+}
+
+/// Writes an encoded request. `begun` is set once a part of it has been passed to the kernel.
+async fn write_request(
+    writer: &mut WriteHalf<'_>,
+    encoded: &[u8],
+    begun: &Cell<bool>,
+) -> io::Result<()> {
+    let first = writer.write(encoded).await?;
+    begun.set(first > 0);
+    writer.write_all(&encoded[first..]).await
+}
+
 struct Connection {
     stream: TcpStream,
     /// Decodes the head of the next response.
@@ -247,7 +267,8 @@
         head_only: bool,
     ) -> bool {
         let (mut reader, mut writer) = self.stream.split();
-        let mut write = pin!(async move { writer.write_all(&encoded).await });
+        let begun = Cell::new(false);
+        let mut write = pin!(write_request(&mut writer, &encoded, &begun));
         let mut written = false;
         let mut interim_responses = 0;
         let revoked = gate.as_ref().map(|gate| gate.revoked());
@@ -260,7 +281,8 @@
                 }
                 () = &mut revoked, if !written && gate.is_some() => {
                     discard_unsent(reader.as_ref());
-                    send_error(responder, withheld());
+                    let error = if begun.get() { interrupted() } else { withheld() };
+                    send_error(responder, error);
                     return false;
                 }
                 read = reader.read_buf(&mut self.buffer) => read.map(Some),
--- a/src/upstream/imp.rs
+++ b/src/upstream/imp.rs
@@ -18,8 +18,11 @@
     NotSent,
     /// The host refused the connection: the endpoint does not run.
     Refused,
-    /// The request was not sent, or not to its end, since its [`Gate`] did not permit it.
+    /// No byte of the request was sent, since its [`Gate`] did not permit it.
     Withheld,
+    /// A part of the request was sent, and the rest was not, since its [`Gate`] was revoked. The endpoint
+    /// may run it: it needs no more than the head to begin.
+    Interrupted,
     /// The connection was lost after a part of the request was sent.
     Lost,
     /// The endpoint sent bytes that are not a valid HTTP response.
@@ -34,6 +37,7 @@
             Self::NotSent => "not sent",
             Self::Refused => "refused",
             Self::Withheld => "withheld",
+            Self::Interrupted => "interrupted",
             Self::Lost => "lost",
             Self::Malformed => "malformed answer",
             Self::Exceeded => "exceeded memory",
@@ -242,8 +246,7 @@
     /// Whether the request may be sent now. Asked right before its first byte is written.
     fn may_send(&self) -> bool;
 
-    /// Returns once the request may not be sent any more. Awaited until its last byte is written: a
-    /// request without its end has not run.
+    /// Returns once no more of the request may be sent. Awaited until its last byte is written.
     fn revoked(&self) -> LocalBoxFuture<'static, ()>;
 
     /// Sees the head of the final response, also if nobody waits for it any more. `reused` states
@@ -326,7 +329,8 @@
     ///
     /// # Errors
     ///
-    /// As [`Client::send`], and [`Kind::Withheld`] if the gate did not permit it.
+    /// As [`Client::send`]; [`Kind::Withheld`] if the gate did not permit it, and [`Kind::Interrupted`] if
+    /// the gate was revoked before its last byte was sent.
     pub async fn send_through(
         &self,
         gate: Rc<dyn Gate>,
--- a/src/work/http.rs
+++ b/src/work/http.rs
@@ -13,7 +13,7 @@
 use super::Result;
 use crate::{
     clock::Shared,
-    directory::Started,
+    directory::{Budget, Started},
     error::{Error, Executed, Kind},
     notice::{Closure, Notice, Pause, Standing},
     upstream::{self, Client, Gate},
@@ -207,6 +207,7 @@
                 // The agent has ended, which ends the request too.
                 std::future::pending::<()>().await;
             }
+            time::sleep(Budget::default().upload_time()).await;
         }
         .boxed_local()
     }
@@ -230,15 +231,16 @@
     }
 }
 
-/// Maps a failed request. Only one that was not sent has certainly not run.
+/// Maps a failed request. Only one of which nothing was sent has certainly not run.
 pub(super) fn endpoint_lost(error: &upstream::Error) -> Error {
     let (kind, executed) = match error.kind() {
         // It closed after the worker had started the attempt, which is no failure.
         upstream::Kind::Withheld => (Kind::Leaving, Executed::No),
         upstream::Kind::NotSent | upstream::Kind::Refused => (Kind::EndpointLost, Executed::No),
-        upstream::Kind::Lost | upstream::Kind::Malformed | upstream::Kind::Exceeded => {
-            (Kind::EndpointLost, Executed::Unknown)
-        }
+        upstream::Kind::Interrupted
+        | upstream::Kind::Lost
+        | upstream::Kind::Malformed
+        | upstream::Kind::Exceeded => (Kind::EndpointLost, Executed::Unknown),
     };
     Error::new(kind, "there is no answer of the endpoint")
         .with_executed(executed)
