Keep a request counted that an earlier attempt may have run

A request to a plain service whose first attempt was lost, or interrupted, and whose later one was refused, rejected or withheld, was missing in the usage report, although the first endpoint may have run it.

Cause: the count of a request was taken back for each attempt that has not run. Change: only if no earlier attempt may have run.

Measured: the new test, with the old code: five of six cases counted 0 times; now once. The sixth, which has not run, is not counted either way.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -347,7 +347,7 @@
             Wait::Ended(Ok(response)) => {
                 ticket.record_first_response(response.load, response.status < 300);
                 if response.execution != Execution::MayHaveRun {
-                    self.begin.not_run();
+                    self.discount_send();
                 } else if !is_generation || response.status < 300 {
                     self.begin.began(self.ports.clock.now());
                 }
@@ -363,21 +363,21 @@
                 }
             }
             Wait::Ended(Err(error @ SendError::Withheld)) => {
-                self.begin.not_run();
+                self.discount_send();
                 self.log.retried(&error.to_string());
                 self.sends -= 1;
                 return Ok(Sent::Retry);
             }
             Wait::Ended(Err(SendError::Refused(detail))) => {
                 ticket.end(Ending::Down);
-                self.begin.not_run();
+                self.discount_send();
                 self.sends -= 1;
                 // Each endpoint is tried once, and a refusal takes one round trip.
                 self.after_unsent(&detail)
             }
             Wait::Ended(Err(SendError::NotSent(detail))) => {
                 ticket.end(Ending::Lost);
-                self.begin.not_run();
+                self.discount_send();
                 self.sends -= 1;
                 self.failed_connections += 1;
                 self.after_unsent(&detail)
@@ -412,6 +412,13 @@
         }
     }
 
+    /// Does not count a send that has not run, unless an earlier one of the request may have.
+    fn discount_send(&mut self) {
+        if !self.may_have_run {
+            self.begin.not_run();
+        }
+    }
+
     /// Decides about a response. `None` means that it is passed on to the caller.
     async fn classify(&mut self, response: &EndpointResponse) -> Result<Option<Decision>> {
         match response.execution {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -20,6 +20,7 @@
 use super::{begin::Begin, *};
 use crate::{
     clock::{Clock, Manual, System},
+    customer::Customer,
     directory::{Instance, Stage},
     dispatch::{self, Dispatcher, Permit, Progress, SetInstances},
     error::Kind,
@@ -1036,3 +1037,60 @@
         insta::assert_debug_snapshot!(seen);
     });
 }
+
+/// Guards against a request that is not counted although an earlier attempt may have run, since a later one
+/// has not, and against counting one that has not run at all.
+#[test]
+fn request_stays_counted_after_an_attempt_that_may_have_run() {
+    let rejected = Act::Respond(503, Execution::Rejected);
+    let cases: [(&str, &[Act]); 6] = [
+        (
+            "lost, refused",
+            &[Act::Lose, Act::Refuse, Act::Refuse, Act::Refuse],
+        ),
+        ("lost, rejected", &[Act::Lose, rejected]),
+        (
+            "interrupted, withheld, rejected",
+            &[Act::Interrupt, Act::Withhold, rejected],
+        ),
+        (
+            "interrupted, unreachable",
+            &[
+                Act::Interrupt,
+                Act::Unreachable,
+                Act::Unreachable,
+                Act::Unreachable,
+            ],
+        ),
+        ("refused, lost", &[Act::Refuse, Act::Lose, rejected]),
+        (
+            "refused, rejected twice",
+            &[Act::Refuse, rejected, rejected],
+        ),
+    ];
+    let counts = with_paused_time(async {
+        let mut counts = Vec::new();
+        for (name, acts) in cases {
+            let script = Rc::new(Script::default());
+            script.acts.borrow_mut().extend(acts);
+            let seen: Rc<RefCell<Vec<Instant>>> = Rc::default();
+            let counter = actix::Actor::start(Counter(Rc::clone(&seen)));
+            let mut ports = ports(&script, PLAIN).await.ports;
+            ports.begun = Some(counter.recipient());
+            let mut call = call(None);
+            call.customer = Some(Arc::new(Customer {
+                name: "hule930".parse().expect("a valid name"),
+                rank: None,
+            }));
+            let answer = start(call, route(route::Kind::Idempotent, 2), ports);
+            let outcome = describe(answer, &script).await;
+            time::sleep(Duration::from_millis(1)).await;
+            counts.push(format!(
+                "{name}: {outcome}; counted: {}",
+                seen.borrow().len()
+            ));
+        }
+        counts
+    });
+    insta::assert_debug_snapshot!(counts);
+}
