Report a window with one content across a restore of the store

Cause: contents of reports were kept for one term, and a missing entry in the store was taken for a report that was never sent. Digests told only the last accepted window.

Change: a process keeps the contents that it has fixed or read, across its terms, and creates the entries again when the era of the store changes. Digests state the last window whose report may have been sent; a report leaves once all linked gateways say that they know of it. A holder fixes no content for a window that a peer knows of, or that was closed before its start or the restore, unless all registered gateways were heard in its term; it gives such a window up when it is urgent. The entries of the store have a file of their own.

--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -20,7 +20,7 @@
     clock::Shared,
     directory::Update,
     dispatch::{Dispatcher, PeerCoverage, PeerDigest, PeerDisconnected, TakeDigest},
-    id::{Endpoint, Process, Revision},
+    id::{Endpoint, Process, Revision, Window},
     link::{self, Identity, Outbox, Peer, Session},
     route::{Plan, Version},
     unit::{Tokens, as_f64},
@@ -139,6 +139,8 @@
     /// Memory in use in the last digest, for each engine with requests.
     last_tokens: BTreeMap<Endpoint, Occupancy>,
     last_sent_at: Option<Instant>,
+    /// The last window whose usage report may have been sent, in the last digest.
+    last_report: Option<Window>,
     plans: PlanExchange,
 }
 
@@ -165,6 +167,7 @@
         last_sent: BTreeMap::new(),
         last_tokens: BTreeMap::new(),
         last_sent_at: None,
+        last_report: None,
         plans: PlanExchange::default(),
     }
     .start();
@@ -233,6 +236,8 @@
             ..
         } = digest;
         let time = counts.as_ref().map(|counts| counts.time);
+        // The holder sends a report once its peers know of it.
+        let report = time.and_then(|time| time.sent);
         let (changed_counts, all_counts) = counts
             .map(|counts| (counts.changes, counts.all))
             .unwrap_or_default();
@@ -261,7 +266,8 @@
             || !token_changes.is_empty()
             || !failed.is_empty()
             || !parts.is_empty()
-            || !changed_counts.is_empty();
+            || !changed_counts.is_empty()
+            || report != self.last_report;
         let confirmed = self.config.plan.as_ref().map(|plan| plan.confirmed());
         let since_boot = self.config.clock.since_boot();
         for (session, link) in &mut self.links {
@@ -295,6 +301,7 @@
         }
         if due {
             self.last_sent_at = Some(now);
+            self.last_report = report;
         }
         self.last_sent = current;
         self.last_tokens = current_tokens;
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fmt,
+    fmt, mem,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -10,28 +10,32 @@
     Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, MessageResult, Recipient,
     WrapFuture,
 };
+use tokio::sync::watch;
 
-use super::{Counts, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime};
+use super::{
+    Counts, History, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime, entry,
+    history::Content,
+};
 use crate::{
     clock::Shared,
     duty::{Answer, Call, GetTerm, Perform, Token},
     error::{Error, Kind},
-    id::{Caller, Incarnation, Process, Window},
+    id::{Incarnation, Process, Window},
     peers::{GatewaysChanged, Roster},
-    store::{Compare, Path, Store, Txn, Write},
+    store::{Era, Path, Store},
     unit::as_f64,
-    wire::{Begun, UsageTime},
+    wire::UsageTime,
 };
 
 /// Interval at which windows are checked.
 const TICK: Duration = Duration::from_millis(500);
 /// Upper bound of the ticks from a failed call to the next one.
 const BACKOFF_TICKS_MAX: u32 = 4;
+/// Most by which the estimates of the time of two gateways differ.
+const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
 /// Time after which a peer that was not heard counts as not linked. Linked peers send a digest each
 /// second.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
-/// Time to live of the counts that a gateway writes to the store.
-const COUNTS_TTL: Duration = Duration::from_mins(1);
 
 /// Identity and dependencies.
 #[derive(Debug)]
@@ -62,27 +66,48 @@
     time: TrueTime,
     tally: Tally,
     roster: Roster,
-    heard: BTreeMap<Process, Instant>,
-    /// The last window whose report was accepted, as far as this process or a peer knows.
-    reported: Option<Window>,
-    /// Contents of reports in the store, read once in each term.
-    stored: Option<(Token, BTreeMap<Window, Content>)>,
+    heard: BTreeMap<Process, Heard>,
+    history: History,
+    /// Era that the store states.
+    era: watch::Receiver<Option<Era>>,
+    /// Since when this process has known all reports that were fixed: since its start, or since it saw that
+    /// the store was restored.
+    certain_since: Instant,
+    /// The current term, if this process is the holder.
+    term: Option<Term>,
     /// Windows whose counts this process has written to the store.
     written: BTreeSet<Window>,
+    /// Contents of reports that the store may have lost.
+    lost: BTreeMap<Window, Content>,
     busy: bool,
+    /// Whether the next step is [`Step::AwaitPeers`].
+    awaits_peers: bool,
     /// Calls in a row that did not succeed, and the ticks to pass before the next one.
     failures: u32,
     ticks_to_pass: u32,
 }
 
-/// Requests by customer, as reported.
-type Content = Arc<BTreeMap<Caller, u64>>;
+/// The last digest of a peer.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    /// The last window whose report may have been sent, as far as the peer knows; `None` if it does not say.
+    sent: Option<Window>,
+}
+
+/// A term of this process as the holder.
+struct Term {
+    token: Token,
+    since: Instant,
+    /// Contents of reports in the store, read once, and again while one is awaited.
+    stored: Option<BTreeMap<Window, Content>>,
+}
 
 impl fmt::Debug for Reporter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Reporter")
             .field("config", &self.config)
-            .field("reported", &self.reported)
+            .field("history", &self.history)
             .finish_non_exhaustive()
     }
 }
@@ -92,40 +117,60 @@
 pub fn spawn(config: Config) -> Addr<Reporter> {
     let usage = Reporter {
         time: TrueTime::new(config.clock.wall(), config.clock.now()),
+        certain_since: config.clock.now(),
+        era: config.store.era(),
         config,
         tally: Tally::default(),
         roster: Roster::new(),
         heard: BTreeMap::new(),
-        reported: None,
-        stored: None,
+        history: History::default(),
+        term: None,
         written: BTreeSet::new(),
+        lost: BTreeMap::new(),
         busy: false,
+        awaits_peers: false,
         failures: 0,
         ticks_to_pass: 0,
     };
     usage.start()
 }
 
-/// What the next report needs.
-struct Task {
-    token: Token,
-    window: Window,
-    own: (Process, Incarnation),
-    /// Counts of the window, as far as this process knows.
-    tally: Tally,
-    stored: Option<BTreeMap<Window, Content>>,
-    /// Whether the content may be fixed now.
-    is_ready: bool,
-    oldest: Window,
+/// What is done next for the first window that is not settled.
+enum Step {
+    /// Nothing, until more is known.
+    Wait,
+    /// Look for its content in the store, and create it there if that is allowed.
+    Prepare(Preparation),
+    /// Send its content, which the store and all linked peers know of.
+    Send(Window, Content),
+    /// Nothing, until the peers know that its report may have been sent.
+    AwaitPeers,
+    /// Do not report it, for this reason.
+    GiveUp(Window, &'static str),
 }
 
-/// Result of a task.
-struct Done {
-    token: Token,
+/// The search for the content of a report.
+struct Preparation {
     window: Window,
+    /// Content that is created if the store has none.
+    content: Proposal,
+    /// Windows whose reports are removed.
+    old: Vec<Window>,
+}
+
+/// Content of a report that the store lacks.
+enum Proposal {
+    /// None may be created now.
+    None,
+    /// The content that was fixed before.
+    Known(Content),
+    /// The counts of the window, as far as this process knows.
+    Counted(Tally),
+}
+
+/// What the store holds after a [`Preparation`].
+struct Prepared {
     stored: BTreeMap<Window, Content>,
-    /// `None` if no call was due.
-    answer: Option<Answer>,
 }
 
 impl Reporter {
@@ -139,47 +184,99 @@
             .filter(|process| **process != self.config.process)
     }
 
+    /// The last digest of a peer, if it is linked.
+    fn linked(&self, process: &Process) -> Option<Heard> {
+        let now = self.config.clock.now();
+        let heard = self.heard.get(process).copied();
+        heard.filter(|heard| now.saturating_duration_since(heard.at) < SILENT_AFTER)
+    }
+
+    fn own_run(&self) -> (Process, Incarnation) {
+        (self.config.process.clone(), self.config.incarnation)
+    }
+
     fn tick(&mut self, ctx: &mut Context<Self>) {
         let now = self.now();
         let oldest = self.config.spec.oldest(now);
         self.tally.prune(oldest);
+        self.history.prune(oldest);
         self.written.retain(|window| *window >= oldest);
+        self.observe_era();
+        self.restore_reports(oldest, ctx);
         self.ticks_to_pass = self.ticks_to_pass.saturating_sub(1);
         if self.busy || self.ticks_to_pass > 0 {
             return;
         }
-        self.busy = true;
         self.write_counts(now, ctx);
+        self.advance(ctx);
+    }
+
+    /// Takes the next step as the holder, if this process is.
+    fn advance(&mut self, ctx: &mut Context<Self>) {
+        if self.busy {
+            return;
+        }
+        self.busy = true;
         let term = self.config.get_term.send(GetTerm).into_actor(self);
         ctx.spawn(term.map(|term, usage, ctx| {
-            if let Ok(Some(term)) = term {
-                usage.report_next(term.token, ctx);
-            } else {
-                usage.stored = None;
-                usage.busy = false;
+            usage.busy = false;
+            match term {
+                Ok(Some(term)) => usage.take_step(term.token, ctx),
+                _ => usage.term = None,
             }
         }));
     }
 
+    /// Notes whether the store was restored from a copy. It may have lost what it had acknowledged.
+    fn observe_era(&mut self) {
+        if !self.era.has_changed().unwrap_or(false) {
+            return;
+        }
+        let era = *self.era.borrow_and_update();
+        // The first answer states an era, too.
+        self.certain_since = self.config.clock.now();
+        self.term = None;
+        self.lost = self.history.open_contents();
+        if !self.lost.is_empty() {
+            log::info!(era:? = era.map(|era| era.to_string()), reports = self.lost.len();
+                "usage: the store was restored; reports are created again");
+        }
+    }
+
+    /// Creates the reports again that a restore of the store may have removed. The holder finds them there.
+    fn restore_reports(&mut self, oldest: Window, ctx: &mut Context<Self>) {
+        let first = self.history.accepted().map_or(oldest, |accepted| {
+            oldest.max(Window::new(accepted.get() + 1))
+        });
+        for (window, content) in mem::take(&mut self.lost).split_off(&first) {
+            let (store, root) = (Rc::clone(&self.config.store), self.config.root.clone());
+            let known = Arc::clone(&content);
+            let created =
+                async move { entry::create_report(&*store, &root, window, &known, &[]).await };
+            ctx.spawn(created.into_actor(self).map(move |created, usage, _| {
+                if let Err(error) = created {
+                    log::info!(window:% = window, error:% = error;
+                        "usage: report was not created again; retrying");
+                    usage.lost.insert(window, content);
+                }
+            }));
+        }
+    }
+
     /// Writes the counts of the last window to the store, if some gateway does not hear this one.
     fn write_counts(&mut self, now: Duration, ctx: &mut Context<Self>) {
         let Some(window) = self.config.spec.open_window(now).get().checked_sub(1) else {
             return;
         };
         let window = Window::new(window);
-        let clock_now = self.config.clock.now();
-        let is_linked = |process: &Process| {
-            let heard = self.heard.get(process);
-            heard.is_some_and(|at| clock_now.saturating_duration_since(*at) < SILENT_AFTER)
-        };
         let counts = self.tally.own_in(window);
-        if counts.is_empty() || self.others().all(is_linked) || !self.written.insert(window) {
+        let all_linked = self.others().all(|process| self.linked(process).is_some());
+        if counts.is_empty() || all_linked || !self.written.insert(window) {
             return;
         }
-        let name = format!("{}.{}", self.config.process, self.config.incarnation);
-        let path = counts_path(&self.config.root, window).join(&name);
-        let store = Rc::clone(&self.config.store);
-        let write = async move { write_counts(&*store, path, &counts).await };
+        let (store, root) = (Rc::clone(&self.config.store), self.config.root.clone());
+        let own = self.own_run();
+        let write = async move { entry::write_counts(&*store, &root, &own, window, &counts).await };
         ctx.spawn(write.into_actor(self).map(move |written, usage, _| {
             if let Err(error) = written {
                 log::info!(window:% = window, error:% = error; "usage: counts were not written");
@@ -188,48 +285,129 @@
         }));
     }
 
-    fn next_task(&self, token: Token) -> Option<Task> {
+    fn take_step(&mut self, token: Token, ctx: &mut Context<Self>) {
+        if self.term.as_ref().is_none_or(|term| term.token != token) {
+            self.term = Some(Term {
+                token,
+                since: self.config.clock.now(),
+                stored: None,
+            });
+        }
+        let step = self.next_step();
+        self.awaits_peers = matches!(step, Step::AwaitPeers);
+        match step {
+            Step::Wait | Step::AwaitPeers => {}
+            Step::Prepare(preparation) => self.prepare(token, preparation, ctx),
+            Step::Send(window, content) => self.send(token, window, content, ctx),
+            Step::GiveUp(window, why) => {
+                log::warn!(window:% = window, why = why; "usage: window is not reported");
+                metrics::counter!("usage_windows_given_up_total").increment(1);
+                self.history.give_up(window);
+            }
+        }
+    }
+
+    fn next_step(&self) -> Step {
         let (spec, now) = (self.config.spec, self.now());
         let oldest = spec.oldest(now);
-        let after = self.reported.map(|window| Window::new(window.get() + 1));
-        let window = after.unwrap_or(oldest).max(oldest);
-        let is_open = window >= spec.open_window(now);
-        if is_open {
-            return None;
+        let window = self.history.next(oldest);
+        let Some(term) = &self.term else {
+            return Step::Wait;
+        };
+        if window >= spec.open_window(now) {
+            return Step::Wait;
         }
+        let is_urgent = spec.is_urgent(window, now);
+        let stored = term.stored.as_ref();
+        let found = stored.and_then(|stored| stored.get(&window));
+        let content = match (self.history.content(window), found) {
+            (Some(known), Some(found)) if known != found => {
+                return Step::GiveUp(window, "the store holds another content than was fixed");
+            }
+            (Some(known), Some(_)) if self.is_acknowledged(window, is_urgent) => {
+                return Step::Send(window, Arc::clone(known));
+            }
+            (_, Some(_)) => return Step::AwaitPeers,
+            (Some(known), None) => Proposal::Known(Arc::clone(known)),
+            (None, None) if stored.is_none() => Proposal::None,
+            (None, None) if self.history.may_have_been_sent(window) => {
+                if is_urgent {
+                    return Step::GiveUp(window, "it may have been reported with unknown counts");
+                }
+                Proposal::None
+            }
+            (None, None) if !self.is_certain(window, term.since) => {
+                if is_urgent {
+                    let why = "a gateway that may have reported it was not heard";
+                    return Step::GiveUp(window, why);
+                }
+                return Step::Wait;
+            }
+            (None, None) => match self.count(window, is_urgent) {
+                Some(tally) => Proposal::Counted(tally),
+                None => return Step::Wait,
+            },
+        };
+        let old = stored.into_iter().flat_map(|stored| stored.keys().copied());
+        Step::Prepare(Preparation {
+            window,
+            content,
+            old: old.filter(|window| *window < oldest).collect(),
+        })
+    }
+
+    /// Whether the peers know that the report of a window may have been sent: those that are linked and say
+    /// so, and before the report is urgent the others, too.
+    fn is_acknowledged(&self, window: Window, is_urgent: bool) -> bool {
+        let mut others = self.others();
+        others.all(|process| match self.linked(process) {
+            Some(heard) => heard.sent.is_none_or(|sent| sent >= window),
+            None => is_urgent,
+        })
+    }
+
+    /// Whether the report of a window was fixed by no gateway that lives. One could have been fixed without
+    /// a trace in the store if the window was closed at the start of this process, or when the store was
+    /// restored; then all gateways must have been heard in this term.
+    fn is_certain(&self, window: Window, term_since: Instant) -> bool {
+        let certain_since = self.time.estimate(self.certain_since) + CLOCK_SKEW_MAX;
+        window >= self.config.spec.open_window(certain_since)
+            || self.others().all(|process| {
+                let heard = self.heard.get(process);
+                heard.is_some_and(|heard| heard.at >= term_since)
+            })
+    }
+
+    /// The counts of a window, if all gateways have reported theirs, or if the report is urgent.
+    fn count(&self, window: Window, is_urgent: bool) -> Option<Tally> {
         let missing = self.others();
-        let missing: Vec<Process> = missing
+        let missing: Vec<&Process> = missing
             .filter(|process| !self.tally.has_reported(process, window))
-            .cloned()
             .collect();
-        if spec.is_urgent(window, now) && !missing.is_empty() {
+        if !missing.is_empty() {
+            if !is_urgent {
+                return None;
+            }
             log::info!(window:% = window, missing:? = missing;
                 "usage: some gateways have not reported; the report is sent without their last counts");
         }
-        let stored = self.stored.as_ref().filter(|(term, _)| *term == token);
-        Some(Task {
-            token,
-            window,
-            own: (self.config.process.clone(), self.config.incarnation),
-            tally: self.tally.only(window),
-            is_ready: missing.is_empty() || spec.is_urgent(window, now),
-            stored: stored.map(|(_, stored)| stored.clone()),
-            oldest,
-        })
+        Some(self.tally.only(window))
     }
 
-    fn report_next(&mut self, token: Token, ctx: &mut Context<Self>) {
-        let Some(task) = self.next_task(token) else {
-            self.busy = false;
-            return;
-        };
+    fn prepare(&mut self, token: Token, preparation: Preparation, ctx: &mut Context<Self>) {
+        self.busy = true;
         let (store, root) = (Rc::clone(&self.config.store), self.config.root.clone());
-        let perform = self.config.perform.clone();
-        let done = async move { run(task, &*store, &root, &perform).await };
-        ctx.spawn(done.into_actor(self).map(|done, usage, _| {
+        let own = self.own_run();
+        let stored = self.term.as_ref().and_then(|term| term.stored.clone());
+        let prepared = async move { prepare(preparation, stored, &*store, &root, &own).await };
+        ctx.spawn(prepared.into_actor(self).map(move |prepared, usage, ctx| {
             usage.busy = false;
-            match done {
-                Ok(done) => usage.finish(done),
+            match prepared {
+                Ok(prepared) => {
+                    usage.record_stored(token, prepared);
+                    usage.awaits_peers = true;
+                    usage.send_if_acknowledged(ctx);
+                }
                 Err(error) => {
                     log::info!(error:% = error; "usage: no report was sent; retrying");
                     usage.back_off();
@@ -238,175 +416,99 @@
         }));
     }
 
-    /// Waits longer after each failure.
-    fn back_off(&mut self) {
-        self.failures = self.failures.saturating_add(1);
-        self.ticks_to_pass = self.failures.min(BACKOFF_TICKS_MAX);
+    /// Notes what the store holds, unless it was restored since, or the term has ended.
+    fn record_stored(&mut self, token: Token, prepared: Prepared) {
+        self.observe_era();
+        let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
+            return;
+        };
+        for (window, content) in &prepared.stored {
+            self.history.record_content(*window, content);
+        }
+        term.stored = Some(prepared.stored);
     }
 
-    fn finish(&mut self, done: Done) {
-        self.stored = Some((done.token, done.stored));
-        if done
-            .answer
-            .as_ref()
-            .is_some_and(|answer| *answer != Answer::Accepted)
-        {
-            self.back_off();
+    /// Continues without waiting for the next tick if the peers know of the report by now.
+    fn send_if_acknowledged(&mut self, ctx: &mut Context<Self>) {
+        if !self.awaits_peers || self.ticks_to_pass > 0 {
+            return;
         }
-        if done.answer == Some(Answer::Accepted) {
-            self.failures = 0;
-            log::info!(window:% = done.window; "usage: report accepted");
-            metrics::counter!("usage_reports_total").increment(1);
-            metrics::gauge!("usage_reported_window").set(as_f64(done.window.get()));
-            self.reported = self.reported.max(Some(done.window));
+        match self.next_step() {
+            Step::AwaitPeers => {}
+            Step::Send(..) => self.advance(ctx),
+            _ => self.awaits_peers = false,
         }
     }
-}
 
-/// Fixes the content of a report in the store, unless it is fixed already, and sends it.
-async fn run(
-    task: Task,
-    store: &dyn Store,
-    root: &Path,
-    perform: &Recipient<Perform>,
-) -> Result<Done> {
-    let Task {
-        token,
-        window,
-        own,
-        mut tally,
-        stored,
-        is_ready,
-        oldest,
-    } = task;
-    let mut stored = match stored {
-        Some(stored) => stored,
-        None => read_reports(store, root).await?,
-    };
-    let mut answered = None;
-    let mut content = stored.get(&window).cloned();
-    if content.is_none() && is_ready {
-        merge_written(store, counts_path(root, window), &own, window, &mut tally).await?;
-        let counts = tally.report(window);
-        let fixed = fix(store, root, window, counts, &mut stored, oldest).await?;
-        content = Some(fixed);
-    }
-    if let Some(counts) = content {
+    fn send(&mut self, token: Token, window: Window, counts: Content, ctx: &mut Context<Self>) {
+        self.busy = true;
         let call = Call::Usage { window, counts };
-        let answer = perform.send(Perform { token, call }).await;
-        let answer = answer.map_err(|error| {
-            Error::new(Kind::Leaving, "the duties have stopped").with_source(error)
-        })??;
-        answered = Some(answer);
+        let answer = self.config.perform.send(Perform { token, call });
+        ctx.spawn(answer.into_actor(self).map(move |answer, usage, ctx| {
+            usage.busy = false;
+            let answer = answer.unwrap_or_else(|error| {
+                Err(Error::new(Kind::Leaving, "the duties have stopped").with_source(error))
+            });
+            match answer {
+                Ok(Answer::Accepted) => {
+                    usage.record_accepted(window);
+                    usage.advance(ctx);
+                }
+                Ok(_) => usage.back_off(),
+                Err(error) => {
+                    log::info!(error:% = error; "usage: no report was sent; retrying");
+                    usage.back_off();
+                }
+            }
+        }));
     }
-    Ok(Done {
-        token,
-        window,
-        stored,
-        answer: answered,
-    })
-}
 
-async fn read_reports(store: &dyn Store, root: &Path) -> Result<BTreeMap<Window, Content>> {
-    let range = store.range(reports_path(root)).await?;
-    let reports = range.items.into_iter().filter_map(|item| {
-        let window = item.path.as_str().rsplit('/').next()?.parse().ok()?;
-        Some((window, Arc::new(decode(&item.value)?)))
-    });
-    Ok(reports.collect())
+    /// Waits longer after each failure.
+    fn back_off(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+        self.ticks_to_pass = self.failures.min(BACKOFF_TICKS_MAX);
+    }
+
+    fn record_accepted(&mut self, window: Window) {
+        self.failures = 0;
+        log::info!(window:% = window; "usage: report accepted");
+        metrics::counter!("usage_reports_total").increment(1);
+        metrics::gauge!("usage_reported_window").set(as_f64(window.get()));
+        self.history.record_accepted(window);
+    }
 }
 
-/// Creates the entry of a report and removes those of old windows. Returns the content of the entry,
-/// which is another one if an earlier holder has created it.
-async fn fix(
+/// Reads the reports, unless they are known, and creates the proposed one if it is missing.
+async fn prepare(
+    preparation: Preparation,
+    stored: Option<BTreeMap<Window, Content>>,
     store: &dyn Store,
     root: &Path,
-    window: Window,
-    counts: BTreeMap<Caller, u64>,
-    stored: &mut BTreeMap<Window, Content>,
-    oldest: Window,
-) -> Result<Content> {
-    let path = reports_path(root).join(&window);
-    let old: Vec<Window> = stored.range(..oldest).map(|(window, _)| *window).collect();
-    let removals = old
-        .iter()
-        .map(|window| Write::Delete(reports_path(root).join(window)));
-    let mut writes = vec![Write::Put(path.clone(), encode(&counts)?, None)];
-    writes.extend(removals);
-    let txn = Txn {
-        compares: vec![Compare::Absent(path)],
-        writes,
+    own: &(Process, Incarnation),
+) -> Result<Prepared> {
+    let Preparation {
+        window,
+        content,
+        old,
+    } = preparation;
+    let mut stored = match (stored, &content) {
+        (Some(stored), Proposal::Known(_) | Proposal::Counted(_)) => stored,
+        _ => entry::read_reports(store, root).await?,
     };
-    let commit = store.commit(txn).await?;
-    let content = if commit.succeeded {
-        stored.retain(|window, _| *window >= oldest);
-        counts
-    } else {
-        let found = commit.found.first().and_then(|item| decode(&item.value));
-        found.ok_or_else(|| Error::new(Kind::StoreUnavailable, "the report cannot be read"))?
+    let content = match content {
+        Proposal::Known(content) => content,
+        Proposal::Counted(mut tally) => {
+            entry::merge_counts(store, root, own, window, &mut tally).await?;
+            Arc::new(tally.report(window))
+        }
+        Proposal::None => return Ok(Prepared { stored }),
     };
-    let content = Arc::new(content);
-    stored.insert(window, Arc::clone(&content));
-    Ok(content)
-}
-
-/// Merges the counts that gateways have written to the store. Gateways that are not linked with all others
-/// do so, and the holder may have heard a part of them.
-async fn merge_written(
-    store: &dyn Store,
-    prefix: Path,
-    own: &(Process, Incarnation),
-    window: Window,
-    tally: &mut Tally,
-) -> Result<()> {
-    let range = store.range(prefix).await?;
-    for item in range.items {
-        let name = item.path.as_str().rsplit('/').next().unwrap_or_default();
-        let run = name
-            .rsplit_once('.')
-            .and_then(|(process, run)| Some((process.parse().ok()?, run.parse().ok()?)));
-        let Some(run) = run.filter(|run| run != own) else {
-            continue;
-        };
-        let counts = decode(&item.value).into_iter().flatten();
-        let begun = counts.map(|(customer, count)| Begun {
-            window,
-            customer,
-            count,
-        });
-        let begun: Vec<Begun> = begun.collect();
-        tally.merge(run, &begun, Window::default());
+    if !stored.contains_key(&window) {
+        let created = entry::create_report(store, root, window, &content, &old).await?;
+        stored.retain(|window, _| !old.contains(window));
+        stored.insert(window, created);
     }
-    Ok(())
-}
-
-async fn write_counts(store: &dyn Store, path: Path, counts: &BTreeMap<Caller, u64>) -> Result<()> {
-    let value = encode(counts)?;
-    let lease = store.grant(COUNTS_TTL).await?;
-    let txn = Txn {
-        compares: Vec::new(),
-        writes: vec![Write::Put(path, value, Some(lease))],
-    };
-    store.commit(txn).await.map(drop)
-}
-
-fn reports_path(root: &Path) -> Path {
-    root.join(&"reports")
-}
-
-fn counts_path(root: &Path, window: Window) -> Path {
-    root.join(&"counts").join(&window)
-}
-
-fn encode(counts: &BTreeMap<Caller, u64>) -> Result<Vec<u8>> {
-    serde_json::to_vec(counts)
-        .map_err(|error| Error::new(Kind::Internal, "cannot encode counts").with_source(error))
-}
-
-fn decode(value: &[u8]) -> Option<BTreeMap<Caller, u64>> {
-    serde_json::from_slice(value)
-        .inspect_err(|error| log::warn!(error:% = error; "usage: skipping unreadable counts"))
-        .ok()
+    Ok(Prepared { stored })
 }
 
 impl Actor for Reporter {
@@ -440,7 +542,8 @@
             time: UsageTime {
                 unix_ms: u64::try_from(own.as_millis()).unwrap_or(u64::MAX),
                 open: self.config.spec.open_window(self.now()),
-                reported: self.reported,
+                reported: self.history.accepted(),
+                sent: Some(self.history.sent().unwrap_or_default()),
             },
         })
     }
@@ -449,14 +552,19 @@
 impl Handler<PeerCounts> for Reporter {
     type Result = ();
 
-    fn handle(&mut self, msg: PeerCounts, _: &mut Context<Self>) {
+    fn handle(&mut self, msg: PeerCounts, ctx: &mut Context<Self>) {
         let now = self.config.clock.now();
-        self.heard.insert(msg.process.clone(), now);
+        let heard = Heard {
+            at: now,
+            sent: msg.time.sent,
+        };
+        self.heard.insert(msg.process.clone(), heard);
         let time = Duration::from_millis(msg.time.unix_ms);
         self.time.observe(&msg.process, time, now);
-        self.reported = self.reported.max(msg.time.reported);
+        self.history.merge(msg.time.sent, msg.time.reported);
         let peer = (msg.process, msg.incarnation);
         self.tally.merge(peer, &msg.begun, msg.time.open);
+        self.send_if_acknowledged(ctx);
     }
 }
 
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -10,6 +10,8 @@
 //! [`Reporter`] is the actor that counts and reports.
 
 mod actor;
+mod entry;
+mod history;
 mod imp;
 mod message;
 #[cfg(test)]
@@ -17,6 +19,7 @@
 mod time;
 
 pub use actor::{Config, Reporter, spawn};
+pub use history::History;
 pub use imp::{Source, Spec, Tally};
 pub use message::{Counts, PeerCounts, RequestBegun, TakeCounts};
 pub use time::TrueTime;
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -253,7 +253,7 @@
             .answers
             .replace(vec![Answer::Unknown("lost".to_owned()); 100]);
         second.count("fida11", 1);
-        run_links(&links[..2], 10).await;
+        run_links(&links[..2], 11).await;
         first.hold(None);
         second.hold(Some(9));
         run_links(&links[..2], 10).await;
@@ -285,3 +285,137 @@
         insta::assert_debug_snapshot!(holder.reports());
     });
 }
+
+/// What becomes of the first holder after its call for a window, while the store is restored from a copy that was
+/// taken before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Former {
+    /// It becomes the holder again.
+    HoldsAgain,
+    /// Another gateway, with which it is linked, becomes the holder.
+    Lives,
+    /// The same, and it can't reach the store any more.
+    LosesStore,
+    /// Another gateway, with which it is not linked any more, becomes the holder.
+    LosesLinks,
+    /// It is killed, and a gateway with which it was linked becomes the holder.
+    IsKilled,
+    /// It is killed, and a gateway becomes the holder that has started since.
+    IsReplaced,
+}
+
+/// Reports a window, takes the answer of the API away, restores the store, counts further requests of the window,
+/// and holds a second term. Returns the reports of each gateway, and whether the window was reported with
+/// different counts.
+async fn report_across_a_restore(former: Former, first_answer: Option<Answer>) -> String {
+    const NAMES: [&str; 3] = ["g0", "g1", "g2"];
+    let store = Memory::new(System::shared());
+    let mut gateways = NAMES.map(|name| Gateway::start(name, &store));
+    gateways[0].count("hule930", 3);
+    gateways[1].count("fida11", 2);
+    gateways[0].hold(Some(4));
+    let late = System.now();
+    let link = async |gateways: &[Gateway; 3], linked: &[usize], seconds| {
+        let linked = linked
+            .iter()
+            .map(|index| (NAMES[*index], &gateways[*index]));
+        run_links(&linked.collect::<Vec<_>>(), seconds).await;
+    };
+    link(&gateways, &[0, 1, 2], 5).await;
+    let copy = store.back_up();
+    let answers = first_answer.into_iter().cycle().take(100);
+    gateways[0].duties.answers.replace(answers.collect());
+    link(&gateways, &[0, 1, 2], 4).await;
+    gateways[0].hold(None);
+    gateways[0].duties.answers.take();
+    let down = Faults {
+        down: true,
+        ..Faults::default()
+    };
+    if !matches!(former, Former::HoldsAgain | Former::Lives) {
+        gateways[0].store.set_faults(down);
+    }
+    if former == Former::IsReplaced {
+        gateways[2].store.set_faults(down);
+        gateways[2] = Gateway::start("g2", &store);
+    }
+    store.restore(copy);
+    let begun = RequestBegun {
+        customer: customer("fida11"),
+        at: late,
+    };
+    gateways[1].reporter.do_send(begun);
+    let (holder, linked): (usize, &[usize]) = match former {
+        Former::HoldsAgain => (0, &[0, 1, 2]),
+        Former::Lives | Former::LosesStore => (1, &[0, 1, 2]),
+        Former::LosesLinks | Former::IsKilled => (1, &[1, 2]),
+        Former::IsReplaced => (2, &[1, 2]),
+    };
+    link(&gateways, linked, 3).await;
+    gateways[holder].hold(Some(9));
+    link(&gateways, linked, 16).await;
+    let reports: Vec<String> = gateways
+        .iter()
+        .flat_map(|gateway| gateway.duties.reports.borrow().clone())
+        .filter(|report| report.starts_with("200 "))
+        .collect();
+    let counts: std::collections::BTreeSet<&str> = reports
+        .iter()
+        .filter_map(|report| report.split(' ').nth(1))
+        .collect();
+    let goes_on = gateways[holder]
+        .duties
+        .reports
+        .borrow()
+        .iter()
+        .any(|report| report.as_str() > "201");
+    format!(
+        "{former:?}: {} reports with the counts {counts:?}; a later window is reported: {goes_on}",
+        reports.len()
+    )
+}
+
+/// Guards against two reports of one window with different counts, because a restore of the store has removed
+/// the content that was fixed, and requests were counted since (ONE).
+#[test]
+fn window_is_reported_with_one_content_across_a_restore() {
+    let unanswered = Answer::Unknown("lost".to_owned());
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for former in [
+            Former::HoldsAgain,
+            Former::Lives,
+            Former::LosesStore,
+            Former::LosesLinks,
+            Former::IsKilled,
+            Former::IsReplaced,
+        ] {
+            outcomes.push(report_across_a_restore(former, Some(unanswered.clone())).await);
+        }
+        let answered = report_across_a_restore(Former::Lives, Some(Answer::Accepted)).await;
+        outcomes.push(format!("answered, {answered}"));
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against a report that is sent before the linked gateways know of it: if its sender is killed and the
+/// store restored, one of them would send another one (ONE).
+#[test]
+fn report_is_sent_once_linked_gateways_know_of_it() {
+    with_paused_time(async {
+        let store = Memory::new(System::shared());
+        let gateways = ["g0", "g1"].map(|name| Gateway::start(name, &store));
+        let [holder, peer] = &gateways;
+        holder.count("fida11", 2);
+        holder.hold(Some(4));
+        // The peer is heard, and does not hear the holder.
+        for _ in 0..28 {
+            peer.tell("g1", holder).await;
+            timer::sleep(Duration::from_millis(500)).await;
+        }
+        let before = holder.reports();
+        run_links(&[("g0", holder), ("g1", peer)], 2).await;
+        insta::assert_debug_snapshot!((before, holder.reports()));
+    });
+}
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -407,6 +407,9 @@
     pub open: Window,
     /// The last window whose report was accepted.
     pub reported: Option<Window>,
+    /// The last window whose report may have been sent; `None` for a gateway that does not state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent: Option<Window>,
 }
 
 /// What a gateway knows of the plan when it sends a digest. Times are encoded in whole milliseconds.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -64,6 +64,26 @@
     assert_eq!(decode(&bytes).expect("valid"), frame);
 }
 
+/// Guards against a digest that a gateway of an earlier version cannot read, or whose digests cannot be read,
+/// since it does not state which reports may have been sent.
+#[test]
+fn sent_reports_are_optional_in_digests() {
+    let time = crate::wire::UsageTime {
+        unix_ms: 1_767_225_600_500,
+        open: crate::id::Window::new(353_445_120),
+        reported: None,
+        sent: None,
+    };
+    let frame = Frame::Digest(Digest {
+        time: Some(time),
+        ..Digest::default()
+    });
+    let bytes = encode(&frame).expect("small frame");
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(!text.contains("sent"), "{text}");
+    assert_eq!(decode(&bytes).expect("valid"), frame);
+}
+
 proptest! {
     /// Guards against a decoder that panics on invalid input from a peer.
     #[test]
@@ -115,6 +135,7 @@
                 unix_ms: 1_767_225_600_500,
                 open: crate::id::Window::new(353_445_120),
                 reported: None,
+                sent: Some(crate::id::Window::new(353_445_119)),
             }),
             plan: Some(PlanState {
                 sent: Duration::from_secs(90),
