Stop the upload of a request that is answered at the end of the drain notice

No user has reported it.

Cause: once the head of the answer had arrived, the gate was not awaited any more, and the close of the connection left several MiB in the kernel's send buffer to be delivered. Change: the gate is awaited until the last byte also while the answer is read, which goes on; what was not sent is discarded once the answer is complete or the request has failed; the send buffer is bounded.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -14,7 +14,7 @@
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
 };
 use bytes::{Bytes, BytesMut};
-use futures_util::{FutureExt, future::OptionFuture};
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -50,6 +50,9 @@
 /// Size of the kernel's receive buffer of a connection. It would otherwise grow to several MiB while a caller
 /// does not read the answer.
 const RECEIVE_BUFFER_SIZE: usize = 128 << 10;
+/// Size of the kernel's send buffer of a connection. It would otherwise grow to several MiB for a long body,
+/// which arrives also after the request was given up, or after its endpoint must get no more.
+const SEND_BUFFER_SIZE: usize = 128 << 10;
 /// Initial capacity of the read and write buffers, in bytes.
 const READ_BUFFER_SIZE: usize = 8 << 10;
 /// Longest response head, in bytes.
@@ -123,6 +126,7 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_recv_buffer_size(RECEIVE_BUFFER_SIZE)?;
+    socket.set_send_buffer_size(SEND_BUFFER_SIZE)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -155,6 +159,15 @@
     metrics::counter!("upstream_cancellations_total", "phase" => phase.as_str()).increment(1);
 }
 
+/// How far the upload of a request has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Upload {
+    Writing,
+    Written,
+    /// Given up, since the gate was revoked after the answer had begun.
+    Stopped,
+}
+
 /// Makes the close of the connection discard what the endpoint has not received yet. Otherwise a
 /// request that was canceled would still arrive, once the endpoint reads or its link recovers.
 fn discard_unsent(stream: &TcpStream) {
@@ -269,17 +282,19 @@
         let (mut reader, mut writer) = self.stream.split();
         let begun = Cell::new(false);
         let mut write = pin!(write_request(&mut writer, &encoded, &begun));
-        let mut written = false;
+        let mut upload = Upload::Writing;
         let mut interim_responses = 0;
-        let revoked = gate.as_ref().map(|gate| gate.revoked());
-        let mut revoked = OptionFuture::from(revoked).map(drop);
+        let mut revoked = match &gate {
+            Some(gate) => gate.revoked(),
+            None => std::future::pending().boxed_local(),
+        };
         let head = loop {
             let read = tokio::select! {
-                result = write.as_mut(), if !written => {
-                    written = true;
+                result = write.as_mut(), if upload == Upload::Writing => {
+                    upload = Upload::Written;
                     result.map(|()| None)
                 }
-                () = &mut revoked, if !written && gate.is_some() => {
+                () = &mut revoked, if upload == Upload::Writing => {
                     discard_unsent(reader.as_ref());
                     let error = if begun.get() { interrupted() } else { withheld() };
                     send_error(responder, error);
@@ -287,7 +302,10 @@
                 }
                 read = reader.read_buf(&mut self.buffer) => read.map(Some),
                 () = responder.closed() => {
-                    record_cancellation(if written { Phase::Waiting } else { Phase::Sending });
+                    record_cancellation(match upload {
+                        Upload::Writing => Phase::Sending,
+                        _ => Phase::Waiting,
+                    });
                     discard_unsent(reader.as_ref());
                     return false;
                 }
@@ -301,18 +319,15 @@
                 }
                 Err(error) => Err(Error::new(Kind::Lost, error.to_string())),
             };
-            match head {
-                Ok(Some(head)) => break head,
-                Ok(None) => {}
-                Err(error) => {
-                    send_error(responder, error);
-                    return false;
-                }
+            if let Some(head) = head.transpose() {
+                break head;
             }
         };
-        let framing = match Framing::of(&head, head_only) {
-            Ok(framing) => framing,
+        let answer = head.and_then(|head| Ok((Framing::of(&head, head_only)?, head)));
+        let (framing, head) = match answer {
+            Ok(answer) => answer,
             Err(error) => {
+                discard_unsent(reader.as_ref());
                 send_error(responder, error);
                 return false;
             }
@@ -338,7 +353,7 @@
             BodyDecoder::new(framing, codec),
             (&mut self.buffer, &mut self.held),
             &mut reader,
-            (write, &mut written),
+            (write, &mut revoked, &mut upload),
             &sender,
         )
         .await;
@@ -346,9 +361,6 @@
             Ok(true) => true,
             Ok(false) => {
                 record_cancellation(Phase::Answering);
-                if !written {
-                    discard_unsent(reader.as_ref());
-                }
                 false
             }
             Err(error) => {
@@ -359,7 +371,11 @@
                 false
             }
         };
-        delivered && may_reuse && written && self.buffer.is_empty()
+        if upload != Upload::Written {
+            // Nobody needs the rest of the request any more.
+            discard_unsent(reader.as_ref());
+        }
+        delivered && may_reuse && upload == Upload::Written && self.buffer.is_empty()
     }
 
     /// Fails if the endpoint has closed an idle connection, or has sent bytes on it. Asks the kernel, since
@@ -468,7 +484,7 @@
     mut decoder: BodyDecoder,
     (buffer, held): (&mut BytesMut, &mut Reservation),
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
-    (mut write, written): (Pin<&mut W>, &mut bool),
+    (mut write, revoked, upload): (Pin<&mut W>, &mut LocalBoxFuture<'static, ()>, &mut Upload),
     sender: &mpsc::Sender<BodyPart>,
 ) -> Result<bool> {
     let mut framing = 0;
@@ -495,10 +511,15 @@
             return Ok(sender.send(BodyPart::End).await.is_ok());
         }
         let read = tokio::select! {
-            result = write.as_mut(), if !*written => {
-                *written = true;
+            result = write.as_mut(), if *upload == Upload::Writing => {
+                *upload = Upload::Written;
                 result.map(|()| None)
             }
+            // The endpoint may complete its answer without the rest of the request.
+            () = &mut *revoked, if *upload == Upload::Writing => {
+                *upload = Upload::Stopped;
+                Ok(None)
+            }
             read = reader.read_buf(buffer) => read.map(Some),
             () = sender.closed() => return Ok(false),
         };
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -508,6 +508,70 @@
     );
 }
 
+/// Guards against the rest of a body that is sent on to an endpoint after its answer is complete, or, while it
+/// answers, after the gate was revoked (DRAIN), and against giving up the answer.
+#[actix_rt::test]
+async fn body_is_not_sent_on_after_the_answer_or_the_revocation() {
+    const BODY_SIZE: usize = 32 << 20;
+    // What the buffers of both sockets and their bookkeeping hold.
+    const BUFFERED_MAX: usize = 1 << 20;
+    const ENDPOINT_BUFFER: usize = 64 << 10;
+    let answers = [
+        ("complete", "Content-Length: 5\r\n\r\nlabel", ""),
+        ("begun", "Content-Length: 6\r\n\r\nlabel", "s"),
+    ];
+    for (what, start, rest) in answers {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        let size = u32::try_from(ENDPOINT_BUFFER).expect("a small buffer");
+        socket.set_recv_buffer_size(size).expect("an open socket");
+        socket
+            .bind("127.0.0.1:0".parse().expect("an address"))
+            .expect("a free port");
+        let listener = socket.listen(1).expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let gate = Revocable::default();
+        let revoke = Rc::clone(&gate.revoked);
+        let (release, released) = tokio::sync::oneshot::channel();
+        let endpoint = task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut buffer = vec![0; 64 << 10];
+            let mut received = stream.read(&mut buffer).await.expect("a request");
+            let head = format!("HTTP/1.1 200 OK\r\n{start}");
+            stream.write_all(head.as_bytes()).await.expect("a reader");
+            released.await.expect("the test goes on");
+            let limit = Duration::from_millis(200);
+            while let Ok(Ok(read @ 1..)) = time::timeout(limit, stream.read(&mut buffer)).await {
+                received += read;
+            }
+            // Without a rest, the connection was reset.
+            let _ = stream.write_all(rest.as_bytes()).await;
+            received
+        });
+        let mut head = RequestHead::default();
+        head.method = actix_http::Method::POST;
+        head.uri = "/".parse().expect("a path");
+        let body = Bytes::from(vec![0; BODY_SIZE]);
+        let sent = Client::new()
+            .send_through(Rc::new(gate), address, head, body)
+            .await;
+        let mut response = sent.expect("an answer");
+        let first = response.body.next().await.expect("a body");
+        if rest.is_empty() {
+            let end = response.body.next().await.expect("the end of the body");
+            assert_eq!(end, None);
+        } else {
+            revoke.notify_one();
+            task::yield_now().await;
+        }
+        release.send(()).expect("the endpoint waits");
+        let last = response.body.collect(BODY_SIZE).await;
+        let received = endpoint.await.expect("the endpoint runs");
+        assert_eq!(first.as_deref(), Some(&b"label"[..]), "{what}");
+        assert_eq!(last.as_deref(), Ok(rest.as_bytes()), "{what}");
+        assert!(received < BUFFERED_MAX, "{what}: received {received} bytes");
+    }
+}
+
 /// Guards against a request that is sent although its gate does not permit it (DRAIN), and against
 /// reporting it as possibly run.
 #[actix_rt::test]
