Close stalled uploads for new connections once no other is accepted

Cause: a request counted as in progress from the end of its head, and the table of connections closes idle ones and half heads only. Evidence: no answer and no refusal, while all readiness checks are answered in time; the bodies time out after 30 s.

Change: a phase of its own while the body is awaited. If no further connection can be accepted, the one that has waited longest for its head or body, for 3 s at least, is closed for each new one; nothing of it has been passed on. An order to close such a connection counts also if bytes are waiting.

--- a/src/listener/connection.rs
+++ b/src/listener/connection.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    idle::{Eviction, Reason},
+    idle::{Eviction, Phase},
     monitor::{Activity, Monitor},
     unread::Unread,
 };
@@ -78,12 +78,12 @@
     /// has arrived since, which the runtime may not have polled yet.
     fn poll_evicted(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while let Some(eviction) = ready!(self.evictions.poll_recv(cx)) {
-            let may_close = eviction.reason == Reason::Receiving || !self.has_unread();
+            let may_close = eviction.phase != Phase::Idle || !self.has_unread();
             if may_close && self.activity.is_unchanged(&eviction) {
                 let reason = eviction.reason.as_str();
                 metrics::counter!("caller_connections_closed_total", "reason" => reason)
                     .increment(1);
-                log::debug!(connection:% = eviction.id, reason; "idle connection is closed");
+                log::debug!(connection:% = eviction.id, reason; "connection without a complete request is closed");
                 self.evicted = true;
                 return Poll::Ready(());
             }
--- a/src/listener/idle.rs
+++ b/src/listener/idle.rs
@@ -18,8 +18,8 @@
 /// way.
 const REPLACED_IDLE_MIN: Duration = Duration::from_millis(100);
 
-/// Time after which a connection whose head is not complete is closed while no further connections can be
-/// accepted. Callers send a head within 3 s.
+/// Time after which a connection whose head or body is not complete is closed while no further connections can
+/// be accepted, the longest first. Callers send a head within 3 s.
 const REPLACED_RECEIVING_MIN: Duration = Duration::from_secs(3);
 
 /// Connections below the limit from which on none may be accepted any more.
@@ -59,6 +59,8 @@
     Idle,
     /// Bytes have arrived, but no complete head of a request.
     Receiving,
+    /// The head of a request is complete, and its body is awaited.
+    Uploading,
     /// A request is in progress, until its answer is complete.
     Serving,
 }
@@ -89,6 +91,8 @@
 pub(super) struct Eviction {
     pub(super) id: Id,
     pub(super) reason: Reason,
+    /// The phase that it is in.
+    pub(super) phase: Phase,
     /// When its phase last changed.
     pub(super) since: Instant,
 }
@@ -97,7 +101,7 @@
 struct State {
     phase: Phase,
     since: Instant,
-    /// When it is closed; `None` while it serves a request or is being closed.
+    /// When it is closed; `None` while a request is in progress, and while it is being closed.
     due: Option<Instant>,
     /// Whether it was decided to close it, unless it has changed since.
     closing: bool,
@@ -106,10 +110,10 @@
 impl State {
     /// From when on it may be closed for another one, unless it is being closed.
     fn replaceable_from(&self) -> Option<Instant> {
-        self.due?;
         match self.phase {
+            _ if self.closing => None,
             Phase::Idle => Some(self.since + REPLACED_IDLE_MIN),
-            Phase::Receiving => Some(self.since + REPLACED_RECEIVING_MIN),
+            Phase::Receiving | Phase::Uploading => Some(self.since + REPLACED_RECEIVING_MIN),
             Phase::Serving => None,
         }
     }
@@ -179,7 +183,7 @@
         let due = match phase {
             Phase::Idle => Some(now + idle_timeout),
             Phase::Receiving => Some(now + self.head_timeout),
-            Phase::Serving => None,
+            Phase::Uploading | Phase::Serving => None,
         };
         let former = std::mem::replace(
             state,
@@ -246,7 +250,7 @@
                     self.due.insert((later, id));
                     continue;
                 }
-                Phase::Idle | Phase::Serving => Reason::Idle,
+                Phase::Idle | Phase::Uploading | Phase::Serving => Reason::Idle,
                 Phase::Receiving => Reason::Receiving,
             };
             return Some(self.close(id, reason));
@@ -267,6 +271,7 @@
         Eviction {
             id,
             reason,
+            phase: state.phase,
             since: state.since,
         }
     }
--- a/src/listener/monitor.rs
+++ b/src/listener/monitor.rs
@@ -204,7 +204,8 @@
             ahead.clear();
             return true;
         }
-        if phase == Phase::Serving && !self.0.awaits_payload.get() {
+        let in_progress = matches!(phase, Phase::Uploading | Phase::Serving);
+        if in_progress && !self.0.awaits_payload.get() {
             let may_read = ahead.may_read();
             if !may_read {
                 self.0.reader.set(Some(cx.waker().clone()));
@@ -234,6 +235,18 @@
         }
     }
 
+    /// Records that the request in progress has a body, until [`end_upload`](Self::end_upload).
+    pub(super) fn begin_upload(&self) {
+        self.0.change(Phase::Uploading);
+    }
+
+    /// Records that the body of the request in progress is complete, or is not read any more.
+    pub(super) fn end_upload(&self) {
+        if self.0.phase.get() == Phase::Uploading {
+            self.0.change(Phase::Serving);
+        }
+    }
+
     /// Records that a part of the body of the request in progress was taken.
     pub(super) fn on_payload(&self, size: usize) {
         self.0.ahead.borrow_mut().take(size);
--- a/src/listener/payload.rs
+++ b/src/listener/payload.rs
@@ -28,6 +28,7 @@
     if matches!(payload, Payload::None) {
         return request;
     }
+    activity.begin_upload();
     let watched: BoxedPayloadStream = Box::pin(Watched { payload, activity });
     request
         .replace_payload(Payload::Stream { payload: watched })
@@ -45,8 +46,10 @@
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let part = Pin::new(&mut self.payload).poll_next(cx);
         self.activity.await_payload(part.is_pending());
-        if let Poll::Ready(Some(Ok(part))) = &part {
-            self.activity.on_payload(part.len());
+        match &part {
+            Poll::Ready(Some(Ok(part))) => self.activity.on_payload(part.len()),
+            Poll::Ready(_) => self.activity.end_upload(),
+            Poll::Pending => {}
         }
         part
     }
@@ -55,5 +58,6 @@
 impl Drop for Watched {
     fn drop(&mut self) {
         self.activity.await_payload(false);
+        self.activity.end_upload();
     }
 }
--- a/src/listener/tests.rs
+++ b/src/listener/tests.rs
@@ -28,10 +28,20 @@
 /// Limit of the wait for an event that follows by itself.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Answers at once, once it is released, after [`LONG`], or with a body that ends after [`LONG`], as the
-/// path says.
-async fn answer(request: HttpRequest, release: web::Data<Notify>) -> HttpResponse {
+/// Answers at once, once it is released, after [`LONG`], with a body that ends after [`LONG`], or once it has
+/// received the body of the request, as the path says.
+async fn answer(
+    request: HttpRequest,
+    payload: web::Payload,
+    release: web::Data<Notify>,
+) -> HttpResponse {
     match request.path() {
+        "/body" => {
+            let body = payload.to_bytes().await;
+            if body.is_err() {
+                return HttpResponse::BadRequest().finish();
+            }
+        }
         "/held" => release.notified().await,
         "/late" => time::sleep(LONG).await,
         "/long" => {
@@ -191,6 +201,69 @@
     insta::assert_snapshot!(outcome);
 }
 
+/// Guards against a listener that accepts no connection because requests whose bodies are not complete take all
+/// its places (RECOVER), and against closing one that serves a request.
+#[test]
+fn new_connections_replace_stalled_uploads() {
+    const CONNECTIONS_MAX: usize = 32;
+    let outcome = actix_rt::System::new().block_on(async {
+        let rig = Rig::open(CONNECTIONS_MAX, Duration::from_hours(1));
+        let mut held = rig.connect().await;
+        let held = actix_rt::spawn(async move { exchange(&mut held, "/held").await });
+        let mut crowd = Vec::new();
+        for _ in 0..2 * CONNECTIONS_MAX {
+            let mut caller = rig.connect().await;
+            let part = "POST /body HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+            let sent = caller.write_all(part.as_bytes()).await;
+            sent.expect("an open connection");
+            crowd.push(caller);
+        }
+        let mut answered = 0;
+        for _ in 0..4 {
+            let mut caller = rig.connect().await;
+            answered += usize::from(exchange(&mut caller, "/soon").await);
+        }
+        rig.release.notify_one();
+        let held = held.await.expect("a request");
+        rig.server.stop(false).await;
+        format!("{answered} ordinary requests were answered, and the held one: {held}")
+    });
+    insta::assert_snapshot!(outcome);
+}
+
+/// Guards against cutting an upload while there is room for others.
+#[test]
+fn slow_upload_is_received_while_there_is_room() {
+    let outcome = actix_rt::System::new().block_on(async {
+        let rig = Rig::open(64, IDLE_TIMEOUT);
+        let mut caller = rig.connect().await;
+        let head = "POST /body HTTP/1.1\r\nhost: a.example\r\ncontent-length: 6\r\n\r\n";
+        caller
+            .write_all(head.as_bytes())
+            .await
+            .expect("an open connection");
+        for part in ["abc", "def"] {
+            time::sleep(2 * IDLE_TIMEOUT).await;
+            caller
+                .write_all(part.as_bytes())
+                .await
+                .expect("an open connection");
+        }
+        let mut answer = Vec::new();
+        while !answer.windows(3).any(|bytes| bytes == b"end") {
+            let read = time::timeout(EVENT_TIMEOUT, caller.read_buf(&mut answer)).await;
+            assert!(matches!(read, Ok(Ok(1..))), "{read:?}");
+        }
+        rig.server.stop(false).await;
+        String::from_utf8_lossy(&answer)
+            .lines()
+            .next()
+            .unwrap_or_default()
+            .to_owned()
+    });
+    assert_eq!(outcome, "HTTP/1.1 200 OK");
+}
+
 /// Guards against closing a connection for a new one while its request may be on its way.
 #[test]
 fn connection_is_not_replaced_as_soon_as_it_is_idle() {
@@ -242,26 +315,30 @@
     insta::assert_debug_snapshot!(steps);
 }
 
-/// Guards against connections that stall in a head or send nothing, and take all places until the end of their
-/// own time limits (RECOVER). No more of them are closed than are needed.
+/// Guards against connections that stall in a head or a body, or send nothing, and take all places until the end
+/// of their own time limits (RECOVER). No more of them are closed than are needed.
 #[test]
 fn stalled_connections_are_closed_once_no_other_is_accepted() {
     let start = Instant::now();
     let limit = Duration::from_secs(10);
-    let mut table = Table::new(4, limit);
-    let ids = ["1", "2", "3"].map(|text| text.parse().expect("a number"));
-    for id in ids {
-        assert_eq!(table.open(id, start, limit), None);
-    }
-    let [first, second, third] = ids;
-    table.change(first, Phase::Receiving, start, limit);
-    table.change(second, Phase::Receiving, start, limit);
-    table.change(third, Phase::Serving, start, limit);
-    let steps = [2_999, 3_000, 3_001].map(|milliseconds| {
-        let now = start + Duration::from_millis(milliseconds);
-        let evicted = table.take_due(now, limit);
-        let evicted = evicted.map(|eviction| format!("{} {:?}", eviction.id, eviction.reason));
-        format!("at {milliseconds} ms: {evicted:?}")
+    let steps = [Phase::Receiving, Phase::Uploading].map(|phase| {
+        let mut table = Table::new(4, limit);
+        let ids = ["1", "2", "3"].map(|text| text.parse().expect("a number"));
+        for id in ids {
+            assert_eq!(table.open(id, start, limit), None);
+        }
+        let [first, second, third] = ids;
+        table.change(first, phase, start, limit);
+        table.change(second, phase, start, limit);
+        table.change(third, Phase::Serving, start, limit);
+        [2_999, 3_000, 3_001].map(|milliseconds| {
+            let now = start + Duration::from_millis(milliseconds);
+            let evicted = table.take_due(now, limit);
+            let evicted = evicted.map(|eviction| format!("{} {:?}", eviction.id, eviction.reason));
+            format!("at {milliseconds} ms: {evicted:?}")
+        })
     });
-    insta::assert_debug_snapshot!(steps);
+    let [heads, bodies] = steps;
+    assert_eq!(heads, bodies);
+    insta::assert_debug_snapshot!(heads);
 }
