Count the buffer of a body before it grows

Cause: a body was counted after its buffer had grown, also one that was refused then, and each growth left a smaller buffer to the allocator. Change: the growth is counted first, and once a quarter of an announced body has arrived, the rest is allocated at once.

--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -16,21 +16,26 @@
 /// Timeout for receiving a request body, so that a slow sender does not occupy a task.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The whole buffer of a body is allocated once this fraction of its announced length has arrived, as its
+/// reciprocal.
+const ANNOUNCED_FRACTION: usize = 4;
+
 /// Longest field name that is quoted in an error, in bytes.
 const MAX_FIELD_NAME: usize = 64;
 
 /// Receives a request body of at most `limit` bytes.
 pub(crate) async fn read_body(payload: Payload, limit: unit::Bytes) -> Result<Bytes> {
-    read_held_body(payload, limit, &mut Reservation::uncounted()).await
+    read_held_body(payload, None, limit, &mut Reservation::uncounted()).await
 }
 
 /// Receives a request body of at most `limit` bytes, which are counted in `held`.
 pub(crate) async fn read_held_body(
     payload: Payload,
+    announced: Option<u64>,
     limit: unit::Bytes,
     held: &mut Reservation,
 ) -> Result<Bytes> {
-    time::timeout(BODY_TIMEOUT, collect(payload, limit, held))
+    time::timeout(BODY_TIMEOUT, collect(payload, announced, limit, held))
         .await
         .map_err(|_elapsed| Error::new(Kind::RequestTimeout, "the body came too slowly"))?
 }
@@ -61,6 +66,7 @@
 
 async fn collect(
     mut payload: Payload,
+    announced: Option<u64>,
     limit: unit::Bytes,
     held: &mut Reservation,
 ) -> Result<Bytes> {
@@ -72,12 +78,25 @@
         if (body.len() + part.len()) as u64 > limit.get() {
             return Err(too_large(limit));
         }
+        let length = body.len() + part.len();
+        if length > body.capacity() {
+            let capacity = grown_capacity(length, announced);
+            held.resize(capacity)?;
+            body.reserve(capacity - body.len());
+        }
         body.extend_from_slice(&part);
-        held.resize(body.capacity())?;
     }
     Ok(body.freeze())
 }
 
+/// Capacity for a body of which `length` bytes have arrived: that of the announced body once a part of it has
+/// arrived, since each growth leaves a smaller buffer behind, and else twice as much.
+fn grown_capacity(length: usize, announced: Option<u64>) -> usize {
+    let announced = announced.and_then(|announced| usize::try_from(announced).ok());
+    let whole = announced.filter(|announced| length * ANNOUNCED_FRACTION >= *announced);
+    whole.map_or(length * 2, |announced| announced.max(length))
+}
+
 /// Parses a JSON body. Errors contain the position and the field name, but no values.
 pub(super) fn json<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
     serde_json::from_slice(body).map_err(|error| {
--- a/src/ingress/serve.rs
+++ b/src/ingress/serve.rs
@@ -95,11 +95,12 @@
     let customer = authenticate(request, &plan, &route, confirmed, context)?;
     let limits = plan.limits();
     check_head(request.headers(), limits.head)?;
-    receive::check_announced(announced_length(request.headers()), limits.body, held)?;
+    let announced = announced_length(request.headers());
+    receive::check_announced(announced, limits.body, held)?;
     let arrived = context.ports.clock.now();
     let shutdown = context.config.shutdown.clone();
     let body = tokio::select! {
-        body = receive::read_held_body(payload, limits.body, held) => body?,
+        body = receive::read_held_body(payload, announced, limits.body, held) => body?,
         () = shutdown.cut(&*context.ports.clock) => return Err(leaving()),
     };
     let mut call = context.config.protocol.decode(request, body, arrived)?;
