--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -207,7 +207,8 @@
 }
 
 impl Drop for Member {
-    /// Withholds the requests that are still on their way to the endpoint, unless it had left before.
+    /// Withholds the requests that are still on their way to the endpoint. They are ended at once, unless
+    /// [`set_removed`](Self::set_removed) has stated how long they may be sent.
     fn drop(&mut self) {
         self.evidence
             .send_modify(|evidence| evidence.listing = Listing::Removed);
--- a/src/front/receive.rs
+++ b/src/front/receive.rs
@@ -16,9 +16,9 @@
 /// Timeout for receiving a request body, so that a slow sender does not occupy a task.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The whole buffer of a body is allocated once this fraction of its announced length has arrived, as its
+/// Part of the announced length of a body that has to arrive before the whole buffer is allocated, as its
 /// reciprocal.
-const ANNOUNCED_FRACTION: usize = 4;
+const ANNOUNCED_DIVISOR: usize = 4;
 
 /// Longest field name that is quoted in an error, in bytes.
 const MAX_FIELD_NAME: usize = 64;
@@ -89,11 +89,11 @@
     Ok(body.freeze())
 }
 
-/// Capacity for a body of which `length` bytes have arrived: that of the announced body once a part of it has
-/// arrived, since each growth leaves a smaller buffer behind, and else twice as much.
+/// Capacity of the buffer of a body of which `length` bytes have arrived. The announced length is not allocated
+/// for a caller that has sent little of it; later it is, since each growth leaves a smaller buffer behind.
 fn grown_capacity(length: usize, announced: Option<u64>) -> usize {
     let announced = announced.and_then(|announced| usize::try_from(announced).ok());
-    let whole = announced.filter(|announced| length * ANNOUNCED_FRACTION >= *announced);
+    let whole = announced.filter(|announced| length * ANNOUNCED_DIVISOR >= *announced);
     whole.map_or(length * 2, |announced| announced.max(length))
 }
 
--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -407,7 +407,7 @@
         let after: Vec<_> = self.directory.instances().map(Arc::clone).collect();
         // Heartbeats do not change the instances, so they are not sent to the dispatcher.
         if before != after {
-            self.note_any(&after);
+            self.set_any_known(&after);
             self.dispatcher.do_send(SetInstances(after));
         }
         if confirms {
@@ -418,12 +418,12 @@
     fn expire(&mut self) {
         if self.directory.expire(self.clock.now()) {
             let instances: Vec<_> = self.directory.instances().map(Arc::clone).collect();
-            self.note_any(&instances);
+            self.set_any_known(&instances);
             self.dispatcher.do_send(ExpireInstances(instances));
         }
     }
 
-    fn note_any(&self, instances: &[Arc<directory::Instance>]) {
+    fn set_any_known(&self, instances: &[Arc<directory::Instance>]) {
         let any = !instances.is_empty();
         self.any_known
             .send_if_modified(|known| std::mem::replace(known, any) != any);
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -33,7 +33,7 @@
 const BACKOFF_TICKS_MAX: u32 = 4;
 /// Most by which the estimates of the time of two gateways differ.
 const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
-/// Time after which a peer that was not heard counts as not linked. Linked peers send a digest each
+/// Time without a digest after which a peer counts as not linked. Linked peers send a digest each
 /// second.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
 
@@ -66,7 +66,7 @@
     time: TrueTime,
     tally: Tally,
     roster: Roster,
-    heard: BTreeMap<Process, Heard>,
+    last_digests: BTreeMap<Process, LastDigest>,
     history: History,
     /// Era that the store states.
     era: watch::Receiver<Option<Era>>,
@@ -89,8 +89,8 @@
 
 /// The last digest of a peer.
 #[derive(Clone, Copy, Debug)]
-struct Heard {
-    at: Instant,
+struct LastDigest {
+    received_at: Instant,
     /// The last window whose report may have been sent, as far as the peer knows; `None` if it does not say.
     sent: Option<Window>,
 }
@@ -122,7 +122,7 @@
         config,
         tally: Tally::default(),
         roster: Roster::new(),
-        heard: BTreeMap::new(),
+        last_digests: BTreeMap::new(),
         history: History::default(),
         term: None,
         written: BTreeSet::new(),
@@ -168,11 +168,6 @@
     Counted(Tally),
 }
 
-/// What the store holds after a [`Preparation`].
-struct Prepared {
-    stored: BTreeMap<Window, Content>,
-}
-
 impl Reporter {
     fn now(&self) -> Duration {
         self.time.estimate(self.config.clock.now())
@@ -185,10 +180,10 @@
     }
 
     /// The last digest of a peer, if it is linked.
-    fn linked(&self, process: &Process) -> Option<Heard> {
+    fn linked(&self, process: &Process) -> Option<LastDigest> {
         let now = self.config.clock.now();
-        let heard = self.heard.get(process).copied();
-        heard.filter(|heard| now.saturating_duration_since(heard.at) < SILENT_AFTER)
+        let last = self.last_digests.get(process).copied();
+        last.filter(|last| now.saturating_duration_since(last.received_at) < SILENT_AFTER)
     }
 
     fn own_run(&self) -> (Process, Incarnation) {
@@ -263,7 +258,7 @@
         }
     }
 
-    /// Writes the counts of the last window to the store, if some gateway does not hear this one.
+    /// Writes the counts of the last window to the store, if some gateway is not linked with this one.
     fn write_counts(&mut self, now: Duration, ctx: &mut Context<Self>) {
         let Some(window) = self.config.spec.open_window(now).get().checked_sub(1) else {
             return;
@@ -338,7 +333,7 @@
             }
             (None, None) if !self.is_certain(window, term.since) => {
                 if is_urgent {
-                    let why = "a gateway that may have reported it was not heard";
+                    let why = "a gateway that may have reported it sends no digests";
                     return Step::GiveUp(window, why);
                 }
                 return Step::Wait;
@@ -361,20 +356,20 @@
     fn is_acknowledged(&self, window: Window, is_urgent: bool) -> bool {
         let mut others = self.others();
         others.all(|process| match self.linked(process) {
-            Some(heard) => heard.sent.is_none_or(|sent| sent >= window),
+            Some(last) => last.sent.is_none_or(|sent| sent >= window),
             None => is_urgent,
         })
     }
 
-    /// Whether the report of a window was fixed by no gateway that lives. One could have been fixed without
-    /// a trace in the store if the window was closed at the start of this process, or when the store was
-    /// restored; then all gateways must have been heard in this term.
+    /// Whether no gateway that runs has fixed the report of a window. One could have done so without a trace
+    /// in the store if the window was closed at the start of this process, or when the store was restored;
+    /// then all gateways must have sent a digest in this term.
     fn is_certain(&self, window: Window, term_since: Instant) -> bool {
         let certain_since = self.time.estimate(self.certain_since) + CLOCK_SKEW_MAX;
         window >= self.config.spec.open_window(certain_since)
             || self.others().all(|process| {
-                let heard = self.heard.get(process);
-                heard.is_some_and(|heard| heard.at >= term_since)
+                let last = self.last_digests.get(process);
+                last.is_some_and(|last| last.received_at >= term_since)
             })
     }
 
@@ -403,8 +398,8 @@
         ctx.spawn(prepared.into_actor(self).map(move |prepared, usage, ctx| {
             usage.busy = false;
             match prepared {
-                Ok(prepared) => {
-                    usage.record_stored(token, prepared);
+                Ok(stored) => {
+                    usage.record_stored(token, stored);
                     usage.awaits_peers = true;
                     usage.send_if_acknowledged(ctx);
                 }
@@ -417,15 +412,15 @@
     }
 
     /// Notes what the store holds, unless it was restored since, or the term has ended.
-    fn record_stored(&mut self, token: Token, prepared: Prepared) {
+    fn record_stored(&mut self, token: Token, stored: BTreeMap<Window, Content>) {
         self.observe_era();
         let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
             return;
         };
-        for (window, content) in &prepared.stored {
+        for (window, content) in &stored {
             self.history.record_content(*window, content);
         }
-        term.stored = Some(prepared.stored);
+        term.stored = Some(stored);
     }
 
     /// Continues without waiting for the next tick if the peers know of the report by now.
@@ -478,14 +473,15 @@
     }
 }
 
-/// Reads the reports, unless they are known, and creates the proposed one if it is missing.
+/// Reads the reports, unless they are known, and creates the proposed one if it is missing. Returns what the
+/// store holds.
 async fn prepare(
     preparation: Preparation,
     stored: Option<BTreeMap<Window, Content>>,
     store: &dyn Store,
     root: &Path,
     own: &(Process, Incarnation),
-) -> Result<Prepared> {
+) -> Result<BTreeMap<Window, Content>> {
     let Preparation {
         window,
         content,
@@ -501,14 +497,14 @@
             entry::merge_counts(store, root, own, window, &mut tally).await?;
             Arc::new(tally.report(window))
         }
-        Proposal::None => return Ok(Prepared { stored }),
+        Proposal::None => return Ok(stored),
     };
     if !stored.contains_key(&window) {
         let created = entry::create_report(store, root, window, &content, &old).await?;
         stored.retain(|window, _| !old.contains(window));
         stored.insert(window, created);
     }
-    Ok(Prepared { stored })
+    Ok(stored)
 }
 
 impl Actor for Reporter {
@@ -554,11 +550,11 @@
 
     fn handle(&mut self, msg: PeerCounts, ctx: &mut Context<Self>) {
         let now = self.config.clock.now();
-        let heard = Heard {
-            at: now,
+        let last = LastDigest {
+            received_at: now,
             sent: msg.time.sent,
         };
-        self.heard.insert(msg.process.clone(), heard);
+        self.last_digests.insert(msg.process.clone(), last);
         let time = Duration::from_millis(msg.time.unix_ms);
         self.time.observe(&msg.process, time, now);
         self.history.merge(msg.time.sent, msg.time.reported);
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -409,7 +409,7 @@
         let [holder, peer] = &gateways;
         holder.count("fida11", 2);
         holder.hold(Some(4));
-        // The peer is heard, and does not hear the holder.
+        // Digests pass from the peer to the holder only.
         for _ in 0..28 {
             peer.tell("g1", holder).await;
             timer::sleep(Duration::from_millis(500)).await;
