Report windows that were closed before the holder started

Cause: since a holder that had just started gave up the windows that were closed before its start, unless it had heard all registered gateways in its term; and it waited for a tick between the search for a content, its creation and the call. While gateways are restarted in turn and the store is away, some reports were missing or 0.3 s late.

Change: digests over a new link state the era of the store and for how long it has been known. A process relies on the first peer that knows the same era, also if its own store client has not stated one yet, or the store states none. The holder goes on at once when no more has to be known first. `TrueTime::own` took an instant before the start of the process for its start.

--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -24,7 +24,7 @@
     peers::{GatewaysChanged, Roster},
     store::{Era, Path, Store},
     unit::as_f64,
-    wire::UsageTime,
+    wire::{KnownEra, UsageTime},
 };
 
 /// Interval at which windows are checked.
@@ -70,9 +70,11 @@
     history: History,
     /// Era that the store states.
     era: watch::Receiver<Option<Era>>,
-    /// Since when this process has known all reports that were fixed: since its start, or since it saw that
-    /// the store was restored.
-    certain_since: Instant,
+    /// Since when this process has known the era of the store.
+    era_known_since: Instant,
+    /// The newest era that peers have stated, and since when the first of them has known it. It may be stated
+    /// before this process has heard from the store.
+    era_of_peers: Option<(Option<u64>, Instant)>,
     /// The current term, if this process is the holder.
     term: Option<Term>,
     /// Windows whose counts this process has written to the store.
@@ -117,7 +119,8 @@
 pub fn spawn(config: Config) -> Addr<Reporter> {
     let usage = Reporter {
         time: TrueTime::new(config.clock.wall(), config.clock.now()),
-        certain_since: config.clock.now(),
+        era_known_since: config.clock.now(),
+        era_of_peers: None,
         era: config.store.era(),
         config,
         tally: Tally::default(),
@@ -186,6 +189,41 @@
         last.filter(|last| now.saturating_duration_since(last.received_at) < SILENT_AFTER)
     }
 
+    fn era_number(&self) -> Option<u64> {
+        self.era.borrow().map(Era::get)
+    }
+
+    /// The era of the store, and for how long it is known; `None` until a change has been noted.
+    fn known_era(&self) -> Option<KnownEra> {
+        if self.era.has_changed().unwrap_or(false) {
+            return None;
+        }
+        let now = self.config.clock.now();
+        Some(KnownEra {
+            number: self.era_number(),
+            age: now.saturating_duration_since(self.certain_since()),
+        })
+    }
+
+    /// Since when the store has lost no report, as far as this process and its peers know.
+    fn certain_since(&self) -> Instant {
+        self.era_of_peers
+            .filter(|(number, _)| self.era_number() == *number)
+            .map_or(self.era_known_since, |(_, since)| {
+                since.min(self.era_known_since)
+            })
+    }
+
+    /// Notes for how long a peer has known an era.
+    fn observe_era_of_peer(&mut self, known: KnownEra, now: Instant) {
+        let since = now.checked_sub(known.age).unwrap_or(now);
+        match &mut self.era_of_peers {
+            Some((number, _)) if *number > known.number => {}
+            Some((number, first)) if *number == known.number => *first = since.min(*first),
+            era_of_peers => *era_of_peers = Some((known.number, since)),
+        }
+    }
+
     fn own_run(&self) -> (Process, Incarnation) {
         (self.config.process.clone(), self.config.incarnation)
     }
@@ -229,7 +267,7 @@
         }
         let era = *self.era.borrow_and_update();
         // The first answer states an era, too.
-        self.certain_since = self.config.clock.now();
+        self.era_known_since = self.config.clock.now();
         self.term = None;
         self.lost = self.history.open_contents();
         if !self.lost.is_empty() {
@@ -365,7 +403,7 @@
     /// in the store if the window was closed at the start of this process, or when the store was restored;
     /// then all gateways must have sent a digest in this term.
     fn is_certain(&self, window: Window, term_since: Instant) -> bool {
-        let certain_since = self.time.estimate(self.certain_since) + CLOCK_SKEW_MAX;
+        let certain_since = self.time.estimate(self.certain_since()) + CLOCK_SKEW_MAX;
         window >= self.config.spec.open_window(certain_since)
             || self.others().all(|process| {
                 let last = self.last_digests.get(process);
@@ -400,8 +438,7 @@
             match prepared {
                 Ok(stored) => {
                     usage.record_stored(token, stored);
-                    usage.awaits_peers = true;
-                    usage.send_if_acknowledged(ctx);
+                    usage.proceed(ctx);
                 }
                 Err(error) => {
                     log::info!(error:% = error; "usage: no report was sent; retrying");
@@ -423,15 +460,19 @@
         term.stored = Some(stored);
     }
 
-    /// Continues without waiting for the next tick if the peers know of the report by now.
-    fn send_if_acknowledged(&mut self, ctx: &mut Context<Self>) {
-        if !self.awaits_peers || self.ticks_to_pass > 0 {
+    /// Continues without waiting for the next tick, unless more has to be known first.
+    fn proceed(&mut self, ctx: &mut Context<Self>) {
+        if self.ticks_to_pass > 0 {
             return;
         }
-        match self.next_step() {
-            Step::AwaitPeers => {}
+        let step = self.next_step();
+        self.awaits_peers = matches!(step, Step::AwaitPeers);
+        match step {
             Step::Send(..) => self.advance(ctx),
-            _ => self.awaits_peers = false,
+            Step::Prepare(Preparation { content, .. }) if !matches!(content, Proposal::None) => {
+                self.advance(ctx);
+            }
+            _ => {}
         }
     }
 
@@ -540,6 +581,7 @@
                 open: self.config.spec.open_window(self.now()),
                 reported: self.history.accepted(),
                 sent: Some(self.history.sent().unwrap_or_default()),
+                era: all.then(|| self.known_era()).flatten(),
             },
         })
     }
@@ -558,9 +600,14 @@
         let time = Duration::from_millis(msg.time.unix_ms);
         self.time.observe(&msg.process, time, now);
         self.history.merge(msg.time.sent, msg.time.reported);
+        if let Some(known) = msg.time.era {
+            self.observe_era_of_peer(known, now);
+        }
         let peer = (msg.process, msg.incarnation);
         self.tally.merge(peer, &msg.begun, msg.time.open);
-        self.send_if_acknowledged(ctx);
+        if self.awaits_peers {
+            self.proceed(ctx);
+        }
     }
 }
 
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -68,10 +68,13 @@
     insta::assert_debug_snapshot!((changes, report, open, closed, tally.report(Window::new(7))));
 }
 
-/// Guards against a window that is counted by a wall clock that has jumped.
+/// Guards against a window that is counted by a wall clock that has jumped, and against a time before the start
+/// of the process that is taken for its start.
 #[test]
 fn time_is_the_median() {
     let clock = Manual::new();
+    let before = clock.now();
+    clock.advance(Duration::from_secs(2));
     let mut time = TrueTime::new(UNIX_EPOCH + Duration::from_millis(102_400), clock.now());
     let mut seen = vec![time.estimate(clock.now())];
     clock.advance(Duration::from_secs(1));
@@ -86,6 +89,7 @@
     }
     clock.advance(Duration::from_mins(1));
     seen.push(time.estimate(clock.now()));
+    seen.push(time.estimate(before));
     insta::assert_debug_snapshot!(seen);
 }
 
@@ -93,6 +97,12 @@
 #[derive(Debug)]
 struct Fixed(Instant);
 
+impl Fixed {
+    fn shared() -> crate::clock::Shared {
+        Arc::new(Self(System.now()))
+    }
+}
+
 impl Clock for Fixed {
     fn now(&self) -> Instant {
         System.now()
@@ -150,10 +160,9 @@
 }
 
 impl Gateway {
-    fn start(name: &str, store: &Memory) -> Self {
+    fn start(name: &str, store: &Memory, clock: &crate::clock::Shared) -> Self {
         let (duties, store) = (FakeDuties::default(), store.client());
         let address = duties.clone().start();
-        let clock: crate::clock::Shared = Arc::new(Fixed(System.now()));
         let reporter = spawn(Config {
             process: process(name),
             incarnation: Incarnation::from_bytes([name.as_bytes()[1]; 8]),
@@ -163,7 +172,7 @@
             store: Rc::new(store.clone()),
             root: "/duties".parse().expect("a path"),
             monotonic: System::shared(),
-            clock,
+            clock: Arc::clone(clock),
         });
         let items = ["g0", "g1", "g2"].map(|name| Item {
             path: format!("/gateways/{name}").parse().expect("a path"),
@@ -238,8 +247,8 @@
 #[test]
 fn next_holder_sends_the_same_report() {
     with_paused_time(async {
-        let store = Memory::new(System::shared());
-        let gateways = ["g0", "g1", "g2"].map(|name| Gateway::start(name, &store));
+        let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+        let gateways = ["g0", "g1", "g2"].map(|name| Gateway::start(name, &store, &clock));
         let [first, second, killed] = &gateways;
         let links = [("g0", first), ("g1", second), ("g2", killed)];
         killed.count("hule930", 3);
@@ -266,8 +275,8 @@
 #[test]
 fn unlinked_gateway_reports_over_the_store() {
     with_paused_time(async {
-        let store = Memory::new(System::shared());
-        let gateways = ["g0", "g1"].map(|name| Gateway::start(name, &store));
+        let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+        let gateways = ["g0", "g1"].map(|name| Gateway::start(name, &store, &clock));
         let [holder, unlinked] = &gateways;
         holder.count("fida11", 2);
         unlinked.count("fida11", 7);
@@ -309,8 +318,8 @@
 /// different counts.
 async fn report_across_a_restore(former: Former, first_answer: Option<Answer>) -> String {
     const NAMES: [&str; 3] = ["g0", "g1", "g2"];
-    let store = Memory::new(System::shared());
-    let mut gateways = NAMES.map(|name| Gateway::start(name, &store));
+    let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+    let mut gateways = NAMES.map(|name| Gateway::start(name, &store, &clock));
     gateways[0].count("hule930", 3);
     gateways[1].count("fida11", 2);
     gateways[0].hold(Some(4));
@@ -337,7 +346,7 @@
     }
     if former == Former::IsReplaced {
         gateways[2].store.set_faults(down);
-        gateways[2] = Gateway::start("g2", &store);
+        gateways[2] = Gateway::start("g2", &store, &clock);
     }
     store.restore(copy);
     let begun = RequestBegun {
@@ -404,8 +413,8 @@
 #[test]
 fn report_is_sent_once_linked_gateways_know_of_it() {
     with_paused_time(async {
-        let store = Memory::new(System::shared());
-        let gateways = ["g0", "g1"].map(|name| Gateway::start(name, &store));
+        let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+        let gateways = ["g0", "g1"].map(|name| Gateway::start(name, &store, &clock));
         let [holder, peer] = &gateways;
         holder.count("fida11", 2);
         holder.hold(Some(4));
@@ -419,3 +428,60 @@
         insta::assert_debug_snapshot!((before, holder.reports()));
     });
 }
+
+/// When a gateway that has just started hears from the store and from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Started {
+    /// From the store at once, and never from the peer.
+    Unlinked,
+    /// From both at once.
+    Linked,
+    /// From the peer first.
+    LinkedFirst,
+    /// From both at once, and the store states no era.
+    LinkedWithoutEra,
+}
+
+/// Guards against missing reports when a gateway that has just started becomes the holder, although a peer knows
+/// that the store was not restored since the windows were closed.
+#[test]
+fn new_holder_relies_on_peers_that_know_the_era() {
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for started in [
+            Started::Unlinked,
+            Started::Linked,
+            Started::LinkedFirst,
+            Started::LinkedWithoutEra,
+        ] {
+            let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+            let peer = Gateway::start("g1", &store, &clock);
+            if started != Started::LinkedWithoutEra {
+                store.restore(store.back_up());
+            }
+            timer::sleep(Duration::from_secs(11)).await;
+            peer.count("fida11", 2);
+            timer::sleep(Duration::from_secs(5)).await;
+            // Gateway g0 is registered and does not run. The store of the holder states no era before a restore.
+            let store = match started {
+                Started::LinkedFirst => Memory::new(System::shared()),
+                _ => store,
+            };
+            let holder = Gateway::start("g2", &store, &clock);
+            let links = [("g1", &peer), ("g2", &holder)];
+            let linked = match started {
+                Started::Unlinked => &links[1..],
+                _ => &links,
+            };
+            run_links(linked, 1).await;
+            if started == Started::LinkedFirst {
+                store.restore(store.back_up());
+            }
+            holder.hold(Some(4));
+            run_links(linked, 9).await;
+            outcomes.push((started, holder.reports()));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
--- a/src/usage/time.rs
+++ b/src/usage/time.rs
@@ -27,10 +27,14 @@
         }
     }
 
-    /// Unix time by the wall clock at the start of this process.
+    /// Unix time by the wall clock at the start of this process. `now` may lie before the start.
     #[must_use]
     pub fn own(&self, now: Instant) -> Duration {
-        self.wall + now.saturating_duration_since(self.start)
+        let (after, before) = (
+            now.saturating_duration_since(self.start),
+            self.start.saturating_duration_since(now),
+        );
+        (self.wall + after).saturating_sub(before)
     }
 
     /// Notes what a peer's own time was when `now` was reached here.
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -410,6 +410,21 @@
     /// The last window whose report may have been sent; `None` for a gateway that does not state it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub sent: Option<Window>,
+    /// The era of the store, in the first digest of a link.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<KnownEra>,
+}
+
+/// An era of the store, and for how long a gateway has known it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct KnownEra {
+    /// Number of the era; `None` if the store has stated none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<u64>,
+    /// Time since the gateway saw it first, encoded in whole milliseconds.
+    #[serde(with = "millis")]
+    pub age: Duration,
 }
 
 /// What a gateway knows of the plan when it sends a digest. Times are encoded in whole milliseconds.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,9 +21,9 @@
 pub use codec::{Error, FRAME_MAX, decode, encode};
 pub use imp::{
     Answer, Begun, Cancel, Change, Chunk, Crash, Credit, Digest, Document, Done, End, Fail, Fetch,
-    Frame, Generate, Hello, Invoke, Load, Lookup, Message, Occupancy, Order, Outcome, PROTOCOL,
-    PartReport, PlanConfirmation, PlanState, Prompt, Recorded, Report, Role, Sampling, Submit,
-    Usage, UsageTime, Verdict, Work,
+    Frame, Generate, Hello, Invoke, KnownEra, Load, Lookup, Message, Occupancy, Order, Outcome,
+    PROTOCOL, PartReport, PlanConfirmation, PlanState, Prompt, Recorded, Report, Role, Sampling,
+    Submit, Usage, UsageTime, Verdict, Work,
 };
 
 /// Result of encoding or decoding a frame.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -65,14 +65,15 @@
 }
 
 /// Guards against a digest that a gateway of an earlier version cannot read, or whose digests cannot be read,
-/// since it does not state which reports may have been sent.
+/// since it does not state which reports may have been sent, and the era of the store.
 #[test]
-fn sent_reports_are_optional_in_digests() {
+fn sent_reports_and_era_are_optional_in_digests() {
     let time = crate::wire::UsageTime {
         unix_ms: 1_767_225_600_500,
         open: crate::id::Window::new(353_445_120),
         reported: None,
         sent: None,
+        era: None,
     };
     let frame = Frame::Digest(Digest {
         time: Some(time),
@@ -80,7 +81,7 @@
     });
     let bytes = encode(&frame).expect("small frame");
     let text = String::from_utf8_lossy(&bytes);
-    assert!(!text.contains("sent"), "{text}");
+    assert!(!text.contains("sent") && !text.contains("era"), "{text}");
     assert_eq!(decode(&bytes).expect("valid"), frame);
 }
 
@@ -136,6 +137,10 @@
                 open: crate::id::Window::new(353_445_120),
                 reported: None,
                 sent: Some(crate::id::Window::new(353_445_119)),
+                era: Some(crate::wire::KnownEra {
+                    number: Some(2),
+                    age: Duration::from_millis(7_500),
+                }),
             }),
             plan: Some(PlanState {
                 sent: Duration::from_secs(90),
