Move what is known of the store's era out of the usage actor

StoreEra holds the era that the store states, and since when this process and its peers know it; the wire uses the newtype Era for it.

--- a/src/store/imp.rs
+++ b/src/store/imp.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeSet, fmt, str::FromStr, time::Duration};
 
 use futures_util::{future::LocalBoxFuture, stream::LocalBoxStream};
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use super::Result;
@@ -61,6 +62,8 @@
 /// numbers are given out again after a restore, so they are comparable only within an era. A store
 /// that does not state an era has only the default one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Era(u64);
 
 impl Era {
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -10,11 +10,10 @@
     Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, MessageResult, Recipient,
     WrapFuture,
 };
-use tokio::sync::watch;
 
 use super::{
     Counts, History, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime, entry,
-    history::Content,
+    era::StoreEra, history::Content,
 };
 use crate::{
     clock::Shared,
@@ -22,9 +21,9 @@
     error::{Error, Kind},
     id::{Incarnation, Process, Window},
     peers::{GatewaysChanged, Roster},
-    store::{Era, Path, Store},
+    store::{Path, Store},
     unit::as_f64,
-    wire::{KnownEra, UsageTime},
+    wire::UsageTime,
 };
 
 /// Interval at which windows are checked.
@@ -68,13 +67,7 @@
     roster: Roster,
     last_digests: BTreeMap<Process, LastDigest>,
     history: History,
-    /// Era that the store states.
-    era: watch::Receiver<Option<Era>>,
-    /// Since when this process has known the era of the store.
-    era_known_since: Instant,
-    /// The newest era that peers have stated, and since when the first of them has known it. It may be stated
-    /// before this process has heard from the store.
-    era_of_peers: Option<(Option<u64>, Instant)>,
+    era: StoreEra,
     /// The current term, if this process is the holder.
     term: Option<Term>,
     /// Windows whose counts this process has written to the store.
@@ -119,9 +112,7 @@
 pub fn spawn(config: Config) -> Addr<Reporter> {
     let usage = Reporter {
         time: TrueTime::new(config.clock.wall(), config.clock.now()),
-        era_known_since: config.clock.now(),
-        era_of_peers: None,
-        era: config.store.era(),
+        era: StoreEra::new(config.store.era(), config.clock.now()),
         config,
         tally: Tally::default(),
         roster: Roster::new(),
@@ -189,41 +180,6 @@
         last.filter(|last| now.saturating_duration_since(last.received_at) < SILENT_AFTER)
     }
 
-    fn era_number(&self) -> Option<u64> {
-        self.era.borrow().map(Era::get)
-    }
-
-    /// The era of the store, and for how long it is known; `None` until a change has been noted.
-    fn known_era(&self) -> Option<KnownEra> {
-        if self.era.has_changed().unwrap_or(false) {
-            return None;
-        }
-        let now = self.config.clock.now();
-        Some(KnownEra {
-            number: self.era_number(),
-            age: now.saturating_duration_since(self.certain_since()),
-        })
-    }
-
-    /// Since when the store has lost no report, as far as this process and its peers know.
-    fn certain_since(&self) -> Instant {
-        self.era_of_peers
-            .filter(|(number, _)| self.era_number() == *number)
-            .map_or(self.era_known_since, |(_, since)| {
-                since.min(self.era_known_since)
-            })
-    }
-
-    /// Notes for how long a peer has known an era.
-    fn observe_era_of_peer(&mut self, known: KnownEra, now: Instant) {
-        let since = now.checked_sub(known.age).unwrap_or(now);
-        match &mut self.era_of_peers {
-            Some((number, _)) if *number > known.number => {}
-            Some((number, first)) if *number == known.number => *first = since.min(*first),
-            era_of_peers => *era_of_peers = Some((known.number, since)),
-        }
-    }
-
     fn own_run(&self) -> (Process, Incarnation) {
         (self.config.process.clone(), self.config.incarnation)
     }
@@ -262,16 +218,13 @@
 
     /// Notes whether the store was restored from a copy. It may have lost what it had acknowledged.
     fn observe_era(&mut self) {
-        if !self.era.has_changed().unwrap_or(false) {
+        if !self.era.observe(self.config.clock.now()) {
             return;
         }
-        let era = *self.era.borrow_and_update();
-        // The first answer states an era, too.
-        self.era_known_since = self.config.clock.now();
         self.term = None;
         self.lost = self.history.open_contents();
         if !self.lost.is_empty() {
-            log::info!(era:? = era.map(|era| era.to_string()), reports = self.lost.len();
+            log::info!(era:% = self.era, reports = self.lost.len();
                 "usage: the store was restored; reports are created again");
         }
     }
@@ -403,7 +356,7 @@
     /// in the store if the window was closed at the start of this process, or when the store was restored;
     /// then all gateways must have sent a digest in this term.
     fn is_certain(&self, window: Window, term_since: Instant) -> bool {
-        let certain_since = self.time.estimate(self.certain_since()) + CLOCK_SKEW_MAX;
+        let certain_since = self.time.estimate(self.era.known_since()) + CLOCK_SKEW_MAX;
         window >= self.config.spec.open_window(certain_since)
             || self.others().all(|process| {
                 let last = self.last_digests.get(process);
@@ -572,7 +525,8 @@
     type Result = MessageResult<TakeCounts>;
 
     fn handle(&mut self, TakeCounts { all }: TakeCounts, _: &mut Context<Self>) -> Self::Result {
-        let own = self.time.own(self.config.clock.now());
+        let now = self.config.clock.now();
+        let own = self.time.own(now);
         MessageResult(Counts {
             changes: self.tally.take_changes(),
             all: all.then(|| self.tally.own()),
@@ -581,7 +535,7 @@
                 open: self.config.spec.open_window(self.now()),
                 reported: self.history.accepted(),
                 sent: Some(self.history.sent().unwrap_or_default()),
-                era: all.then(|| self.known_era()).flatten(),
+                era: all.then(|| self.era.known(now)).flatten(),
             },
         })
     }
@@ -601,7 +555,7 @@
         self.time.observe(&msg.process, time, now);
         self.history.merge(msg.time.sent, msg.time.reported);
         if let Some(known) = msg.time.era {
-            self.observe_era_of_peer(known, now);
+            self.era.observe_peer(known, now);
         }
         let peer = (msg.process, msg.incarnation);
         self.tally.merge(peer, &msg.begun, msg.time.open);
--- /dev/null
+++ b/src/usage/era.rs
@@ -0,0 +1,79 @@
+use std::{fmt, time::Instant};
+
+use tokio::sync::watch;
+
+use crate::{store::Era, wire::KnownEra};
+
+/// The era of the store, and since when it is known. The store has lost no report in that time.
+#[derive(Debug)]
+pub struct StoreEra {
+    stated: watch::Receiver<Option<Era>>,
+    /// Since when this process has known the era: its start, or the last change.
+    known_since: Instant,
+    /// The newest era that peers have told, and since when the first of them has known it. It may be told before
+    /// the store has stated it to this process.
+    told: Option<(Option<Era>, Instant)>,
+}
+
+impl StoreEra {
+    /// `stated` is the era in the answers of the store.
+    #[must_use]
+    pub fn new(stated: watch::Receiver<Option<Era>>, now: Instant) -> Self {
+        Self {
+            stated,
+            known_since: now,
+            told: None,
+        }
+    }
+
+    /// Notes whether the store has stated another era, or its first one, and returns whether it has.
+    pub fn observe(&mut self, now: Instant) -> bool {
+        if !self.has_changed() {
+            return false;
+        }
+        self.stated.mark_unchanged();
+        self.known_since = now;
+        true
+    }
+
+    /// Notes for how long a peer has known an era.
+    pub fn observe_peer(&mut self, known: KnownEra, now: Instant) {
+        let since = now.checked_sub(known.age).unwrap_or(now);
+        match &mut self.told {
+            Some((era, _)) if *era > known.stated => {}
+            Some((era, first)) if *era == known.stated => *first = since.min(*first),
+            told => *told = Some((known.stated, since)),
+        }
+    }
+
+    /// Since when this process, or a peer that knows the same era, has known it.
+    #[must_use]
+    pub fn known_since(&self) -> Instant {
+        let stated = *self.stated.borrow();
+        match self.told {
+            Some((era, first)) if era == stated => first.min(self.known_since),
+            _ => self.known_since,
+        }
+    }
+
+    /// What peers are told; `None` until a change has been noted.
+    #[must_use]
+    pub fn known(&self, now: Instant) -> Option<KnownEra> {
+        let age = now.saturating_duration_since(self.known_since());
+        let stated = *self.stated.borrow();
+        (!self.has_changed()).then_some(KnownEra { stated, age })
+    }
+
+    fn has_changed(&self) -> bool {
+        self.stated.has_changed().unwrap_or(false)
+    }
+}
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self.stated.borrow() {
+            Some(era) => fmt::Display::fmt(&era, f),
+            None => f.write_str("none"),
+        }
+    }
+}
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -11,6 +11,7 @@
 
 mod actor;
 mod entry;
+mod era;
 mod history;
 mod imp;
 mod message;
--- a/src/wire/imp.rs
+++ b/src/wire/imp.rs
@@ -9,6 +9,7 @@
         Process, PromptPart, Request, Revision, Service, Window, Zone,
     },
     route::Version,
+    store::Era,
     unit::{Bytes, Share, Tokens},
 };
 
@@ -419,9 +420,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct KnownEra {
-    /// Number of the era; `None` if the store has stated none.
+    /// The era; `None` if the store has stated none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub number: Option<u64>,
+    pub stated: Option<Era>,
     /// Time since the gateway saw it first, encoded in whole milliseconds.
     #[serde(with = "millis")]
     pub age: Duration,
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -138,7 +138,7 @@
                 reported: None,
                 sent: Some(crate::id::Window::new(353_445_119)),
                 era: Some(crate::wire::KnownEra {
-                    number: Some(2),
+                    stated: Some(crate::store::Era::new(2)),
                     age: Duration::from_millis(7_500),
                 }),
             }),
