--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -353,8 +353,8 @@
     }
 
     /// Whether no gateway that runs has fixed the report of a window. One could have done so without a trace
-    /// in the store if the window was closed at the start of this process, or when the store was restored;
-    /// then all gateways must have sent a digest in this term.
+    /// in the store if the window was closed when the era of the store became known, since the store may have
+    /// been restored before; then all gateways must have sent a digest in this term.
     fn is_certain(&self, window: Window, term_since: Instant) -> bool {
         let certain_since = self.time.estimate(self.era.known_since()) + CLOCK_SKEW_MAX;
         window >= self.config.spec.open_window(certain_since)
