--- a/src/usage/entry.rs
+++ b/src/usage/entry.rs
@@ -56,7 +56,7 @@
 }
 
 /// Merges the counts that gateways have written to the store. Gateways that are not linked with all others
-/// do so, and the holder may have heard a part of them.
+/// do so, and the holder may have received a part of them.
 pub(super) async fn merge_counts(
     store: &dyn Store,
     root: &Path,
--- a/src/usage/era.rs
+++ b/src/usage/era.rs
@@ -10,9 +10,9 @@
     stated: watch::Receiver<Option<Era>>,
     /// Since when this process has known the era: its start, or the last change.
     known_since: Instant,
-    /// The newest era that peers have told, and since when the first of them has known it. It may be told before
-    /// the store has stated it to this process.
-    told: Option<(Option<Era>, Instant)>,
+    /// The newest era in the digests of peers, and since when the first of them has known it. It may be newer
+    /// than the one that the store has stated to this process.
+    peers: Option<(Option<Era>, Instant)>,
 }
 
 impl StoreEra {
@@ -22,7 +22,7 @@
         Self {
             stated,
             known_since: now,
-            told: None,
+            peers: None,
         }
     }
 
@@ -39,10 +39,10 @@
     /// Notes for how long a peer has known an era.
     pub fn observe_peer(&mut self, known: KnownEra, now: Instant) {
         let since = now.checked_sub(known.age).unwrap_or(now);
-        match &mut self.told {
+        match &mut self.peers {
             Some((era, _)) if *era > known.stated => {}
             Some((era, first)) if *era == known.stated => *first = since.min(*first),
-            told => *told = Some((known.stated, since)),
+            peers => *peers = Some((known.stated, since)),
         }
     }
 
@@ -50,13 +50,13 @@
     #[must_use]
     pub fn known_since(&self) -> Instant {
         let stated = *self.stated.borrow();
-        match self.told {
+        match self.peers {
             Some((era, first)) if era == stated => first.min(self.known_since),
             _ => self.known_since,
         }
     }
 
-    /// What peers are told; `None` until a change has been noted.
+    /// What is sent to peers; `None` until a change has been noted.
     #[must_use]
     pub fn known(&self, now: Instant) -> Option<KnownEra> {
         let age = now.saturating_duration_since(self.known_since());
