Leave out notices that begin on closed connections in the soak

Request 5-1f had been asked of free-1 beside a silent free-0; the answer of free-0 was passed on and complete at 14:13:29.363, and free-1 began its refusal with a pause at 14:13:29.496.

The gateway's log has no notice of free-1.

Change: the check leaves out an answer that begins after the client has had the whole answer of another endpoint. All other answers count as before: those begun before that, after an answer that was broken off, and after one of the same endpoint or of the gateway. notices_count_from_their_answers gets requests that end later, so that it still tests the time of the answer.

--- a/mulberrymill-bench/src/soak/check.rs
+++ b/mulberrymill-bench/src/soak/check.rs
@@ -204,7 +204,7 @@
 /// [`PAUSED_ARRIVALS_MAX`] from it, from [`PAUSE_TOLERANCE`] after that until the end of the pause.
 ///
 /// A gateway that did not run in between is excused, and so is one whose link to the endpoint was harmed
-/// when the endpoint answered.
+/// when the endpoint answered, or that had closed the connection before.
 pub(super) fn check_notices(
     sent: &[Sent],
     arrivals: &[Arrival],
@@ -229,7 +229,7 @@
                 && cut.from < answered + ANSWER_TIME
                 && answered < cut.until
         });
-        if is_unheard {
+        if is_unheard || ended_elsewhere(to, &said.endpoint, answered) {
             continue;
         }
         let later = from_gateways.iter().filter(|(arrival, from)| {
@@ -264,6 +264,17 @@
     breaches
 }
 
+/// Whether a client had the whole answer of another endpoint before `endpoint` began its own at `answered`. A
+/// gateway that has passed on an answer to its end has closed its connections to the other endpoints.
+fn ended_elsewhere(sent: &Sent, endpoint: &str, answered: Instant) -> bool {
+    let stamp = sent
+        .answer
+        .as_ref()
+        .and_then(|answer| answer.stamp.as_deref());
+    let is_other = stamp.is_some_and(|stamp| stamp != endpoint);
+    is_other && sent.end == End::Complete && sent.ended < answered
+}
+
 fn expected(sent: &Sent) -> String {
     if sent.route.is_stream() {
         let events = (1..=STREAM_EVENTS).map(|number| backend::event(number, &sent.request));
--- a/mulberrymill-bench/src/soak/tests.rs
+++ b/mulberrymill-bench/src/soak/tests.rs
@@ -255,6 +255,7 @@
         let sent = arrivals.clone().map(|arrival| Sent {
             request: arrival.request,
             at: arrival.at,
+            ended: arrival.at + Duration::from_secs(3),
             ..sent("plain", 200, None)
         });
         (answered, check_notices(&sent, &arrivals, &[], &[]).len())
@@ -262,6 +263,64 @@
     assert_eq!(outcomes, [(Some(0), 1), (Some(1_000), 0), (None, 0)]);
 }
 
+/// Guards against a check that counts an answer which its endpoint began after the gateway had passed on the whole
+/// answer of another endpoint and closed the connection, as in seeds 92000 and 360049.
+#[test]
+fn notices_on_closed_connections_are_not_counted() {
+    let now = Instant::now();
+    let at = |millis| now + Duration::from_millis(millis);
+    let found = |answered, stamp: Option<&str>, end| {
+        let arrivals = [("r0", 0, Some(at(answered))), ("r1", 3_000, None)];
+        let arrivals = arrivals.map(|(request, millis, answered)| Arrival {
+            request: request.to_owned(),
+            endpoint: "free-0".to_owned(),
+            started: 1,
+            at: at(millis),
+            answered,
+            notice: Notice {
+                leaving: true,
+                pause: None,
+            },
+        });
+        let whole = sent("plain", 200, None);
+        let first = Sent {
+            request: "r0".to_owned(),
+            at: now,
+            ended: at(300),
+            end,
+            answer: whole.answer.clone().map(|answer| Answer {
+                stamp: stamp.map(str::to_owned),
+                ..answer
+            }),
+            ..whole.clone()
+        };
+        let second = Sent {
+            at: at(3_000),
+            ended: at(3_300),
+            ..whole
+        };
+        check_notices(&[first, second], &arrivals, &[], &[]).len()
+    };
+    let other = Some("free-1");
+    let outcomes = [
+        (
+            "before the other answer ended",
+            found(299, other, End::Complete),
+        ),
+        ("after it", found(301, other, End::Complete)),
+        (
+            "after it, and it was broken off",
+            found(301, other, End::Broken("closed".to_owned())),
+        ),
+        (
+            "of the same endpoint",
+            found(301, Some("free-0"), End::Complete),
+        ),
+        ("of the gateway", found(301, None, End::Complete)),
+    ];
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Guards against a check that misses a request which got neither an answer nor a refusal, or that
 /// blames a gateway for what others broke.
 #[test]
