--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -429,7 +429,7 @@
     });
 }
 
-/// When a gateway that has just started hears from the store and from a peer.
+/// When a gateway that has just started receives answers of the store and digests of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Started {
     /// From the store at once, and never from the peer.
