Close the connections of a crashed engine at once in the stand-ins

Cause: the stand-in closed a connection only once its handler had written its whole answer, so streams beside a crash were not cut.

Change: a crash shuts down all open connections.

--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -404,7 +404,8 @@
         threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
 
     def crash(self):
-        """Ends at once: its port refuses connections and all open ones are reset. Returns whether it ran."""
+        """Ends at once, as a killed process does: its port refuses connections, and all open ones are closed.
+        Returns whether it ran."""
         with self.lock:
             server, self.server = self.server, None
         if server is None:
@@ -414,7 +415,10 @@
         with self.lock:
             open_now, self.connections = list(self.connections), set()
         for connection in open_now:
-            reset(connection)
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
         return True
 
     def entry(self):
