--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,7 @@
-"""A part of a prompt that crashes engines, in requests that come several at a time."""
+"""Sound requests that share their first part with a part that crashes engines, after a kill of all processes."""
 
 import os
+import signal
 import sys
 import threading
 import time
@@ -10,45 +11,39 @@
 sys.dont_write_bytecode = True
 import stand  # noqa: E402
 
-ENGINES = 12
-GATEWAYS = 2
+ENGINES = 9
+GATEWAYS = 3
 STABLE_WINDOW_S = 3.0
-# Requests with the part at a time, and the time between.
-TOGETHER = 5
-PAUSE_S = 5.0
-ROUNDS = 4
 BACK_AFTER_S = 2.5
-SUBJECTS = 300
-SHARED, CRASHING, SOUND = "5c1e07a2:200", "91bd3f06:300", "e4402b7d:300"
+SOUND_EVERY_S = 1.9
+SOUND_S = 21.5 * SOUND_EVERY_S
+FIRST, CRASHING = "f1bd3f06:200", "11bd3f06:300"
+KILL = stand.TROUBLE and os.environ.get("KILL", "1") != "0"
+PART = stand.TROUBLE and os.environ.get("PART", "1") != "0"
 
 
 def case(record, temporary, gateways):
     platform = stand.Platform(record)
     lock = threading.Lock()
-    arrivals, crashes = [], []
+    crashes = []
 
     def respond(engine, request, connection):
         engine.note_run(request)
-        parts = request.headers.get("prefix-hash", "")
         head = (
             f"HTTP/1.1 200 OK\r\nRequest-Id: {request.id}\r\nServer-Stamp: {engine.stamp(request)}\r\n"
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
-        if CRASHING in parts:
-            with lock:
-                arrivals.append((time.monotonic(), engine.id, request.id))
-            record.line("arrival with the part", engine=engine.id, request=request.id)
-            if stand.TROUBLE:
-                time.sleep(0.02)
-                if engine.crash():
-                    with lock:
-                        crashes.append(time.monotonic())
-                    record.line("crash", engine=engine.id, request=request.id)
-                    threading.Timer(BACK_AFTER_S, come_back, (engine,)).start()
-                return False
+        if CRASHING in request.headers.get("prefix-hash", "") and PART:
+            time.sleep(0.02)
+            if engine.crash():
+                with lock:
+                    crashes.append(time.monotonic())
+                record.line("crash", engine=engine.id, request=request.id)
+                threading.Timer(BACK_AFTER_S, come_back, (engine,)).start()
+            return False
         connection.sendall(head.encode())
-        for number in range(1, 13):
-            time.sleep(0.08)
+        for number in range(1, 9):
+            time.sleep(0.05)
             event = f"id: {number}\ndata: x\n\n".encode()
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
         connection.sendall(b"0\r\n\r\n")
@@ -69,61 +64,70 @@
         gateway.start()
     for gateway in gateways:
         gateway.await_ready()
-    time.sleep(2)
+    time.sleep(1)
 
-    sound = {"sent": 0, "whole": 0, "cut": 0}
+    counter = [0]
+    outcomes = []
 
-    def ask(number, crashing):
-        # The third part belongs to one of many subjects, the last one to the request itself.
-        second = CRASHING if crashing else SOUND
-        parts = f"{SHARED},{second},{number % SUBJECTS + 1:08x}:400,{number + 0x1000000:08x}:50"
-        identity = f"{'part' if crashing else 'sound'}-{number}"
+    def ask(kind):
+        with lock:
+            counter[0] += 1
+            number = counter[0]
+        first = FIRST if kind in ("part", "sound") else f"{number % 40 + 1:08x}:200"
+        second = CRASHING if kind == "part" else f"{number % 300 + 0x2000:08x}:300"
+        identity = f"{kind}-{number}"
         gateway = gateways[number % GATEWAYS]
+        at = time.monotonic()
         answer = stand.send(
-            gateway.port, "POST", f"/chat/{number}", identity, b"x" * 400, timeout=8,
-            headers={"Model": "m", "Token-Count": "950,20", "Prefix-Hash": parts, "Deadline-Ms": "6000"})
-        record.line("client", request=identity, gateway=gateway.name, status=answer.status,
-                    whole=answer.whole, error=answer.error)
-        if not crashing:
-            with lock:
-                sound["sent"] += 1
-                sound["whole"] += answer.status == 200 and answer.whole
-                sound["cut"] += answer.status == 200 and not answer.whole
+            gateway.port, "POST", f"/chat/{number}", identity, b"x" * 300, timeout=8,
+            headers={"Model": "m", "Token-Count": "600,20", "Deadline-Ms": "6000",
+                     "Prefix-Hash": f"{first},{second},{number + 0x1000000:08x}:100"})
+        record.line("client", request=identity, gateway=gateway.name, status=answer.status, whole=answer.whole,
+                    error=answer.error, retry_after=answer.headers.get("retry-after"))
+        with lock:
+            outcomes.append((kind, at, answer.status == 200))
 
     stop = threading.Event()
 
-    def sound_load():
-        number = 1_000_000
-        while not stop.wait(0.05):
-            number += 1
-            threading.Thread(target=ask, args=(number, False), daemon=True).start()
-
-    threading.Thread(target=sound_load, daemon=True).start()
-    time.sleep(3)
-    number = 0
-    for _ in range(ROUNDS):
-        group = []
-        for _ in range(TOGETHER):
-            number += 1
-            group.append(threading.Thread(target=ask, args=(number, True), daemon=True))
-        for one in group:
-            one.start()
-        time.sleep(PAUSE_S)
+    def every(pause, kind, until):
+        while not until.wait(pause):
+            threading.Thread(target=ask, args=(kind,), daemon=True).start()
+
+    def begin(pause, kind, until):
+        threading.Thread(target=every, args=(pause, kind, until), daemon=True).start()
+
+    calm_over = threading.Event()
+    begin(0.05, "other", stop)
+    begin(SOUND_EVERY_S, "sound", calm_over)
+    time.sleep(SOUND_S)
+    calm_over.set()
+    calm_until = time.monotonic()
+    if KILL:
+        for gateway in gateways:
+            gateway.signal(signal.SIGKILL)
+        record.line("killed", gateways=GATEWAYS)
+        for gateway in gateways:
+            gateway.kill()
+            gateway.start()
+        for gateway in gateways:
+            gateway.await_ready()
+        record.line("ready again")
+    begin(0.5, "part", stop)
+    begin(SOUND_EVERY_S, "sound", stop)
+    time.sleep(8 + SOUND_S)
     stop.set()
-    time.sleep(1)
-
-    record.line("sound requests", **sound)
-    record.line("crashes", count=len(crashes))
-    if not stand.TROUBLE:
-        if len(arrivals) < TOGETHER:
-            raise stand.CannotRun("too few requests reached engines")
-        return True
-    if len(crashes) < 5:
-        raise stand.CannotRun("fewer than five crashes")
-    bound_from = sorted(crashes)[4] + STABLE_WINDOW_S
-    late = [identity for at, _, identity in arrivals if at > bound_from]
-    record.line("result", arrivals=len(arrivals), later_than_the_window=len(late), allowed=3)
-    return len(late) <= 3
+    time.sleep(1.5)
+
+    with lock:
+        last = sorted(crashes)[:5]
+        bound_from = (last[-1] if last else calm_until) + 2 * STABLE_WINDOW_S
+        before = [ok for kind, at, ok in outcomes if kind == "sound" and at < calm_until]
+        after = [ok for kind, at, ok in outcomes if kind == "sound" and at > bound_from]
+    record.line("result", crashes=len(crashes), sound_before=len(before), begun_before=sum(before),
+                sound_after=len(after), begun_after=sum(after))
+    if len(before) < 20 or len(after) < 20 or (PART and not crashes):
+        raise stand.CannotRun("too few requests")
+    return sum(after) / len(after) >= 0.5 * sum(before) / len(before)
 
 
 stand.run_case(FOLDER, case)
--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -19,7 +19,7 @@
 from http.server import BaseHTTPRequestHandler
 
 HOST = "127.0.0.1"
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.realpath(__file__))))
 PROGRAM = os.path.join(REPOSITORY, "target", "release", "mulberrymill")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
