End the processes of a case that is stopped by a signal

Cause: a script that is ended from outside left its gateways running.

Change: the stand-ins turn SIGTERM and SIGINT into the regular end of a case.

--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -690,6 +690,11 @@
 def run_case(folder, case):
     """Runs `case(record, folder of temporary files, gateways to end)`, which returns whether the rule held.
     Exits with 0 if it held, 1 if it was broken, 2 if the case could not run."""
+    def stop(number, _frame):
+        raise CannotRun(f"stopped by signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
     record = Record(os.path.join(folder, "record.txt"))
     temporary = tempfile.mkdtemp(prefix="review-")
     gateways = []
