Report no window for which nobody vouches after a restore

What callers saw: a usage report was accepted; the store was restored from a copy without it, and all processes were killed. The new holder reported the same window again, with no counts, and the API accepted both (ONE).

Cause: a holder took it for certain that a window had not been reported if all other registered gateways had sent a digest in its term. Processes that have started since know of no report, and an empty list of gateways, as right after a restore, proves nothing.

Evidence: of ten forms of window_is_reported_once_if_nobody_knows_of_the_report, six failed before the change, among them a single gateway, a list without the gateway that knows of the report, and both orders of kill and restore. A kill or a restore alone held.

Change: the holder records in the store since when its era is known. A copy can't hold the record of a later era, so the record vouches for all windows that were closed after it, also for processes that have all just started. Without it, all gateways that were registered since the window was closed must answer, in runs that are known since before. One read a term and one write an era. The time in the record is read with an allowance of five seconds for wall clocks.

--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -12,15 +12,18 @@
 };
 
 use super::{
-    Counts, History, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime, entry,
-    era::StoreEra, history::Content,
+    Counts, History, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime,
+    entry::{self, EraRecord},
+    era::StoreEra,
+    history::Content,
+    peers::{LastDigest, Peers},
 };
 use crate::{
     clock::Shared,
     duty::{Answer, Call, GetTerm, Perform, Token},
     error::{Error, Kind},
     id::{Incarnation, Process, Window},
-    peers::{GatewaysChanged, Roster},
+    peers::GatewaysChanged,
     store::{Path, Store},
     unit::as_f64,
     wire::UsageTime,
@@ -32,9 +35,9 @@
 const BACKOFF_TICKS_MAX: u32 = 4;
 /// Most by which the estimates of the time of two gateways differ.
 const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
-/// Time without a digest after which a peer counts as not linked. Linked peers send a digest each
-/// second.
-const SILENT_AFTER: Duration = Duration::from_secs(3);
+/// Most by which the time in the record of an era is behind. A process that has heard no peer dates it by its own
+/// wall clock, which may have jumped by seconds.
+const RECORD_CLOCK_ERROR_MAX: Duration = Duration::from_secs(5);
 
 /// Identity and dependencies.
 #[derive(Debug)]
@@ -62,10 +65,10 @@
 /// Actor that counts requests, and reports them while this process is the holder.
 pub struct Reporter {
     config: Config,
+    started_at: Instant,
     time: TrueTime,
     tally: Tally,
-    roster: Roster,
-    last_digests: BTreeMap<Process, LastDigest>,
+    peers: Peers,
     history: History,
     era: StoreEra,
     /// The current term, if this process is the holder.
@@ -82,14 +85,6 @@
     ticks_to_pass: u32,
 }
 
-/// The last digest of a peer.
-#[derive(Clone, Copy, Debug)]
-struct LastDigest {
-    received_at: Instant,
-    /// The last window whose report may have been sent, as far as the peer knows; `None` if it does not say.
-    sent: Option<Window>,
-}
-
 /// A term of this process as the holder.
 struct Term {
     token: Token,
@@ -110,13 +105,14 @@
 /// Starts to count.
 #[must_use]
 pub fn spawn(config: Config) -> Addr<Reporter> {
+    let now = config.clock.now();
     let usage = Reporter {
-        time: TrueTime::new(config.clock.wall(), config.clock.now()),
-        era: StoreEra::new(config.store.era(), config.clock.now()),
+        started_at: now,
+        time: TrueTime::new(config.clock.wall(), now),
+        era: StoreEra::new(config.store.era(), now),
+        peers: Peers::new(config.process.clone()),
         config,
         tally: Tally::default(),
-        roster: Roster::new(),
-        last_digests: BTreeMap::new(),
         history: History::default(),
         term: None,
         written: BTreeSet::new(),
@@ -167,17 +163,9 @@
         self.time.estimate(self.config.clock.now())
     }
 
-    fn others(&self) -> impl Iterator<Item = &Process> {
-        self.roster
-            .processes()
-            .filter(|process| **process != self.config.process)
-    }
-
     /// The last digest of a peer, if it is linked.
     fn linked(&self, process: &Process) -> Option<LastDigest> {
-        let now = self.config.clock.now();
-        let last = self.last_digests.get(process).copied();
-        last.filter(|last| now.saturating_duration_since(last.received_at) < SILENT_AFTER)
+        self.peers.linked(process, self.config.clock.now())
     }
 
     fn own_run(&self) -> (Process, Incarnation) {
@@ -190,6 +178,8 @@
         self.tally.prune(oldest);
         self.history.prune(oldest);
         self.written.retain(|window| *window >= oldest);
+        let (time, spec) = (&self.time, self.config.spec);
+        self.peers.prune(|at| was_open(spec, time, oldest, at));
         self.observe_era();
         self.restore_reports(oldest, ctx);
         self.ticks_to_pass = self.ticks_to_pass.saturating_sub(1);
@@ -256,7 +246,10 @@
         };
         let window = Window::new(window);
         let counts = self.tally.own_in(window);
-        let all_linked = self.others().all(|process| self.linked(process).is_some());
+        let all_linked = self
+            .peers
+            .names()
+            .all(|process| self.linked(process).is_some());
         if counts.is_empty() || all_linked || !self.written.insert(window) {
             return;
         }
@@ -324,7 +317,8 @@
             }
             (None, None) if !self.is_certain(window, term.since) => {
                 if is_urgent {
-                    let why = "a gateway that may have reported it sends no digests";
+                    let why = "the store may have lost its report, and a gateway that may have sent it \
+                               does not answer or has started since";
                     return Step::GiveUp(window, why);
                 }
                 return Step::Wait;
@@ -345,28 +339,25 @@
     /// Whether the peers know that the report of a window may have been sent: those that are linked and say
     /// so, and before the report is urgent the others, too.
     fn is_acknowledged(&self, window: Window, is_urgent: bool) -> bool {
-        let mut others = self.others();
+        let mut others = self.peers.names();
         others.all(|process| match self.linked(process) {
             Some(last) => last.sent.is_none_or(|sent| sent >= window),
             None => is_urgent,
         })
     }
 
-    /// Whether no gateway that runs has fixed the report of a window. One could have done so without a trace
-    /// in the store if the window was closed when the era of the store became known, since the store may have
-    /// been restored before; then all gateways must have sent a digest in this term.
+    /// Whether no report of a window can have been fixed without a trace in the store. There is a trace if the
+    /// store was not restored since the window was closed. Else all processes that may have fixed the report must
+    /// have run since then, this one included, and have sent a digest in this term.
     fn is_certain(&self, window: Window, term_since: Instant) -> bool {
-        let certain_since = self.time.estimate(self.era.known_since()) + CLOCK_SKEW_MAX;
-        window >= self.config.spec.open_window(certain_since)
-            || self.others().all(|process| {
-                let last = self.last_digests.get(process);
-                last.is_some_and(|last| last.received_at >= term_since)
-            })
+        let was_open = |at| was_open(self.config.spec, &self.time, window, at);
+        was_open(self.era.known_since())
+            || (was_open(self.started_at) && self.peers.have_answered_for(term_since, was_open))
     }
 
     /// The counts of a window, if all gateways have reported theirs, or if the report is urgent.
     fn count(&self, window: Window, is_urgent: bool) -> Option<Tally> {
-        let missing = self.others();
+        let missing = self.peers.names();
         let missing: Vec<&Process> = missing
             .filter(|process| !self.tally.has_reported(process, window))
             .collect();
@@ -385,12 +376,17 @@
         let (store, root) = (Rc::clone(&self.config.store), self.config.root.clone());
         let own = self.own_run();
         let stored = self.term.as_ref().and_then(|term| term.stored.clone());
-        let prepared = async move { prepare(preparation, stored, &*store, &root, &own).await };
+        let known = self.era.known(self.config.clock.now());
+        let era = known.map(|known| EraRecord {
+            era: known.stated.unwrap_or_default(),
+            since: self.now().saturating_sub(known.age),
+        });
+        let prepared = async move { prepare(preparation, stored, era, &*store, &root, &own).await };
         ctx.spawn(prepared.into_actor(self).map(move |prepared, usage, ctx| {
             usage.busy = false;
             match prepared {
-                Ok(stored) => {
-                    usage.record_stored(token, stored);
+                Ok((stored, record)) => {
+                    usage.record_stored(token, stored, record);
                     usage.proceed(ctx);
                 }
                 Err(error) => {
@@ -402,8 +398,17 @@
     }
 
     /// Notes what the store holds, unless it was restored since, or the term has ended.
-    fn record_stored(&mut self, token: Token, stored: BTreeMap<Window, Content>) {
+    fn record_stored(
+        &mut self,
+        token: Token,
+        stored: BTreeMap<Window, Content>,
+        record: Option<EraRecord>,
+    ) {
         self.observe_era();
+        if let Some(EraRecord { era, since }) = record {
+            let age = self.now().saturating_sub(since + RECORD_CLOCK_ERROR_MAX);
+            self.era.observe_record(era, age, self.config.clock.now());
+        }
         let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
             return;
         };
@@ -467,20 +472,30 @@
     }
 }
 
-/// Reads the reports, unless they are known, and creates the proposed one if it is missing. Returns what the
-/// store holds.
+/// Whether a window was certainly open at `at`: no gateway can have fixed its report by then.
+fn was_open(spec: Spec, time: &TrueTime, window: Window, at: Instant) -> bool {
+    window >= spec.open_window(time.estimate(at) + CLOCK_SKEW_MAX)
+}
+
+/// Reads the reports and the record of the era, unless they are known, and creates the proposed report if it is
+/// missing. Returns what the store holds.
 async fn prepare(
     preparation: Preparation,
     stored: Option<BTreeMap<Window, Content>>,
+    known_era: Option<EraRecord>,
     store: &dyn Store,
     root: &Path,
     own: &(Process, Incarnation),
-) -> Result<BTreeMap<Window, Content>> {
+) -> Result<(BTreeMap<Window, Content>, Option<EraRecord>)> {
     let Preparation {
         window,
         content,
         old,
     } = preparation;
+    let record = match stored {
+        None => entry::record_era(store, root, known_era).await?,
+        Some(_) => None,
+    };
     let mut stored = match (stored, &content) {
         (Some(stored), Proposal::Known(_) | Proposal::Counted(_)) => stored,
         _ => entry::read_reports(store, root).await?,
@@ -491,14 +506,14 @@
             entry::merge_counts(store, root, own, window, &mut tally).await?;
             Arc::new(tally.report(window))
         }
-        Proposal::None => return Ok(stored),
+        Proposal::None => return Ok((stored, record)),
     };
     if !stored.contains_key(&window) {
         let created = entry::create_report(store, root, window, &content, &old).await?;
         stored.retain(|window, _| !old.contains(window));
         stored.insert(window, created);
     }
-    Ok(stored)
+    Ok((stored, record))
 }
 
 impl Actor for Reporter {
@@ -546,11 +561,8 @@
 
     fn handle(&mut self, msg: PeerCounts, ctx: &mut Context<Self>) {
         let now = self.config.clock.now();
-        let last = LastDigest {
-            received_at: now,
-            sent: msg.time.sent,
-        };
-        self.last_digests.insert(msg.process.clone(), last);
+        self.peers
+            .observe(&msg.process, msg.incarnation, msg.time.sent, now);
         let time = Duration::from_millis(msg.time.unix_ms);
         self.time.observe(&msg.process, time, now);
         self.history.merge(msg.time.sent, msg.time.reported);
@@ -569,6 +581,6 @@
     type Result = ();
 
     fn handle(&mut self, GatewaysChanged(update): GatewaysChanged, _: &mut Context<Self>) {
-        self.roster.apply(update);
+        self.peers.apply(update, self.config.clock.now());
     }
 }
--- a/src/usage/era.rs
+++ b/src/usage/era.rs
@@ -1,4 +1,7 @@
-use std::{fmt, time::Instant};
+use std::{
+    fmt,
+    time::{Duration, Instant},
+};
 
 use tokio::sync::watch;
 
@@ -10,7 +13,7 @@
     stated: watch::Receiver<Option<Era>>,
     /// Since when this process has known the era: its start, or the last change.
     known_since: Instant,
-    /// The newest era in the digests of peers, and since when the first of them has known it. It may be newer
+    /// The newest era in the digests of peers or in a record, and since when it is known there. It may be newer
     /// than the one that the store has stated to this process.
     peers: Option<(Option<Era>, Instant)>,
 }
@@ -46,7 +49,15 @@
         }
     }
 
-    /// Since when this process, or a peer that knows the same era, has known it.
+    /// Notes for how long an era is known by its record in the store.
+    pub fn observe_record(&mut self, era: Era, age: Duration, now: Instant) {
+        let stated = *self.stated.borrow();
+        if stated.unwrap_or_default() == era {
+            self.observe_peer(KnownEra { stated, age }, now);
+        }
+    }
+
+    /// Since when this process, a peer or the record of the store has known the era.
     #[must_use]
     pub fn known_since(&self) -> Instant {
         let stated = *self.stated.borrow();
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -15,6 +15,7 @@
 mod history;
 mod imp;
 mod message;
+mod peers;
 #[cfg(test)]
 mod tests;
 mod time;
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -16,7 +16,7 @@
     duty::{Answer, Call, GetTerm, Perform, Term, Token},
     id::{Caller, Incarnation, Process, Window},
     peers::GatewaysChanged,
-    store::{Faults, Item, Memory},
+    store::{Faults, Item, Memory, Reader, Store, Txn, Write},
     testing::with_paused_time,
     wire::Begun,
 };
@@ -117,6 +117,24 @@
     }
 }
 
+/// A store that has been in use, and in its first era, since long before the gateways start.
+async fn used_store() -> Memory {
+    store_with_era(0, br#"{"since_ms":0}"#).await
+}
+
+/// A store in its first era with the record of an era.
+async fn store_with_era(number: u64, value: &[u8]) -> Memory {
+    let store = Memory::new(System::shared());
+    let path = format!("/duties/eras/{number}");
+    let record = Write::Put(path.parse().expect("a path"), value.to_vec(), None);
+    let txn = Txn {
+        compares: Vec::new(),
+        writes: vec![record],
+    };
+    store.commit(txn).await.expect("it is reachable");
+    store
+}
+
 /// Duties that hold a term while the token is set, and record the reports.
 #[derive(Clone, Default)]
 struct FakeDuties {
@@ -155,17 +173,26 @@
 
 struct Gateway {
     reporter: Addr<Reporter>,
+    incarnation: Incarnation,
     duties: FakeDuties,
     store: Memory,
 }
 
 impl Gateway {
     fn start(name: &str, store: &Memory, clock: &crate::clock::Shared) -> Self {
+        let gateway = Self::start_run(name, 0, store, clock);
+        gateway.register(&["g0", "g1", "g2"]);
+        gateway
+    }
+
+    /// Starts a run of a gateway that knows of no registered one.
+    fn start_run(name: &str, run: u8, store: &Memory, clock: &crate::clock::Shared) -> Self {
+        let incarnation = Incarnation::from_bytes([name.as_bytes()[1] + 10 * run; 8]);
         let (duties, store) = (FakeDuties::default(), store.client());
         let address = duties.clone().start();
         let reporter = spawn(Config {
             process: process(name),
-            incarnation: Incarnation::from_bytes([name.as_bytes()[1]; 8]),
+            incarnation,
             spec: SPEC,
             get_term: address.clone().recipient(),
             perform: address.recipient(),
@@ -174,20 +201,26 @@
             monotonic: System::shared(),
             clock: Arc::clone(clock),
         });
-        let items = ["g0", "g1", "g2"].map(|name| Item {
-            path: format!("/gateways/{name}").parse().expect("a path"),
-            value: b"127.0.0.1:7380".to_vec(),
-            created: crate::id::Revision::new(1),
-            modified: crate::id::Revision::new(1),
-        });
-        reporter.do_send(GatewaysChanged(Update::Snapshot(items.into())));
         Self {
             reporter,
+            incarnation,
             duties,
             store,
         }
     }
 
+    /// Replaces the list of registered gateways.
+    fn register(&self, names: &[&str]) {
+        let items = names.iter().map(|name| Item {
+            path: format!("/gateways/{name}").parse().expect("a path"),
+            value: b"127.0.0.1:7380".to_vec(),
+            created: crate::id::Revision::new(1),
+            modified: crate::id::Revision::new(1),
+        });
+        let update = Update::Snapshot(items.collect());
+        self.reporter.do_send(GatewaysChanged(update));
+    }
+
     fn hold(&self, token: Option<u64>) {
         let token = token.map(|number| number.to_string().parse().expect("a token"));
         self.duties.token.replace(token);
@@ -210,7 +243,7 @@
             .expect("it runs");
         other.reporter.do_send(PeerCounts {
             process: process(own),
-            incarnation: Incarnation::from_bytes([own.as_bytes()[1]; 8]),
+            incarnation: self.incarnation,
             begun: counts.all.expect("asked for"),
             time: counts.time,
         });
@@ -247,7 +280,7 @@
 #[test]
 fn next_holder_sends_the_same_report() {
     with_paused_time(async {
-        let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+        let (store, clock) = (used_store().await, Fixed::shared());
         let gateways = ["g0", "g1", "g2"].map(|name| Gateway::start(name, &store, &clock));
         let [first, second, killed] = &gateways;
         let links = [("g0", first), ("g1", second), ("g2", killed)];
@@ -318,7 +351,7 @@
 /// different counts.
 async fn report_across_a_restore(former: Former, first_answer: Option<Answer>) -> String {
     const NAMES: [&str; 3] = ["g0", "g1", "g2"];
-    let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+    let (store, clock) = (used_store().await, Fixed::shared());
     let mut gateways = NAMES.map(|name| Gateway::start(name, &store, &clock));
     gateways[0].count("hule930", 3);
     gateways[1].count("fida11", 2);
@@ -485,3 +518,181 @@
     });
     insta::assert_debug_snapshot!(outcomes);
 }
+
+/// What happens between the report of a window and the next term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disruption {
+    /// All gateways are killed and start again; the store keeps what it has acknowledged.
+    Kill,
+    /// The store is restored from a copy without the report, and its first term follows.
+    Restore,
+    /// All gateways are killed, the store is restored, and all start again.
+    KillThenRestore,
+    /// The store is restored, all gateways are killed, and all start again.
+    RestoreThenKill,
+    /// As before, but each gateway sees itself alone as registered.
+    RestoreThenKillUnlisted,
+    /// The store is restored, and the next holder starts again. It sees itself alone as registered, and is not
+    /// linked yet with the gateway that knows of the report.
+    RestoreThenRestart,
+    /// The next holder is not linked with the gateway that sends the report, and does not see it as registered
+    /// after the store was restored.
+    RestoreBesideUnlinked,
+    /// The only gateway is killed, the store is restored, and it starts again.
+    SingleKillThenRestore,
+    /// The only gateway is killed and starts again.
+    SingleKill,
+    /// The store is restored beside the only gateway.
+    SingleRestore,
+}
+
+/// Reports two windows, disrupts the gateways and the store while the next one is open, and lets another gateway
+/// report for a while.
+async fn report_across_a_disruption(disruption: Disruption) -> String {
+    use Disruption::*;
+    const NAMES: [&str; 2] = ["g0", "g1"];
+    let is_single = matches!(
+        disruption,
+        SingleKillThenRestore | SingleKill | SingleRestore
+    );
+    let names = if is_single { &NAMES[..1] } else { &NAMES[..] };
+    let (store, clock) = (Memory::new(System::shared()), Fixed::shared());
+    let start_all = |run| -> Vec<Gateway> {
+        let start = |name: &&str| Gateway::start_run(name, run, &store, &clock);
+        let gateways: Vec<Gateway> = names.iter().map(start).collect();
+        for gateway in &gateways {
+            gateway.register(names);
+        }
+        gateways
+    };
+    let run = async |gateways: &[Gateway], seconds| {
+        let links: Vec<_> = names.iter().copied().zip(gateways).collect();
+        run_links(&links, seconds).await;
+    };
+    let mut gateways = start_all(0);
+    gateways[0].hold(Some(4));
+    run(&gateways, 11).await;
+    let copy = store.back_up();
+    gateways[0].count("hule930", 3);
+    if disruption == RestoreBesideUnlinked {
+        timer::sleep(Duration::from_secs(13)).await;
+    } else {
+        run(&gateways, 8).await;
+    }
+    let mut reports: Vec<String> = gateways[0].reports().into_values().collect();
+    gateways[0].hold(None);
+    let restores = !matches!(disruption, Kill | SingleKill);
+    if restores {
+        store.restore(copy);
+    }
+    if matches!(
+        disruption,
+        Restore | RestoreThenRestart | RestoreThenKill | RestoreThenKillUnlisted
+    ) {
+        run(&gateways, 1).await;
+    }
+    if !restores {
+        // A window is closed and not reported.
+        run(&gateways, 3).await;
+    }
+    match disruption {
+        Restore | SingleRestore => {}
+        RestoreBesideUnlinked => gateways[1].register(&["g1"]),
+        RestoreThenRestart => {
+            gateways[1] = Gateway::start_run("g1", 1, &store, &clock);
+            gateways[1].register(&["g1"]);
+        }
+        _ => {
+            drop(gateways);
+            gateways = start_all(1);
+        }
+    }
+    if disruption == RestoreThenKillUnlisted {
+        for (name, gateway) in names.iter().zip(&gateways) {
+            gateway.register(&[name]);
+        }
+    }
+    let holder = gateways.len() - 1;
+    gateways[holder].hold(Some(9));
+    if matches!(disruption, RestoreThenRestart | RestoreBesideUnlinked) {
+        timer::sleep(Duration::from_secs(12)).await;
+    } else {
+        run(&gateways, 12).await;
+    }
+    reports.extend(gateways[holder].reports().into_values());
+    let mut counts: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for report in &reports {
+        let mut fields = report.split(' ');
+        let (window, count) = (fields.next(), fields.next());
+        let contents = counts.entry(window.unwrap_or_default()).or_default();
+        let count = count.unwrap_or_default();
+        if !contents.contains(&count) {
+            contents.push(count);
+        }
+    }
+    format!("{disruption:?}: {counts:?}")
+}
+
+/// Guards against a window that is reported again without its counts, because the store was restored and no process
+/// that runs knows of the first report (ONE), and against windows that are missing without need.
+#[test]
+fn window_is_reported_once_if_nobody_knows_of_the_report() {
+    use Disruption::*;
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for disruption in [
+            Kill,
+            Restore,
+            KillThenRestore,
+            RestoreThenKill,
+            RestoreThenKillUnlisted,
+            RestoreThenRestart,
+            RestoreBesideUnlinked,
+            SingleKillThenRestore,
+            SingleKill,
+            SingleRestore,
+        ] {
+            outcomes.push(report_across_a_disruption(disruption).await);
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
+
+/// Guards against a record of an era that vouches for windows from before it, because of the clock of the process
+/// that wrote it or because it belongs to another era.
+#[test]
+fn record_of_an_era_vouches_for_later_windows() {
+    let outcomes = with_paused_time(async {
+        let mut outcomes = Vec::new();
+        for (era, value) in [
+            (0, r#"{"since_ms":990000}"#),
+            (0, r#"{"since_ms":1000000}"#),
+            (0, r#"{"since_ms":1008000}"#),
+            (0, "unreadable"),
+            (3, r#"{"since_ms":990000}"#),
+        ] {
+            let (store, clock) = (store_with_era(era, value.as_bytes()).await, Fixed::shared());
+            timer::sleep(Duration::from_secs(16)).await;
+            let holder = Gateway::start_run("g0", 0, &store, &clock);
+            holder.register(&["g0"]);
+            holder.hold(Some(4));
+            timer::sleep(Duration::from_secs(12)).await;
+            let eras = "/duties/eras".parse().expect("a path");
+            let eras = store.range(eras).await.expect("it is reachable").items;
+            let eras = eras.into_iter().map(|item| {
+                let value = String::from_utf8_lossy(&item.value).into_owned();
+                (item.path.to_string(), value)
+            });
+            let reports = holder.reports().into_values();
+            outcomes.push((
+                era,
+                value,
+                reports.collect::<Vec<_>>(),
+                eras.collect::<Vec<_>>(),
+            ));
+        }
+        outcomes
+    });
+    insta::assert_debug_snapshot!(outcomes);
+}
