Hold parts together that have the same crashes

What callers saw: after a restart of all gateways, requests that end engines came before a sound request with the same first part. From then on all sound requests with that part were refused for ten minutes (LOST).

Cause: among parts with as many crashes, the one with the larger id was held. It then explained all crashes, and since no request with it ran any more, nothing could show that the guess was wrong.

Evidence: part_with_the_same_crashes_as_the_cause_is_not_refused has both orders of the ids, and failed before with the sound part held where its id is larger; cause_is_found_beside_its_companions (random requests and restarts) failed before with three requests of two parts.

Change: parts of one rank that explain the same crashes are held together, that is, requests with all of them are refused. A request with some of them goes, and its answer or its crash tells them apart. So a sound request is never refused for a companion, and the cause is found with at most one more crash for each companion that was in all of them.

--- a/src/dispatch/imp.rs
+++ b/src/dispatch/imp.rs
@@ -157,7 +157,7 @@
     /// [`Kind::Quarantined`] if the prompt has a part that has ended engines.
     pub fn choose(&mut self, demand: &Demand, now: Instant) -> Result<Choice> {
         if let Some(hold) = self.quarantine.check(&demand.shared_parts, now) {
-            return Err(quarantined(hold));
+            return Err(quarantined(&hold));
         }
         let (rank, selection) = self.select_by_policy(demand, now)?;
         let Selection {
@@ -695,11 +695,11 @@
     }
 }
 
-fn quarantined(hold: Hold) -> Error {
+fn quarantined(hold: &Hold) -> Error {
     metrics::counter!("quarantine_refusals_total").increment(1);
     let detail = format!(
-        "not run: part {} of the prompt has ended engines",
-        hold.part
+        "not run: prompts with part {} have ended engines",
+        hold.parts
     );
     Error::new(Kind::Quarantined, detail).with_retry_after(hold.remaining)
 }
--- a/src/quarantine/imp.rs
+++ b/src/quarantine/imp.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt,
     time::{Duration, Instant},
 };
 
@@ -37,23 +38,48 @@
 /// the parts that matter come again.
 const REPORTED_MAX: usize = 128;
 
-/// A part that is held back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Parts that are held back where a request has all of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hold {
-    /// The part.
-    pub part: PromptPart,
-    /// Time until it is tried again.
+    /// The parts.
+    pub parts: Parts,
+    /// Time until they are tried again.
     pub remaining: Duration,
 }
 
+/// Parts that cannot be told apart by their crashes: one of them ends engines, and it is not known which.
+/// Mostly a single one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Parts(BTreeSet<PromptPart>);
+
+impl Parts {
+    fn contains(&self, part: &PromptPart) -> bool {
+        self.0.contains(part)
+    }
+
+    fn are_all_in(&self, parts: &[PromptPart]) -> bool {
+        self.0.iter().all(|part| parts.contains(part))
+    }
+}
+
+impl fmt::Display for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { " with " };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
+
 /// What is known of the parts of prompts that ran at engines when they ended.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     /// Crashes of each part after it was last answered, in the order of time.
     suspects: BTreeMap<PromptPart, Vec<Incident>>,
     served: Served,
-    /// The held parts, each with the end of its hold.
-    held: BTreeMap<PromptPart, Instant>,
+    /// The held parts, with the end of each hold.
+    held: BTreeMap<Parts, Instant>,
     /// Whether `held` must be chosen again.
     changed: bool,
     unreported: Unreported,
@@ -89,14 +115,14 @@
         Self::default()
     }
 
-    /// Returns the first of the parts that is held, if any.
+    /// Returns a hold on parts that are all among `parts`, if there is one.
     #[must_use]
     pub fn check(&mut self, parts: &[PromptPart], now: Instant) -> Option<Hold> {
         self.update_held(now);
-        parts.iter().find_map(|part| {
-            let remaining = self.held.get(part)?.checked_duration_since(now)?;
-            Some(Hold {
-                part: *part,
+        self.held.iter().find_map(|(held, until)| {
+            let remaining = until.checked_duration_since(now)?;
+            held.are_all_in(parts).then(|| Hold {
+                parts: held.clone(),
                 remaining,
             })
         })
@@ -160,10 +186,9 @@
 
     /// The crashes of the parts that were held last, as many of each as hold it.
     fn latest_held(&self) -> impl Iterator<Item = (PromptPart, Incident)> {
-        let mut held: Vec<(Instant, PromptPart)> = self
-            .held
-            .iter()
-            .map(|(part, until)| (*until, *part))
+        let holds = self.held.iter();
+        let mut held: Vec<(Instant, PromptPart)> = holds
+            .flat_map(|(parts, until)| parts.0.iter().map(|part| (*until, *part)))
             .collect();
         held.sort_unstable_by(|a, b| b.cmp(a));
         held.into_iter()
@@ -239,29 +264,31 @@
 
     /// Chooses the parts to hold: first the one with the most crashes, then each that has enough
     /// crashes which the held ones do not explain. A part that others share with the cause, or that
-    /// was at the same engines by chance, is not held.
+    /// was at the same engines by chance, is not held. Parts that explain as many of the same crashes are
+    /// held together: a request with one of them alone goes, and its end tells them apart.
     fn update_held(&mut self, now: Instant) {
         if !std::mem::take(&mut self.changed) {
             return;
         }
-        let mut held: BTreeMap<PromptPart, Instant> = BTreeMap::new();
-        while let Some(part) = self.next_to_hold(&held) {
-            let last = self.suspects[&part].last();
-            held.insert(part, last.map_or(now, |incident| incident.at) + HOLD);
+        let mut held: BTreeMap<Parts, Instant> = BTreeMap::new();
+        while let Some((parts, last)) = self.next_to_hold(&held) {
+            held.insert(parts, last + HOLD);
         }
         held.retain(|_, until| now < *until);
-        for part in held.keys().filter(|part| !self.held.contains_key(part)) {
-            log::warn!(part:% = part, crashes = self.suspects[part].len();
-                "refusing requests with a part of a prompt that was running when engines ended");
+        for parts in held.keys().filter(|parts| !self.held.contains_key(parts)) {
+            let crashes = parts.0.first().and_then(|part| self.suspects.get(part));
+            log::warn!(parts:% = parts, crashes = crashes.map_or(0, Vec::len);
+                "refusing requests with parts of a prompt that were running when engines ended");
         }
-        for part in self.held.keys().filter(|part| !held.contains_key(part)) {
-            log::info!(part:% = part; "accepting requests with a part of a prompt again");
+        for parts in self.held.keys().filter(|parts| !held.contains_key(parts)) {
+            log::info!(parts:% = parts; "accepting requests with parts of a prompt again");
         }
         metrics::gauge!("quarantined_parts").set(as_f64(held.len() as u64));
         self.held = held;
     }
 
-    fn next_to_hold(&self, held: &BTreeMap<PromptPart, Instant>) -> Option<PromptPart> {
+    /// The next parts to hold beside those in `held`, and the time of their last crash.
+    fn next_to_hold(&self, held: &BTreeMap<Parts, Instant>) -> Option<(Parts, Instant)> {
         let candidates = self.suspects.iter().filter_map(|(part, incidents)| {
             let once_served = self.served.last(*part).is_some();
             let needed = if once_served {
@@ -269,17 +296,36 @@
             } else {
                 CRASHES_MIN
             };
-            if incidents.len() < needed || held.contains_key(part) {
+            if incidents.len() < needed || held.keys().any(|parts| parts.contains(part)) {
                 return None;
             }
-            let is_explained = |incident: &&Incident| {
-                let explaining = held.keys().flat_map(|part| &self.suspects[part]);
-                explaining.into_iter().any(|it| it.is_same_crash(incident))
-            };
-            let unexplained = count_outages(incidents.iter().filter(|it| !is_explained(it)));
-            (unexplained >= needed).then_some((!once_served, unexplained, *part))
+            let unexplained = incidents.iter();
+            let unexplained = unexplained.filter(|it| !held.keys().any(|by| self.explains(by, it)));
+            let unexplained: Vec<&Incident> = unexplained.collect();
+            let count = count_outages(unexplained.iter().copied());
+            let rank = (!once_served, count, unexplained.len());
+            (count >= needed).then_some((rank, needed, *part, unexplained))
         });
-        candidates.max().map(|(_, _, part)| part)
+        let candidates: Vec<_> = candidates.collect();
+        let (rank, needed, _, crashes) = candidates.iter().max_by_key(|(rank, ..)| *rank)?;
+        // Parts of the same rank whose other crashes would not hold them.
+        let alike = candidates.iter().filter(|(other_rank, .., others)| {
+            let others = others.iter().copied();
+            let others = others.filter(|it| !crashes.iter().any(|known| known.is_same_crash(it)));
+            other_rank == rank && count_outages(others) < *needed
+        });
+        let parts = Parts(alike.map(|(_, _, part, _)| *part).collect());
+        let last = parts.0.iter().filter_map(|part| self.suspects[part].last());
+        let last = last.map(|incident| incident.at).max()?;
+        Some((parts, last))
+    }
+
+    /// Whether all of the held parts were running in a crash.
+    fn explains(&self, held: &Parts, incident: &Incident) -> bool {
+        held.0.iter().all(|part| {
+            let incidents = &self.suspects[part];
+            incidents.iter().any(|it| it.is_same_crash(incident))
+        })
     }
 
     /// Drops crashes whose hold and probation have ended.
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -93,6 +93,59 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Guards against sound requests that are refused for as long as a part is held, because one of their parts was
+/// in the same crashes as the cause, and has the larger id or the smaller one (LOST).
+#[test]
+fn part_with_the_same_crashes_as_the_cause_is_not_refused() {
+    let now = Instant::now();
+    let minute = now + Duration::from_mins(1);
+    let mut outcomes = Vec::new();
+    for (cause, companion) in [(part("1"), part("2")), (part("2"), part("1"))] {
+        let (third, other) = (part("3"), part("4"));
+        let refused = |quarantine: &mut Quarantine, at| -> Vec<&str> {
+            let requests = [
+                (
+                    "with the cause and its companions",
+                    vec![companion, third, cause],
+                ),
+                ("with the cause and one companion", vec![companion, cause]),
+                ("with the cause", vec![other, cause]),
+                ("with all companions", vec![companion, third]),
+                ("with one companion", vec![companion, other]),
+            ];
+            let refused = requests
+                .into_iter()
+                .filter(|(_, parts)| quarantine.check(parts, at).is_some());
+            refused.map(|(name, _)| name).collect()
+        };
+        let mut quarantine = Quarantine::new();
+        crash(&mut quarantine, &[companion, third, cause], 3, now);
+        let mut outcome = vec![("three crashes", refused(&mut quarantine, minute))];
+        let mut without_a_companion = Quarantine::new();
+        crash(&mut without_a_companion, &[companion, third, cause], 3, now);
+        without_a_companion.record_crash(&endpoint(7), &[companion, cause], minute);
+        outcome.push((
+            "a crash without one companion",
+            refused(&mut without_a_companion, minute),
+        ));
+        without_a_companion.record_crash(&endpoint(8), &[other, cause], minute);
+        outcome.push((
+            "a crash without both",
+            refused(&mut without_a_companion, minute),
+        ));
+        quarantine.record_served(&[companion, other], minute);
+        outcome.push((
+            "one companion is answered",
+            refused(&mut quarantine, minute),
+        ));
+        quarantine.record_served(&[companion, third], minute);
+        outcome.push(("both are answered", refused(&mut quarantine, minute)));
+        outcomes.push(outcome);
+    }
+    assert_eq!(outcomes[0], outcomes[1]);
+    insta::assert_debug_snapshot!(outcomes[0]);
+}
+
 /// Guards against a part that is held for ever, and against one that ends engines again at will.
 #[test]
 fn hold_ends_and_one_crash_renews_it() {
@@ -175,6 +228,64 @@
     }
 }
 
+/// A step of a fleet of three gateways, one of whose parts of prompts ends engines.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A request with these parts, the one that ends engines among them or not.
+    Request(usize, Vec<u8>),
+    /// A gateway is killed and starts again.
+    Restart(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let parts = proptest::sample::subsequence(vec![0_u8, 1, 2, 3, 4], 1..4);
+    let step = prop_oneof![
+        9 => (0_usize..3, parts).prop_map(|(at, parts)| Step::Request(at, parts)),
+        1 => (0_usize..3).prop_map(Step::Restart),
+    ];
+    proptest::collection::vec(step, 0..80)
+}
+
+proptest! {
+    /// Guards against sound requests that are refused for a part that they share with requests that end engines
+    /// (LOST), and against further crashes once the cause could be known (BUDGET), whatever the ids.
+    #[test]
+    fn cause_is_found_beside_its_companions(steps in steps(), cause in 0_u8..5) {
+        let mut now = Instant::now();
+        let mut gateways = [Quarantine::new(), Quarantine::new(), Quarantine::new()];
+        let (mut crashes, mut restarts) = (0, 0);
+        for step in steps {
+            now += Duration::from_secs(1);
+            match step {
+                Step::Request(at, numbers) => {
+                    let parts: Vec<_> = numbers.iter().map(|number| part(&number.to_string())).collect();
+                    let is_sound = !numbers.contains(&cause);
+                    let is_refused = gateways[at].check(&parts, now).is_some();
+                    prop_assert!(!(is_sound && is_refused), "{numbers:?} at {at}");
+                    if is_sound {
+                        gateways[at].record_served(&parts, now);
+                    } else if !is_refused {
+                        gateways[at].record_crash(&endpoint(crashes), &parts, now);
+                        crashes += 1;
+                    }
+                }
+                Step::Restart(at) => {
+                    gateways[at] = Quarantine::new();
+                    restarts += 1;
+                }
+            }
+            for from in 0..3 {
+                let report = gateways[from].take_report(now);
+                for to in (0..3).filter(|to| *to != from) {
+                    gateways[to].apply_report(report.clone(), now);
+                }
+            }
+        }
+        // Three crashes, one more for each companion that was in all of them, and what a restart may forget.
+        prop_assert!(crashes <= 3 + 2 + 5 * restarts, "{crashes} crashes, {restarts} restarts");
+    }
+}
+
 /// Guards against gateways that report the crashes of a part which is answered all the time to each
 /// other without end.
 #[test]
@@ -206,8 +317,10 @@
         }
     }
     let held = gateways.iter_mut().map(|it| it.check(&[popular, bad], now));
-    let held: Vec<_> = held.map(|hold| hold.map(|hold| hold.part)).collect();
-    assert_eq!(held, [Some(bad); GATEWAYS]);
+    let held: Vec<_> = held
+        .map(|hold| hold.map(|hold| hold.parts.to_string()))
+        .collect();
+    assert_eq!(held, vec![Some(bad.to_string()); GATEWAYS]);
     // The crashes of the held part, once a second and gateway.
     assert!(
         entries[10..].iter().all(|count| *count <= 3 * GATEWAYS),
