Pass on answers to gateways that report older crashes

What callers see: a gateway refuses a part of prompts after three crashes, although a peer knows that the part was answered since.

Cause: an answer was passed on only if it cleared crashes, or if the part's first crash became known after it. A crash that was older than a known answer was skipped in silence, so its reporter went on to hold the part.

Change: the answer goes into the next report.

--- a/src/quarantine/imp.rs
+++ b/src/quarantine/imp.rs
@@ -219,6 +219,8 @@
     fn add(&mut self, part: PromptPart, incident: Incident) -> bool {
         let answered_at = self.served.last(part);
         if answered_at.is_some_and(|at| incident.at < at) {
+            // The process that reported the crash may not know of the answer.
+            self.unreported.answered.insert(part);
             return false;
         }
         let incidents = self.suspects.entry(part).or_default();
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -228,6 +228,46 @@
     }
 }
 
+/// Guards against a gateway that refuses a part which a peer knows to be answered: since its crashes, or before
+/// them and the gateway has started since.
+#[test]
+fn answers_are_passed_on_to_gateways_that_lack_them() {
+    let now = Instant::now();
+    let (sound, cause) = (part("2"), part("1"));
+    let report = |from: &mut Quarantine, to: &mut Quarantine, at| {
+        to.apply_report(from.take_report(at), at);
+    };
+    let held = |quarantine: &mut Quarantine, at| {
+        let hold = quarantine.check(&[sound, cause], at);
+        hold.map(|hold| hold.parts.to_string())
+    };
+    let seconds = |count| now + Duration::from_secs(count);
+
+    let (mut first, mut second) = (Quarantine::new(), Quarantine::new());
+    crash(&mut first, &[sound], 3, now);
+    second.record_served(&[sound], seconds(5));
+    let mut outcomes = vec![("before a report", held(&mut first, seconds(6)))];
+    report(&mut first, &mut second, seconds(6));
+    report(&mut second, &mut first, seconds(6));
+    outcomes.push(("answered after the crashes", held(&mut first, seconds(6))));
+
+    let (mut first, mut second) = (Quarantine::new(), Quarantine::new());
+    second.record_served(&[sound], now);
+    crash(&mut first, &[sound, cause], 3, seconds(1));
+    report(&mut first, &mut second, seconds(4));
+    report(&mut second, &mut first, seconds(4));
+    outcomes.push(("answered before the crashes", held(&mut first, seconds(6))));
+    let mut started = Quarantine::new();
+    crash(&mut started, &[sound, cause], 3, seconds(5));
+    outcomes.push(("started since", held(&mut started, seconds(9))));
+    report(&mut second, &mut started, seconds(9));
+    outcomes.push((
+        "started since, after a report",
+        held(&mut started, seconds(9)),
+    ));
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// A step of a fleet of three gateways, one of whose parts of prompts ends engines.
 #[derive(Clone, Debug)]
 enum Step {
