--- a/src/quarantine/imp.rs
+++ b/src/quarantine/imp.rs
@@ -108,6 +108,29 @@
     }
 }
 
+/// A part with enough crashes to be held.
+struct Candidate<'a> {
+    part: PromptPart,
+    /// Whether no engine has answered it before, and the number of outages and of crashes in which it was running.
+    /// The higher one is more likely to be the cause.
+    rank: (bool, usize, usize),
+    /// Crashes that hold it.
+    needed: usize,
+    /// Crashes that the parts which are held already do not explain.
+    unexplained: Vec<&'a Incident>,
+}
+
+impl Candidate<'_> {
+    /// Whether `other` is as likely to be the cause: it has the same rank, and too few crashes that this one does
+    /// not explain.
+    fn is_like(&self, other: &Self) -> bool {
+        let explained = |it: &Incident| self.unexplained.iter().any(|own| own.is_same_crash(it));
+        let rest = other.unexplained.iter().copied();
+        let rest = rest.filter(|incident| !explained(incident));
+        self.rank == other.rank && count_outages(rest) < self.needed
+    }
+}
+
 impl Quarantine {
     /// Creates a quarantine that knows of no crash.
     #[must_use]
@@ -305,18 +328,17 @@
             let unexplained = unexplained.filter(|it| !held.keys().any(|by| self.explains(by, it)));
             let unexplained: Vec<&Incident> = unexplained.collect();
             let count = count_outages(unexplained.iter().copied());
-            let rank = (!once_served, count, unexplained.len());
-            (count >= needed).then_some((rank, needed, *part, unexplained))
-        });
-        let candidates: Vec<_> = candidates.collect();
-        let (rank, needed, _, crashes) = candidates.iter().max_by_key(|(rank, ..)| *rank)?;
-        // Parts of the same rank whose other crashes would not hold them.
-        let alike = candidates.iter().filter(|(other_rank, .., others)| {
-            let others = others.iter().copied();
-            let others = others.filter(|it| !crashes.iter().any(|known| known.is_same_crash(it)));
-            other_rank == rank && count_outages(others) < *needed
+            (count >= needed).then_some(Candidate {
+                part: *part,
+                rank: (!once_served, count, unexplained.len()),
+                needed,
+                unexplained,
+            })
         });
-        let parts = Parts(alike.map(|(_, _, part, _)| *part).collect());
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
+        let first = candidates.iter().max_by_key(|candidate| candidate.rank)?;
+        let alike = candidates.iter().filter(|other| first.is_like(other));
+        let parts = Parts(alike.map(|candidate| candidate.part).collect());
         let last = parts.0.iter().filter_map(|part| self.suspects[part].last());
         let last = last.map(|incident| incident.at).max()?;
         Some((parts, last))
