--- a/src/usage/era.rs
+++ b/src/era/tracker.rs
@@ -5,11 +5,12 @@
 
 use tokio::sync::watch;
 
+use super::Record;
 use crate::{store::Era, wire::KnownEra};
 
 /// The era of the store, and since when it is known. The store has lost no report in that time.
 #[derive(Debug)]
-pub struct StoreEra {
+pub struct Tracker {
     stated: watch::Receiver<Option<Era>>,
     /// Since when this process has known the era: its start, or the last change.
     known_since: Instant,
@@ -18,7 +19,7 @@
     peers: Option<(Option<Era>, Instant)>,
 }
 
-impl StoreEra {
+impl Tracker {
     /// `stated` is the era in the answers of the store.
     #[must_use]
     pub fn new(stated: watch::Receiver<Option<Era>>, now: Instant) -> Self {
@@ -49,10 +50,11 @@
         }
     }
 
-    /// Notes for how long an era is known by its record in the store.
-    pub fn observe_record(&mut self, era: Era, age: Duration, now: Instant) {
+    /// Notes a record of the store. `unix` is the Unix time now.
+    pub fn observe_record(&mut self, record: &Record, unix: Duration, now: Instant) {
         let stated = *self.stated.borrow();
-        if stated.unwrap_or_default() == era {
+        if stated.unwrap_or_default() == record.era {
+            let age = record.age(unix);
             self.observe_peer(KnownEra { stated, age }, now);
         }
     }
@@ -67,6 +69,16 @@
         }
     }
 
+    /// What the store may keep of this; `None` until a change has been noted. `unix` is the Unix time now.
+    #[must_use]
+    pub fn record(&self, unix: Duration, now: Instant) -> Option<Record> {
+        let KnownEra { stated, age } = self.known(now)?;
+        Some(Record {
+            era: stated.unwrap_or_default(),
+            since: unix.saturating_sub(age),
+        })
+    }
+
     /// What is sent to peers; `None` until a change has been noted.
     #[must_use]
     pub fn known(&self, now: Instant) -> Option<KnownEra> {
@@ -80,7 +92,7 @@
     }
 }
 
-impl fmt::Display for StoreEra {
+impl fmt::Display for Tracker {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match *self.stated.borrow() {
             Some(era) => fmt::Display::fmt(&era, f),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod duty;
 pub mod edit;
 pub mod entry;
+pub mod era;
 pub mod error;
 pub mod forecast;
 pub mod forward;
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -12,15 +12,14 @@
 };
 
 use super::{
-    Counts, History, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime,
-    entry::{self, EraRecord},
-    era::StoreEra,
+    Counts, History, PeerCounts, RequestBegun, Result, Spec, TakeCounts, Tally, TrueTime, entry,
     history::Content,
     peers::{LastDigest, Peers},
 };
 use crate::{
     clock::Shared,
     duty::{Answer, Call, GetTerm, Perform, Token},
+    era,
     error::{Error, Kind},
     id::{Incarnation, Process, Window},
     peers::GatewaysChanged,
@@ -35,9 +34,6 @@
 const BACKOFF_TICKS_MAX: u32 = 4;
 /// Most by which the estimates of the time of two gateways differ.
 const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
-/// Most by which the time in the record of an era is behind. A process that has heard no peer dates it by its own
-/// wall clock, which may have jumped by seconds.
-const RECORD_CLOCK_ERROR_MAX: Duration = Duration::from_secs(5);
 
 /// Identity and dependencies.
 #[derive(Debug)]
@@ -70,7 +66,7 @@
     tally: Tally,
     peers: Peers,
     history: History,
-    era: StoreEra,
+    era: era::Tracker,
     /// The current term, if this process is the holder.
     term: Option<Term>,
     /// Windows whose counts this process has written to the store.
@@ -109,7 +105,7 @@
     let usage = Reporter {
         started_at: now,
         time: TrueTime::new(config.clock.wall(), now),
-        era: StoreEra::new(config.store.era(), now),
+        era: era::Tracker::new(config.store.era(), now),
         peers: Peers::new(config.process.clone()),
         config,
         tally: Tally::default(),
@@ -376,11 +372,7 @@
         let (store, root) = (Rc::clone(&self.config.store), self.config.root.clone());
         let own = self.own_run();
         let stored = self.term.as_ref().and_then(|term| term.stored.clone());
-        let known = self.era.known(self.config.clock.now());
-        let era = known.map(|known| EraRecord {
-            era: known.stated.unwrap_or_default(),
-            since: self.now().saturating_sub(known.age),
-        });
+        let era = self.era.record(self.now(), self.config.clock.now());
         let prepared = async move { prepare(preparation, stored, era, &*store, &root, &own).await };
         ctx.spawn(prepared.into_actor(self).map(move |prepared, usage, ctx| {
             usage.busy = false;
@@ -402,12 +394,12 @@
         &mut self,
         token: Token,
         stored: BTreeMap<Window, Content>,
-        record: Option<EraRecord>,
+        record: Option<era::Record>,
     ) {
         self.observe_era();
-        if let Some(EraRecord { era, since }) = record {
-            let age = self.now().saturating_sub(since + RECORD_CLOCK_ERROR_MAX);
-            self.era.observe_record(era, age, self.config.clock.now());
+        if let Some(record) = record {
+            let (unix, now) = (self.now(), self.config.clock.now());
+            self.era.observe_record(&record, unix, now);
         }
         let Some(term) = self.term.as_mut().filter(|term| term.token == token) else {
             return;
@@ -482,18 +474,18 @@
 async fn prepare(
     preparation: Preparation,
     stored: Option<BTreeMap<Window, Content>>,
-    known_era: Option<EraRecord>,
+    known_era: Option<era::Record>,
     store: &dyn Store,
     root: &Path,
     own: &(Process, Incarnation),
-) -> Result<(BTreeMap<Window, Content>, Option<EraRecord>)> {
+) -> Result<(BTreeMap<Window, Content>, Option<era::Record>)> {
     let Preparation {
         window,
         content,
         old,
     } = preparation;
     let record = match stored {
-        None => entry::record_era(store, root, known_era).await?,
+        None => era::Record::read_or_create(store, root, known_era).await?,
         Some(_) => None,
     };
     let mut stored = match (stored, &content) {
--- a/src/usage/entry.rs
+++ b/src/usage/entry.rs
@@ -1,82 +1,17 @@
-//! The entries of reports, counts and eras in the store.
+//! The entries of reports and counts in the store.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
-
 use super::{Result, Tally, history::Content};
 use crate::{
     error::{Error, Kind},
     id::{Caller, Incarnation, Process, Window},
-    store::{Compare, Era, Path, Store, Txn, Write},
+    store::{Compare, Path, Store, Txn, Write},
     wire::Begun,
 };
 
 /// Time to live of the counts that a gateway writes to the store.
 const COUNTS_TTL: Duration = Duration::from_mins(1);
-/// Records of earlier eras that are removed at a time, so that the transaction stays small.
-const REMOVED_ERAS_MAX: usize = 16;
-
-/// An era of the store, and since when it is known. The store keeps it without a lease. A copy from which the
-/// store is restored can hold the records of earlier eras only, so a record of the current era shows that the
-/// store has lost nothing since.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct EraRecord {
-    pub(super) era: Era,
-    /// Unix time at which the store was in this era.
-    pub(super) since: Duration,
-}
-
-/// Value of the entry of an era.
-#[derive(Serialize, Deserialize)]
-struct EraValue {
-    since_ms: u64,
-}
-
-/// Reads the record of the current era. If there is none, creates it from what this process knows, and removes
-/// those of other eras. Returns `None` if the store is in another era than the known one and has no record of it.
-pub(super) async fn record_era(
-    store: &dyn Store,
-    root: &Path,
-    known: Option<EraRecord>,
-) -> Result<Option<EraRecord>> {
-    let eras = root.join(&"eras");
-    let range = store.range(eras.clone()).await?;
-    let path = eras.join(&range.era);
-    if let Some(item) = range.items.iter().find(|item| item.path == path) {
-        return Ok(decode_era(range.era, &item.value));
-    }
-    let Some(known) = known.filter(|known| known.era == range.era) else {
-        return Ok(None);
-    };
-    let since_ms = u64::try_from(known.since.as_millis()).unwrap_or(u64::MAX);
-    let value = serde_json::to_vec(&EraValue { since_ms })
-        .map_err(|error| Error::new(Kind::Internal, "cannot encode an era").with_source(error))?;
-    let removals = range.items.into_iter().take(REMOVED_ERAS_MAX);
-    let mut writes = vec![Write::Put(path.clone(), value, None)];
-    writes.extend(removals.map(|item| Write::Delete(item.path)));
-    let txn = Txn {
-        compares: vec![Compare::Absent(path)],
-        writes,
-    };
-    let commit = store.commit(txn).await?;
-    if commit.succeeded {
-        log::info!(era:% = known.era, since_ms = since_ms; "usage: era of the store recorded");
-        return Ok(Some(known));
-    }
-    let found = commit.found.first();
-    Ok(found.and_then(|item| decode_era(known.era, &item.value)))
-}
-
-fn decode_era(era: Era, value: &[u8]) -> Option<EraRecord> {
-    let value: EraValue = serde_json::from_slice(value)
-        .inspect_err(
-            |error| log::warn!(era:% = era, error:% = error; "usage: skipping unreadable era"),
-        )
-        .ok()?;
-    let since = Duration::from_millis(value.since_ms);
-    Some(EraRecord { era, since })
-}
 
 /// Reads the contents of all reports.
 pub(super) async fn read_reports(
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -11,7 +11,6 @@
 
 mod actor;
 mod entry;
-mod era;
 mod history;
 mod imp;
 mod message;
