Confirm no plan of a restored store to a process that has just started

What callers saw: a withdrawn key was accepted 7 to 8 s after the acknowledgement by a gateway that was restarted by plan while the store was restored from an older copy; five are allowed (CONFIG).

Cause: a plan is confirmed if its version is not below the active one. A process that has just started has none, so the first answer of the store confirmed the plan of the copy, and the process was ready.

Evidence: started_process_confirms_no_plan_that_the_store_may_have_lost; without the waiting time, which is the code before, the copy is confirmed by its first answer in each form. The records of the case show that only the restarted gateway accepts the key, until the operator writes again.

Change: where keys are revoked strictly, the store confirms no plan to a process without a confirmation until its era is known for three seconds, by its record or by the process, or until the plan is written in its sight. A confirmation of a peer counts at once. One read of the record for each start.

--- a/src/gateway/imp.rs
+++ b/src/gateway/imp.rs
@@ -1,5 +1,10 @@
 use std::{
-    cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, UNIX_EPOCH},
 };
 
 use actix::{Addr, Recipient};
@@ -15,6 +20,7 @@
     dispatch::{self, Dispatcher, ExpireInstances, ListConfirmed, SetInstances, SetMemory},
     duty::{self, Duties, Release},
     entry::recorder,
+    era,
     error::{Error, Kind},
     id::{Group, Incarnation, Process, Revision},
     ingress::{self, Protocol},
@@ -30,6 +36,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which endpoints are removed whose grace period has ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before the era of the store is read again.
+const ERA_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Name of the lease of the duties.
 const DUTIES_GROUP: &str = "duties";
 /// Delay of a timer from which on a line is logged.
@@ -225,11 +233,11 @@
     let follow_services = follow_services(plan.active, dispatcher.clone());
     let mut tasks = vec![
         tokio::task::spawn_local(follow_services).abort_handle(),
-        plan.task,
         follow_endpoints,
         tokio::task::spawn_local(run_expiry(publisher, Arc::clone(&clock))).abort_handle(),
         tokio::task::spawn_local(recorder::upkeep(metrics)).abort_handle(),
     ];
+    tasks.extend(plan.tasks);
     tasks.extend(follow_gateways);
     Ok(Gateway {
         server,
@@ -330,11 +338,14 @@
     freshness: Freshness,
     /// The plan for peers, if keys may only be accepted with a confirmed plan.
     shared: Option<Rc<dyn SharedPlan>>,
-    task: AbortHandle,
+    tasks: Vec<AbortHandle>,
 }
 
 fn start_plan(settings: &settings::Gateway, adapter: &Adapter, clock: &Shared) -> PlanFollower {
-    let plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
+    let mut plan = ActivePlan::new(Arc::clone(&adapter.codec), adapter.plan_path.clone());
+    if settings.key_revocation.is_some() {
+        plan = plan.with_rewrite_time(plan::REWRITE_TIME);
+    }
     let active = plan.subscribe();
     let freshness = Freshness::new(
         plan.subscribe_confirmed(),
@@ -345,18 +356,61 @@
     let shared = settings
         .key_revocation
         .map(|_| Rc::new(plan::Shared(Rc::clone(&plan))) as Rc<dyn SharedPlan>);
-    let task = directory::follow(
+    let mut tasks = Vec::new();
+    if settings.key_revocation.is_some() {
+        let store = Rc::clone(&adapter.gateways_store);
+        let prefix = adapter.duties_prefix.clone();
+        let observe = observe_era(Rc::clone(&plan), store, prefix, Arc::clone(clock));
+        tasks.push(tokio::task::spawn_local(observe).abort_handle());
+    }
+    tasks.push(directory::follow(
         Rc::clone(&adapter.store),
         adapter.plan_path.clone(),
         BATCH_DELAY,
         Arc::clone(clock),
         Box::new(move |update, sent| plan.borrow_mut().apply(update, sent)),
-    );
+    ));
     PlanFollower {
         active,
         freshness,
         shared,
-        task,
+        tasks,
+    }
+}
+
+/// Reads since when the era of the store is known, once there is a plan, so that the plan is confirmed at once unless
+/// the store was restored a short time ago.
+async fn observe_era(
+    plan: Rc<RefCell<ActivePlan>>,
+    store: Rc<dyn Store>,
+    prefix: Path,
+    clock: Shared,
+) {
+    let mut active = plan.borrow().subscribe();
+    if active.changed().await.is_err() {
+        return;
+    }
+    let stated = store.era();
+    loop {
+        let unix = clock.wall().duration_since(UNIX_EPOCH);
+        let unix = unix.unwrap_or_default();
+        let era = stated.borrow().unwrap_or_default();
+        let known = Some(era::Record { era, since: unix });
+        match era::Record::read_or_create(&*store, &prefix, known).await {
+            Ok(record) => {
+                // Another era was stated meanwhile: the follower of the plan reads it again.
+                let record = record.filter(|it| it.era == stated.borrow().unwrap_or_default());
+                let age = record.map_or(Duration::ZERO, |record| record.age(unix));
+                log::info!(era:% = era, age_ms = age.as_millis(); "era of the store is known");
+                let since = clock.since_boot().saturating_sub(age);
+                plan.borrow_mut().observe_era(since);
+                return;
+            }
+            Err(error) => {
+                log::info!(error:% = error; "era of the store was not read; retrying");
+                time::sleep(ERA_RETRY_DELAY).await;
+            }
+        }
     }
 }
 
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -11,6 +11,9 @@
     store::{Change, Path},
 };
 
+/// Time in which the operator writes again what a restore of the store has taken back.
+pub(super) const REWRITE_TIME: Duration = Duration::from_secs(3);
+
 /// Holds the active plan. A plan is replaced only by one with a higher version, and stays active if
 /// it is deleted from the store.
 #[derive(Debug)]
@@ -22,6 +25,13 @@
     listed: Option<Version>,
     /// The active plan as received.
     value: Vec<u8>,
+    /// Time after a restore of the store in which its plan may be an old one.
+    rewrite_time: Duration,
+    /// Time since boot from which on calls to the store return the newest plan; `None` before the first answer. Only
+    /// used until the first confirmation: then the versions show whether the plan in the store is an old one.
+    complete_from: Option<Duration>,
+    /// When the call was sent whose answer was the last one of the store.
+    listed_at: Duration,
     /// Version that the last confirmation concerned.
     confirmed_version: Option<Version>,
     /// Time since boot as of which the active plan was the newest, or a newer one than the newest.
@@ -38,11 +48,30 @@
             plan: watch::Sender::new(None),
             listed: None,
             value: Vec::new(),
+            rewrite_time: Duration::ZERO,
+            complete_from: None,
+            listed_at: Duration::ZERO,
             confirmed_version: None,
             confirmed: watch::Sender::new(None),
         }
     }
 
+    /// Sets the time after a restore of the store in which its plan may be an old one; zero by default. For as
+    /// long, the store confirms no plan to a process that has just started, unless the plan is written again.
+    #[must_use]
+    pub const fn with_rewrite_time(mut self, rewrite_time: Duration) -> Self {
+        self.rewrite_time = rewrite_time;
+        self
+    }
+
+    /// Notes that the store was not restored since this time since boot.
+    pub fn observe_era(&mut self, since: Duration) {
+        if let Some(from) = &mut self.complete_from {
+            *from = since.saturating_add(self.rewrite_time).min(*from);
+            self.confirm_listed(self.listed_at);
+        }
+    }
+
     /// The active plan; `None` until the first one is received.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Option<Arc<Plan>>> {
@@ -63,18 +92,22 @@
         match update {
             Update::Snapshot(items) => {
                 self.listed = None;
+                let complete_from = sent.saturating_add(self.rewrite_time);
+                self.complete_from.get_or_insert(complete_from);
                 for item in items {
                     if item.path == self.path {
                         self.listed = self.replace_if_newer(&item.value, item.modified);
                     }
                 }
-                self.confirm(self.listed, sent);
+                self.confirm_listed(sent);
             }
             Update::Changes(events) => {
                 for event in events {
                     match event.change {
                         _ if event.path != self.path => {}
                         Change::Put(value) => {
+                            // The operator writes nothing but its newest plan.
+                            self.complete_from = Some(sent);
                             self.listed = self.replace_if_newer(&value, event.revision);
                         }
                         Change::Delete => {
@@ -84,17 +117,29 @@
                         }
                     }
                 }
-                self.confirm(self.listed, sent);
+                self.confirm_listed(sent);
             }
             // The version decides, which the operator does not give out again.
-            Update::Restored => self.listed = None,
+            Update::Restored => {
+                self.listed = None;
+                self.complete_from = None;
+            }
             Update::Availability(_) => {}
         }
     }
 
+    /// Confirms the plan that the store has shown in the answer to a call, unless it may be an old one.
+    fn confirm_listed(&mut self, sent: Duration) {
+        self.listed_at = sent;
+        let is_complete = self.complete_from.is_some_and(|from| from <= sent);
+        if is_complete || self.confirmed.borrow().is_some() {
+            self.confirm(self.listed, sent);
+        }
+    }
+
     /// Records that the newest plan had this version at a time since boot. A version before the active one
     /// confirms nothing: it is that of an older copy of the store.
-    fn confirm(&mut self, newest: Option<Version>, as_of: Duration) {
+    pub(super) fn confirm(&mut self, newest: Option<Version>, as_of: Duration) {
         let active = self.plan.borrow().as_ref().map(|plan| plan.version());
         if newest.is_none() || newest < active {
             return;
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -227,3 +227,72 @@
     ));
     insta::assert_debug_snapshot!(states);
 }
+
+/// Guards against a process that has just started, and confirms the plan of an older copy from which the store was
+/// restored (CONFIG): keys that were removed since would be accepted.
+#[test]
+fn started_process_confirms_no_plan_that_the_store_may_have_lost() {
+    enum Feed {
+        Store(Update),
+        EraSince(u64),
+        Peer(&'static str),
+    }
+    use Feed::{EraSince, Peer, Store};
+    let quiet = || Store(Update::Changes(Vec::new()));
+    let copy = || Store(snapshot("/plan", "3"));
+    let cases = [
+        (
+            "nothing else is known",
+            vec![copy(), quiet(), quiet(), quiet(), quiet()],
+        ),
+        (
+            "written again",
+            vec![copy(), quiet(), Store(put("4")), quiet()],
+        ),
+        ("restored long ago", vec![copy(), EraSince(2), quiet()]),
+        (
+            "restored a short time ago",
+            vec![copy(), EraSince(8), quiet(), quiet()],
+        ),
+        (
+            "restored once more",
+            vec![
+                copy(),
+                EraSince(9),
+                Store(Update::Restored),
+                copy(),
+                quiet(),
+                quiet(),
+                quiet(),
+            ],
+        ),
+        ("a peer has confirmed it", vec![copy(), Peer("3"), quiet()]),
+        (
+            "restored after a confirmation",
+            vec![
+                Store(put("4")),
+                Store(Update::Restored),
+                copy(),
+                Store(put("4")),
+            ],
+        ),
+    ];
+    let mut outcomes = Vec::new();
+    for (name, feeds) in cases {
+        let active_plan = ActivePlan::new(Arc::new(VersionOnly), path("/plan"));
+        let mut active_plan = active_plan.with_rewrite_time(Duration::from_secs(3));
+        let confirmed = active_plan.subscribe_confirmed();
+        let mut states = Vec::new();
+        for (second, feed) in (10..).zip(feeds) {
+            let now = Duration::from_secs(second);
+            match feed {
+                Store(update) => active_plan.apply(update, now),
+                EraSince(since) => active_plan.observe_era(Duration::from_secs(since)),
+                Peer(version) => active_plan.confirm(version.parse().ok(), now),
+            }
+            states.push(confirmed.borrow().map(|as_of| as_of.as_secs()));
+        }
+        outcomes.push(format!("{name}: {states:?}"));
+    }
+    insta::assert_debug_snapshot!(outcomes);
+}
