--- a/src/era/tracker.rs
+++ b/src/era/tracker.rs
@@ -8,7 +8,7 @@
 use super::Record;
 use crate::{store::Era, wire::KnownEra};
 
-/// The era of the store, and since when it is known. The store has lost no report in that time.
+/// The era of the store, and since when it is known. The store has lost nothing in that time.
 #[derive(Debug)]
 pub struct Tracker {
     stated: watch::Receiver<Option<Era>>,
