--- a/src/era/record.rs
+++ b/src/era/record.rs
@@ -8,7 +8,7 @@
     store::{Compare, Era, Path, Store, Txn, Write},
 };
 
-/// Most by which the time in a record is behind. A process that has heard no peer dates it by its own wall clock,
+/// Most by which the time in a record is behind. A process that is not linked yet dates it by its own wall clock,
 /// which may have jumped by seconds.
 const CLOCK_ERROR_MAX: Duration = Duration::from_secs(5);
 /// Records of earlier eras that are removed at a time, so that the transaction stays small.
--- a/src/quarantine/imp.rs
+++ b/src/quarantine/imp.rs
@@ -47,7 +47,7 @@
     pub remaining: Duration,
 }
 
-/// Parts that cannot be told apart by their crashes: one of them ends engines, and it is not known which.
+/// Parts that cannot be distinguished by their crashes: one of them ends engines, and it is not known which.
 /// Mostly a single one.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Parts(BTreeSet<PromptPart>);
@@ -290,7 +290,7 @@
     /// Chooses the parts to hold: first the one with the most crashes, then each that has enough
     /// crashes which the held ones do not explain. A part that others share with the cause, or that
     /// was at the same engines by chance, is not held. Parts that explain as many of the same crashes are
-    /// held together: a request with one of them alone goes, and its end tells them apart.
+    /// held together: a request with one of them alone goes, and its end distinguishes them.
     fn update_held(&mut self, now: Instant) {
         if !std::mem::take(&mut self.changed) {
             return;
--- a/src/usage/actor.rs
+++ b/src/usage/actor.rs
@@ -348,7 +348,8 @@
     fn is_certain(&self, window: Window, term_since: Instant) -> bool {
         let was_open = |at| was_open(self.config.spec, &self.time, window, at);
         was_open(self.era.known_since())
-            || (was_open(self.started_at) && self.peers.all_heard_since(term_since, was_open))
+            || (was_open(self.started_at)
+                && self.peers.all_sent_digests_since(term_since, was_open))
     }
 
     /// The counts of a window, if all gateways have reported theirs, or if the report is urgent.
--- a/src/usage/peers.rs
+++ b/src/usage/peers.rs
@@ -87,7 +87,7 @@
     /// Whether each gateway that may have reported a window has sent a digest since `since`, in a run that
     /// was known before the window was closed: it still knows what it has reported. `was_open` is whether the
     /// window was open at a time.
-    pub(super) fn all_heard_since(
+    pub(super) fn all_sent_digests_since(
         &self,
         since: Instant,
         was_open: impl Fn(Instant) -> bool,
